--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -12,6 +12,14 @@
   endif()
 endfunction()
 
+# Adds static library hingespan_<name> from <folder>/*.cc, whose headers are included as "<folder>/x.h".
+function(hingespan_add_library_from name folder)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${folder}/*.cc)
+  add_library(hingespan_${name} STATIC ${sources})
+  target_include_directories(hingespan_${name} PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries(hingespan_${name} PUBLIC ${ARGN} hingespan_third_party)
+endfunction()
+
 # programs/<name>.cc becomes program <name> with '_' written '-'; emulator/*.cc and bench/load/*.cc
 # are libraries of their own programs.
 function(hingespan_add_programs)
@@ -73,7 +81,8 @@
       if(sources)
         add_executable(test-${name} ${CMAKE_SOURCE_DIR}/tests/test_main.cc ${sources})
         target_include_directories(test-${name} PRIVATE ${CMAKE_SOURCE_DIR})
-        target_link_libraries(test-${name} PRIVATE hingespan_node rapidcheck)
+        target_link_libraries(test-${name} PRIVATE hingespan_node hingespan_platform_adapter
+                              rapidcheck)
         if(TARGET hingespan_emulator)
           target_link_libraries(test-${name} PRIVATE hingespan_emulator)
         endif()
--- /dev/null
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -0,0 +1,125 @@
+// A node's part in placement: it reports what its callers ask for to the holder of the placement
+// lease, takes the holder's news of replicas, and, while it holds the lease itself, orders loads
+// and unloads.
+#ifndef HINGESPAN_FLEET_FLEET_COORDINATOR_H_
+#define HINGESPAN_FLEET_FLEET_COORDINATOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "hingespan/common/random.h"
+#include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/fleet/fleet_placer.h"
+#include "hingespan/fleet/lease_manager.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/serving/configuration.h"
+#include "hingespan/serving/decision_log.h"
+#include "hingespan/serving/gateway_metrics.h"
+#include "hingespan/serving/shared_store.h"
+#include "hingespan/serving/worker_control.h"
+#include "hingespan/serving/worker_directory.h"
+
+namespace hingespan::gateway {
+
+struct FleetCoordinatorSettings {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  // Of this node's datagrams.
+  std::string address;
+  LeaseSettings lease;
+  FleetPlacerSettings placer;
+  // The table of this product's own rows in the shared store.
+  std::string table = "hingespan";
+  absl::Duration store_interval = absl::Seconds(1);
+  absl::Duration report_interval = absl::Milliseconds(400);
+  absl::Duration waiting_report_interval = absl::Milliseconds(150);
+  // A process that did not run for this long may have lost its lease meanwhile.
+  absl::Duration pause_limit = absl::Milliseconds(1200);
+};
+
+struct FleetCoordinatorParts {
+  EventLoop* loop = nullptr;
+  SharedStore* store = nullptr;
+  WorkerControl* control = nullptr;
+  WorkerDirectory* workers = nullptr;
+  DecisionLog* log = nullptr;
+  GatewayMetrics* metrics = nullptr;
+  // Sends a datagram to a node's address.
+  std::function<void(const std::string& address, absl::string_view bytes)> send;
+  // What callers of this node ask for and what it runs, for a report.
+  std::function<void(DemandReport*)> fill_report;
+  // Replicas or loads have changed.
+  std::function<void()> on_news;
+};
+
+// Not thread-safe; lives on its loop.
+class FleetCoordinator {
+ public:
+  FleetCoordinator(FleetCoordinatorSettings settings, FleetCoordinatorParts parts);
+
+  void Start();
+  // Acquires and renews no more; takes its own row away.
+  void Stop();
+  void SetConfiguration(std::shared_ptr<const Configuration> configuration);
+  // A request began to wait for a replica that is not there.
+  void DemandWaits();
+  // Requests are running or came.
+  void DemandChanged();
+  void WorkersChanged();
+  void OnDatagram(absl::string_view bytes);
+  // When a replica is expected to be ready; InfiniteFuture: nothing is known.
+  absl::Time ExpectedReady(const ModelKey& model) const;
+  bool holds_lease() const { return lease_.holding(); }
+  int nodes() const { return static_cast<int>(std::max<std::size_t>(1, peers_.size())); }
+
+ private:
+  void StoreTick();
+  void ReadTable();
+  void OnTable(const StoreRows& rows);
+  void WriteLease();
+  void AnnounceNode();
+  void NoteLeaseChange(bool held_before);
+  void ScheduleReport(absl::Duration within);
+  void SendReport();
+  void RunPlacement();
+  void SchedulePlacement(absl::Time when);
+  void SendOrder(const PlannedOrder& planned);
+  void SendNews(std::vector<ReplicaNews> replicas);
+  void ApplyNews(const PlacementNews& news);
+  void PauseTick();
+
+  FleetCoordinatorSettings settings_;
+  FleetCoordinatorParts parts_;
+  std::shared_ptr<const Configuration> configuration_;
+  LeaseManager lease_;
+  FleetPlacer placer_;
+  std::unique_ptr<LoopTimer> store_timer_;
+  std::unique_ptr<LoopTimer> report_timer_;
+  std::unique_ptr<LoopTimer> placement_timer_;
+  std::unique_ptr<LoopTimer> pause_timer_;
+  // Datagram addresses of the other nodes, by name.
+  std::map<std::string, std::string> peers_;
+  std::map<ModelKey, absl::Time> expected_ready_;
+  std::map<std::string, int> own_running_reported_;
+  std::map<std::string, int> own_tokens_reported_;
+  absl::Time report_due_ = absl::InfiniteFuture();
+  absl::Time placement_due_ = absl::InfiniteFuture();
+  absl::Time last_news_ = absl::InfinitePast();
+  absl::Time last_tick_;
+  std::uint64_t report_number_ = 0;
+  std::uint64_t news_number_ = 0;
+  std::uint64_t news_token_seen_ = 0;
+  std::uint64_t news_number_seen_ = 0;
+  bool announced_ = false;
+  bool read_under_way_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_FLEET_FLEET_COORDINATOR_H_
--- /dev/null
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -0,0 +1,182 @@
+// Decides which worker loads or unloads which model or adapter, from what all nodes ask for. Only
+// the holder of the placement lease runs it.
+//
+// It keeps a ledger for each worker: what its record says, and an order under way. A worker has one
+// unanswered order at a time; after an order without an answer nothing more is ordered there until a
+// report's sequence proves what became of it.
+#ifndef HINGESPAN_FLEET_FLEET_PLACER_H_
+#define HINGESPAN_FLEET_FLEET_PLACER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/serving/configuration.h"
+#include "hingespan/serving/worker_control.h"
+#include "hingespan/serving/worker_directory.h"
+
+namespace hingespan::gateway {
+
+struct FleetPlacerSettings {
+  // Loads that may begin at once, on top of the rate of the weight store.
+  double load_burst = 2;
+  // Part of the weight store's rate that is used.
+  double load_rate_part = 0.95;
+  // A model gets one more replica when this many requests run or wait for each replica.
+  double requests_for_each_replica = 7;
+  // Rates of requests are averaged over about this long.
+  absl::Duration rate_window = absl::Seconds(6);
+  // A report counts for this long.
+  absl::Duration report_lifetime = absl::Seconds(2);
+  // A replica is not unloaded before it has been there for this long.
+  absl::Duration least_residence = absl::Seconds(4);
+};
+
+// An order to send, and why.
+struct PlannedOrder {
+  WorkerOrder order;
+  // For the log: what decided.
+  std::string reason;
+  int waiting = 0;
+  double rate = 0;
+};
+
+// Pure; not thread-safe.
+class FleetPlacer {
+ public:
+  explicit FleetPlacer(const FleetPlacerSettings& settings) : settings_(settings) {}
+
+  // A new holder knows nothing of the loads its predecessor ordered last: it waits for the rate.
+  void Begin(absl::Time now);
+  void OnReport(const DemandReport& report, absl::Time now);
+  // Orders that are due. `workers` are the records as this node believes them.
+  std::vector<PlannedOrder> Plan(const Configuration& configuration,
+                                 const std::map<std::string, WorkerState>& workers, absl::Time now);
+  void OnOutcome(const WorkerOrder& order, OrderOutcome outcome, absl::Time now);
+  void OnWorkerReport(const std::string& worker_id, const WorkerReport& report, absl::Time now);
+
+  // What changed about replicas since the last call, to be told to all nodes.
+  std::vector<ReplicaNews> TakeNews(absl::Time now);
+  // Workers whose report would settle what an order became.
+  std::vector<std::string> WorkersToAsk(absl::Time now);
+  // When Plan should run again without any event; InfiniteFuture: not needed.
+  absl::Time NextDue(absl::Time now) const;
+  // What all nodes together run at the workers.
+  std::vector<WorkerLoad> TotalLoads(absl::Time now) const;
+
+ private:
+  struct ModelTotals {
+    int waiting = 0;
+    int running = 0;
+    // Requests a second.
+    double rate = 0;
+  };
+  struct RateCounter {
+    double rate = 0;
+    absl::Time updated;
+  };
+  struct NodeReport {
+    DemandReport report;
+    absl::Time received;
+  };
+  // A model's or adapter's load that was accepted and is not known to have ended.
+  struct RunningLoad {
+    ModelKey key;
+    absl::Time expected;
+    absl::Time ask_again;
+  };
+  struct Ledger {
+    std::string service;
+    // Orders that the worker has taken; only reports tell it.
+    std::uint64_t sequence = 0;
+    std::map<std::string, std::set<std::string>> models;
+    // Of the record that `models` was last taken from.
+    std::uint64_t row_version = 0;
+    std::optional<WorkerOrder> unanswered;
+    // The sequence is not known: nothing is ordered until a report shows it.
+    bool uncertain = true;
+    std::optional<WorkerOrder> without_answer;
+    absl::Time ask_at = absl::InfinitePast();
+    std::optional<RunningLoad> model_load;
+    std::optional<RunningLoad> model_unload;
+    std::vector<RunningLoad> adapter_loads;
+    std::map<ModelKey, absl::Time> loaded_at;
+    std::map<ModelKey, absl::Time> unloaded_at;
+    absl::Time not_before = absl::InfinitePast();
+    // An unload there makes room for this model.
+    std::string reserved_for;
+    absl::Time reserved_until = absl::InfinitePast();
+  };
+  using TotalsByModel = std::map<std::pair<std::string, ModelKey>, ModelTotals>;
+  // What one run of Plan works with.
+  struct PlanContext {
+    const std::map<std::string, WorkerState>* workers = nullptr;
+    TotalsByModel totals;
+    absl::Time now;
+    std::vector<PlannedOrder> orders;
+  };
+  // What would have to be done at one worker to place a model or adapter there.
+  struct Placement {
+    std::string worker_id;
+    // Empty: there is room already.
+    ModelKey victim;
+    double cost = 0;
+  };
+
+  void SyncLedgers(const Configuration& configuration,
+                   const std::map<std::string, WorkerState>& workers, absl::Time now);
+  static void TakeRecord(const WorkerState& worker, absl::Time now, Ledger* ledger);
+  TotalsByModel Totals(absl::Time now);
+  void PlanService(const Service& service, PlanContext* context);
+  void PlanModels(const Service& service, PlanContext* context);
+  void PlanAdapters(const Service& service, PlanContext* context);
+  bool PlanReplica(const Service& service, const ModelSpecification& model,
+                   const ModelTotals& totals, int replicas, PlanContext* context);
+  void PlanAdapter(const Service& service, const ModelSpecification& model, const ModelKey& key,
+                   const ModelTotals& totals, PlanContext* context);
+  std::optional<Placement> PlaceModel(const Service& service, const ModelSpecification& model,
+                                      double most_cost, PlanContext* context) const;
+  std::optional<Placement> PlaceAdapter(const Service& service, const ModelSpecification& model,
+                                        const ModelKey& key, PlanContext* context) const;
+  bool MayTakeOrder(const std::string& worker_id, const Service& service,
+                    const PlanContext& context) const;
+  double UsedMemory(const Service& service, const Ledger& ledger) const;
+  static int UsedAdapterSlots(const Ledger& ledger);
+  // Replicas of a model that are there or on their way.
+  int CountReplicas(const Service& service, const std::string& model,
+                    const PlanContext& context) const;
+  int CountAdapterReplicas(const Service& service, const ModelKey& key,
+                           const PlanContext& context) const;
+  ModelTotals TotalsOfModel(const Service& service, const std::string& model,
+                            const PlanContext& context) const;
+  // What unloading a model from a worker would cost, in requests a second.
+  double ReplicaValue(const Service& service, const Ledger& ledger, const std::string& model,
+                      const PlanContext& context) const;
+  void Order(OrderKind kind, const std::string& worker_id, const ModelKey& key, std::string reason,
+             const ModelTotals& totals, PlanContext* context);
+  bool TakeLoadToken(const Service& service, absl::Time now);
+  void Accepted(const WorkerOrder& order, Ledger* ledger, absl::Time now);
+  void FinishLoads(const std::string& worker_id, Ledger* ledger, absl::Time now);
+  void FinishAdapters(absl::Time now);
+
+  FleetPlacerSettings settings_;
+  std::map<std::string, Ledger> ledgers_;
+  std::map<std::string, NodeReport> reports_;
+  std::map<std::pair<std::string, ModelKey>, RateCounter> rates_;
+  std::map<std::string, double> load_tokens_;
+  std::map<std::string, absl::Time> load_tokens_updated_;
+  std::vector<ReplicaNews> news_;
+  // Load times by model, from the configuration.
+  std::map<std::string, absl::Duration> load_times_;
+  bool demand_waits_ = false;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_FLEET_FLEET_PLACER_H_
--- /dev/null
+++ b/include/hingespan/http/http_server.h
@@ -0,0 +1,87 @@
+// An HTTP/1.1 server on an event loop: one request at a time on a connection, kept connections,
+// limits on heads, bodies and waits, and answers that are written in pieces.
+#ifndef HINGESPAN_HTTP_HTTP_SERVER_H_
+#define HINGESPAN_HTTP_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/http/message_head.h"
+#include "hingespan/http/message_parser.h"
+
+namespace hingespan::gateway {
+
+struct ServerLimits {
+  MessageLimits message;
+  // From the first byte of a request to the end of its head; also between pieces of its body.
+  absl::Duration head_timeout = absl::Seconds(3);
+  // A kept connection without a request is closed after this.
+  absl::Duration idle_timeout = absl::Seconds(15);
+  std::size_t max_connections = 3000;
+};
+
+// One request and its answer. Kept alive by whoever answers. Once `Finish` or `Abort` was called,
+// or the caller has gone, all further calls do nothing.
+class ServerExchange {
+ public:
+  virtual ~ServerExchange() = default;
+
+  virtual const RequestHead& head() const = 0;
+  virtual const std::string& body() const = 0;
+  // When the first byte of the request came.
+  virtual absl::Time received() const = 0;
+
+  // Calls back once when the caller's connection ends before the answer is whole.
+  virtual void OnCallerGone(std::function<void()> callback) = 0;
+  // Calls back each time that what was written has left this process.
+  virtual void OnDrained(std::function<void()> callback) = 0;
+  // Bytes written here that have not left this process yet.
+  virtual std::size_t pending_bytes() const = 0;
+
+  // A whole answer with a body of known length.
+  virtual void Answer(int status, absl::string_view reason, const HeaderFields& fields,
+                      absl::string_view body) = 0;
+  // The head of an answer whose body follows in chunks.
+  virtual void StartChunked(int status, absl::string_view reason, const HeaderFields& fields) = 0;
+  virtual void WriteChunk(absl::string_view bytes) = 0;
+  virtual void FinishChunked() = 0;
+  // Ends the connection so that the answer can't be taken for a whole one.
+  virtual void Abort() = 0;
+};
+
+// Not thread-safe; lives on its loop.
+class HttpServer {
+ public:
+  using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
+
+  HttpServer(EventLoop* loop, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  // `address` is "ip:port"; port 0 lets the kernel choose.
+  std::error_code Listen(const std::string& address);
+  // The address that is listened on; empty before Listen.
+  std::string address() const;
+  // Holds for messages that begin after this call.
+  void SetLimits(const ServerLimits& limits);
+  // From now on every answer asks the caller to close its connection.
+  void AskToClose();
+  std::size_t connections() const;
+  // Requests whose answer is not whole yet, or has not left this process.
+  std::size_t open_exchanges() const;
+
+ private:
+  struct Implementation;
+  std::shared_ptr<Implementation> implementation_;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_HTTP_HTTP_SERVER_H_
--- /dev/null
+++ b/include/hingespan/http/server_connection.h
@@ -0,0 +1,29 @@
+// One caller's connection of an HttpServer.
+#ifndef HINGESPAN_HTTP_SERVER_CONNECTION_H_
+#define HINGESPAN_HTTP_SERVER_CONNECTION_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <memory>
+
+#include "hingespan/http/http_server.h"
+
+namespace hingespan::gateway {
+
+// What a server's connections share.
+struct ServerState {
+  EventLoop* loop = nullptr;
+  HttpServer::Handler handler;
+  ServerLimits limits;
+  bool ask_to_close = false;
+  std::size_t connections = 0;
+  std::size_t open_exchanges = 0;
+};
+
+// Reads requests from `socket` and hands them to the handler until the connection ends.
+void StartServerConnection(const std::shared_ptr<ServerState>& server,
+                           boost::asio::ip::tcp::socket socket);
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_HTTP_SERVER_CONNECTION_H_
--- /dev/null
+++ b/include/hingespan/serving/gateway.h
@@ -0,0 +1,108 @@
+// The data path of one node: callers' connections, the queue, the workers, the configuration in
+// force.
+#ifndef HINGESPAN_SERVING_GATEWAY_H_
+#define HINGESPAN_SERVING_GATEWAY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "absl/time/time.h"
+#include "hingespan/fleet/fleet_coordinator.h"
+#include "hingespan/fleet/peer_link.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/http/http_client.h"
+#include "hingespan/http/http_server.h"
+#include "hingespan/serving/decision_log.h"
+#include "hingespan/serving/deployment_reader.h"
+#include "hingespan/serving/gateway_metrics.h"
+#include "hingespan/serving/gateway_settings.h"
+#include "hingespan/serving/request_dialect.h"
+#include "hingespan/serving/request_queue.h"
+#include "hingespan/serving/request_relay.h"
+#include "hingespan/serving/retry_budget.h"
+#include "hingespan/serving/route_table.h"
+#include "hingespan/serving/table_follower.h"
+#include "hingespan/serving/worker_directory.h"
+
+namespace hingespan::gateway {
+
+// What the adapter of a platform brings.
+struct GatewayParts {
+  EventLoop* loop = nullptr;
+  const RequestDialect* dialect = nullptr;
+  const DeploymentReader* reader = nullptr;
+  SharedStore* store = nullptr;
+  WorkerControl* control = nullptr;
+  HttpClient* client = nullptr;
+  DecisionLog* log = nullptr;
+  GatewayMetrics* metrics = nullptr;
+};
+
+// Not thread-safe; lives on its loop.
+class Gateway : public RelayHost {
+ public:
+  Gateway(GatewaySettings settings, GatewayParts parts);
+  ~Gateway() override;
+
+  // Opens the addresses of the settings and begins to follow the store.
+  std::error_code Start();
+  // Takes no new work after a while, ends what runs, then calls `done`, at the latest shortly
+  // before the settings' stop time is over.
+  void Stop(std::function<void()> done);
+
+  bool ready() const;
+  std::string request_address() const { return requests_.address(); }
+  std::string status_address() const { return status_.address(); }
+
+  void Enqueue(const QueuePlace& place, std::shared_ptr<RequestRelay> request) override;
+  void Dequeue(const QueuePlace& place) override;
+  void PumpSoon() override;
+  void RunningChanged(const std::string& service, const ModelKey& model, int change) override;
+  absl::Time ExpectedReady(const ModelKey& model) const override;
+
+ private:
+  struct DemandCounts {
+    int running = 0;
+    int arrived = 0;
+  };
+
+  void OnRequest(const std::shared_ptr<ServerExchange>& exchange);
+  void OnStatusRequest(const std::shared_ptr<ServerExchange>& exchange);
+  void Pump();
+  void TakeConfiguration(const StoreRow& row);
+  void TakeWorkerRow(const StoreRow& row);
+  void TakeWorkerSnapshot(const StoreRows& rows);
+  void FillReport(DemandReport* report);
+  void CheckStopped();
+
+  GatewaySettings settings_;
+  GatewayParts parts_;
+  RelayContext context_;
+  WorkerDirectory workers_;
+  RetryBudget budget_;
+  HttpServer requests_;
+  HttpServer status_;
+  PeerLink peers_;
+  std::unique_ptr<FleetCoordinator> fleet_;
+  std::unique_ptr<TableFollower> configuration_follower_;
+  std::unique_ptr<TableFollower> worker_follower_;
+  RequestQueue queue_;
+  std::map<std::pair<std::string, ModelKey>, DemandCounts> demand_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::unique_ptr<LoopTimer> stop_timer_;
+  std::unique_ptr<LoopTimer> pump_timer_;
+  std::function<void()> stopped_;
+  std::uint64_t next_number_ = 0;
+  bool workers_known_ = false;
+  bool pump_scheduled_ = false;
+  bool stopping_ = false;
+  absl::Time stop_began_;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_SERVING_GATEWAY_H_
--- /dev/null
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -0,0 +1,61 @@
+// Every counter and histogram of a gateway in one struct, and their text for a Prometheus server.
+#ifndef HINGESPAN_SERVING_GATEWAY_METRICS_H_
+#define HINGESPAN_SERVING_GATEWAY_METRICS_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "absl/time/time.h"
+
+namespace hingespan::gateway {
+
+// Counts durations in fixed buckets.
+class LatencyHistogram {
+ public:
+  // Upper bounds in seconds; a last bucket takes the rest.
+  static constexpr std::array<double, 12> kBounds = {0.005, 0.01, 0.025, 0.05, 0.1,  0.25,
+                                                     0.5,   1.0,  2.5,   5.0,  10.0, 25.0};
+  void Record(absl::Duration duration);
+  const std::array<std::uint64_t, kBounds.size() + 1>& counts() const { return counts_; }
+  double sum_seconds() const { return sum_seconds_; }
+
+ private:
+  std::array<std::uint64_t, kBounds.size() + 1> counts_{};
+  double sum_seconds_ = 0;
+};
+
+struct GatewayMetrics {
+  // By final status to the caller; 0: the caller left or the stream was broken off.
+  std::map<int, std::uint64_t> requests_by_status;
+  // By reason.
+  std::map<std::string, std::uint64_t> refusals;
+  std::uint64_t attempts = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t repeats_denied = 0;
+  std::uint64_t streams_resumed = 0;
+  std::uint64_t streams_broken = 0;
+  std::uint64_t callers_gone = 0;
+  std::uint64_t store_calls = 0;
+  std::uint64_t store_failures = 0;
+  std::uint64_t orders = 0;
+  std::uint64_t orders_without_answer = 0;
+  std::uint64_t lease_acquisitions = 0;
+  std::uint64_t lease_losses = 0;
+  std::uint64_t log_lines_left_out = 0;
+  LatencyHistogram queue_wait;
+  LatencyHistogram first_byte;
+  LatencyHistogram whole_request;
+  // Set when the text is made.
+  std::uint64_t waiting_now = 0;
+  std::uint64_t configuration_version = 0;
+  bool holds_lease = false;
+};
+
+// The text exposition format of Prometheus.
+std::string MetricsText(const GatewayMetrics& metrics);
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_SERVING_GATEWAY_METRICS_H_
--- /dev/null
+++ b/include/hingespan/serving/gateway_settings.h
@@ -0,0 +1,47 @@
+// Settings of a gateway, in the product's own TOML.
+#ifndef HINGESPAN_SERVING_GATEWAY_SETTINGS_H_
+#define HINGESPAN_SERVING_GATEWAY_SETTINGS_H_
+
+#include <string>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "hingespan/common/finding.h"
+#include "hingespan/settings/log_settings.h"
+
+namespace hingespan::gateway {
+
+struct GatewaySettings {
+  std::string node;
+  std::string zone;
+  // Callers' requests.
+  std::string request_listen;
+  // Readiness and metrics.
+  std::string status_listen;
+  std::string readiness_path = "/ready";
+  std::string metrics_path = "/metrics";
+  // A further address for metrics; empty: none.
+  std::string metrics_listen;
+  // Datagrams between nodes.
+  std::string peer_listen;
+  std::string store_address;
+  // Largest value of a row of the store.
+  int store_row_bytes = 65536;
+  absl::Duration lease = absl::Seconds(3);
+  // From the request to stop until the process must have ended.
+  absl::Duration stop_time = absl::Seconds(8);
+  double retry_ratio = 0.2;
+  double retry_extra = 10;
+  absl::Duration retry_window = absl::Seconds(10);
+  int max_connections = 3000;
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+// Collects all findings of the text; the settings are meaningful when there are none. Unknown keys
+// are allowed: a deployment may say more than this version knows.
+GatewaySettings ReadGatewaySettings(absl::string_view text, const std::string& file,
+                                    Findings* findings);
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_SERVING_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/include/hingespan/serving/table_follower.h
@@ -0,0 +1,67 @@
+// Keeps up with one table of the shared store: a snapshot, then changes as they come, for ever.
+#ifndef HINGESPAN_SERVING_TABLE_FOLLOWER_H_
+#define HINGESPAN_SERVING_TABLE_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/time/time.h"
+#include "hingespan/common/random.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/serving/shared_store.h"
+
+namespace hingespan::gateway {
+
+struct TableFollowerSettings {
+  std::string table;
+  // How long one question for changes waits.
+  absl::Duration wait = absl::Seconds(4);
+  absl::Duration first_retry = absl::Milliseconds(100);
+  absl::Duration longest_retry = absl::Milliseconds(800);
+};
+
+// Not thread-safe; lives on its loop.
+class TableFollower {
+ public:
+  struct Callbacks {
+    // All rows of the table as of a version.
+    std::function<void(const StoreRows&)> on_snapshot;
+    std::function<void(const StoreRows&)> on_changes;
+    // The store answers, or stopped answering.
+    std::function<void(bool in_touch)> on_contact;
+  };
+
+  TableFollower(EventLoop* loop, SharedStore* store, TableFollowerSettings settings,
+                std::uint64_t seed, Callbacks callbacks);
+  ~TableFollower();
+  void Start();
+  // Takes a snapshot again instead of going on with changes.
+  void Resynchronize() { version_known_ = false; }
+  bool in_touch() const { return in_touch_; }
+
+ private:
+  void ReadAll();
+  void WatchOn();
+  void Next();
+  void Retry();
+  void Contact(bool in_touch);
+
+  EventLoop* loop_;
+  SharedStore* store_;
+  TableFollowerSettings settings_;
+  Random random_;
+  Callbacks callbacks_;
+  std::unique_ptr<LoopTimer> timer_;
+  // Callbacks of the store may come after this object's end.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::uint64_t version_ = 0;
+  bool version_known_ = false;
+  bool in_touch_ = false;
+  bool contact_known_ = false;
+  int failures_ = 0;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_SERVING_TABLE_FOLLOWER_H_
--- /dev/null
+++ b/src/fleet/fleet_coordinator.cc
@@ -0,0 +1,443 @@
+#include "hingespan/fleet/fleet_coordinator.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kLeaseKey[] = "lease/placement";
+constexpr absl::string_view kNodePrefix = "node/";
+// News holds until the worker's own record should tell the same.
+constexpr absl::Duration kNewsLifetime = absl::Seconds(3);
+constexpr absl::Duration kNewsInterval = absl::Milliseconds(300);
+constexpr absl::Duration kExpectedSlack = absl::Seconds(3);
+constexpr absl::Duration kPauseTick = absl::Milliseconds(400);
+// Replicas named in one datagram.
+constexpr std::size_t kMostReplicasInNews = 40;
+
+std::string EncodeLease(const LeaseRecord& record) {
+  return Json{{"holder", record.holder},
+              {"incarnation", record.incarnation},
+              {"address", record.address},
+              {"token", record.token}}
+      .dump();
+}
+
+std::optional<LeaseRecord> DecodeLease(const std::string& value) {
+  const Json json = Json::parse(value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    return LeaseRecord{
+        json.at("holder").get<std::string>(), json.at("incarnation").get<std::uint64_t>(),
+        json.at("address").get<std::string>(), json.at("token").get<std::uint64_t>()};
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+absl::string_view OutcomeName(OrderOutcome outcome) {
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return "accepted";
+    case OrderOutcome::kDone:
+      return "done";
+    case OrderOutcome::kConflict:
+      return "conflict";
+    case OrderOutcome::kFenced:
+      return "fenced";
+    case OrderOutcome::kRefused:
+      return "refused";
+    case OrderOutcome::kUnknown:
+      return "no_answer";
+  }
+  return "no_answer";
+}
+
+}  // namespace
+
+FleetCoordinator::FleetCoordinator(FleetCoordinatorSettings settings, FleetCoordinatorParts parts)
+    : settings_(std::move(settings)),
+      parts_(std::move(parts)),
+      lease_(settings_.lease),
+      placer_(settings_.placer),
+      store_timer_(parts_.loop->MakeTimer()),
+      report_timer_(parts_.loop->MakeTimer()),
+      placement_timer_(parts_.loop->MakeTimer()),
+      pause_timer_(parts_.loop->MakeTimer()) {}
+
+void FleetCoordinator::Start() {
+  last_tick_ = parts_.loop->Now();
+  StoreTick();
+  PauseTick();
+}
+
+void FleetCoordinator::Stop() {
+  stopped_ = true;
+  lease_.Resign();
+  parts_.store->Commit({},
+                       {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), std::nullopt}},
+                       [](Result<std::uint64_t>) {});
+}
+
+void FleetCoordinator::SetConfiguration(std::shared_ptr<const Configuration> configuration) {
+  configuration_ = std::move(configuration);
+}
+
+void FleetCoordinator::PauseTick() {
+  const absl::Time now = parts_.loop->Now();
+  if (now - last_tick_ > settings_.pause_limit) {
+    parts_.log->Write(LogLevel::kWarning, "process_paused",
+                      {{"for_ms", absl::StrCat(absl::ToInt64Milliseconds(now - last_tick_))}});
+    lease_.OnPaused();
+  }
+  last_tick_ = now;
+  pause_timer_->Set(now + kPauseTick, [this] { PauseTick(); });
+}
+
+void FleetCoordinator::StoreTick() {
+  store_timer_->Set(parts_.loop->Now() + settings_.store_interval, [this] { StoreTick(); });
+  if (!announced_ && !stopped_) {
+    AnnounceNode();
+  }
+  // A holder learns all it needs from its renewals; the others read the row.
+  if (lease_.holding() && !lease_.needs_read() && announced_) {
+    WriteLease();
+    return;
+  }
+  ReadTable();
+}
+
+void FleetCoordinator::AnnounceNode() {
+  announced_ = true;
+  const std::string value =
+      Json{{"address", settings_.address}, {"incarnation", settings_.incarnation}}.dump();
+  parts_.store->Commit({}, {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), value}},
+                       [this](Result<std::uint64_t> result) {
+                         if (!result.ok()) {
+                           announced_ = false;
+                         }
+                       });
+}
+
+void FleetCoordinator::ReadTable() {
+  if (read_under_way_) {
+    return;
+  }
+  read_under_way_ = true;
+  parts_.store->Read(settings_.table, [this](Result<StoreRows> result) {
+    read_under_way_ = false;
+    const absl::Time now = parts_.loop->Now();
+    if (!result.ok()) {
+      lease_.OnReadFailed(now);
+      return;
+    }
+    OnTable(*result);
+    WriteLease();
+  });
+}
+
+void FleetCoordinator::OnTable(const StoreRows& rows) {
+  std::optional<LeaseRecord> lease;
+  std::uint64_t lease_version = 0;
+  std::map<std::string, std::string> peers;
+  for (const StoreRow& row : rows.rows) {
+    if (row.key == kLeaseKey) {
+      lease = DecodeLease(row.value);
+      lease_version = row.version;
+      continue;
+    }
+    if (!absl::StartsWith(row.key, kNodePrefix)) {
+      continue;
+    }
+    const Json json = Json::parse(row.value, nullptr, false);
+    if (json.is_object() && json.contains("address")) {
+      peers[row.key.substr(kNodePrefix.size())] = json["address"].get<std::string>();
+    }
+  }
+  peers_ = std::move(peers);
+  const bool held_before = lease_.holding();
+  const std::string holder_before =
+      lease_.record().has_value() ? lease_.record()->holder : std::string();
+  lease_.OnRead(lease, lease_version, parts_.loop->Now());
+  if (lease.has_value() && lease->holder != holder_before) {
+    parts_.log->Write(LogLevel::kInfo, "lease_seen",
+                      {{"holder", lease->holder}, {"row_version", absl::StrCat(lease_version)}});
+    ScheduleReport(absl::ZeroDuration());
+  }
+  NoteLeaseChange(held_before);
+}
+
+void FleetCoordinator::WriteLease() {
+  const std::optional<LeaseManager::Write> write = lease_.NextWrite(parts_.loop->Now());
+  if (!write.has_value()) {
+    return;
+  }
+  parts_.store->Commit({{settings_.table, kLeaseKey, write->condition_version}},
+                       {{settings_.table, kLeaseKey, EncodeLease(write->record)}},
+                       [this](Result<std::uint64_t> result) {
+                         const bool held_before = lease_.holding();
+                         const absl::Time now = parts_.loop->Now();
+                         if (result.ok()) {
+                           lease_.OnCommitted(*result, now);
+                         } else if (result.error() == make_error_code(Error::kConflict)) {
+                           lease_.OnConflict(now);
+                         } else {
+                           lease_.OnCommitFailed(now);
+                         }
+                         NoteLeaseChange(held_before);
+                         if (lease_.needs_read()) {
+                           ReadTable();
+                         }
+                       });
+}
+
+void FleetCoordinator::NoteLeaseChange(bool held_before) {
+  if (lease_.holding() == held_before) {
+    return;
+  }
+  const absl::Time now = parts_.loop->Now();
+  if (lease_.holding()) {
+    ++parts_.metrics->lease_acquisitions;
+    placer_.Begin(now);
+    parts_.log->Write(LogLevel::kInfo, "lease_acquired", {{"token", absl::StrCat(lease_.token())}});
+    SendNews({});
+    ScheduleReport(absl::ZeroDuration());
+    SchedulePlacement(now);
+    return;
+  }
+  ++parts_.metrics->lease_losses;
+  parts_.log->Write(LogLevel::kWarning, "lease_lost", {});
+}
+
+void FleetCoordinator::DemandWaits() { ScheduleReport(absl::Milliseconds(3)); }
+
+void FleetCoordinator::DemandChanged() { ScheduleReport(settings_.report_interval); }
+
+void FleetCoordinator::ScheduleReport(absl::Duration within) {
+  const absl::Time due = parts_.loop->Now() + within;
+  if (due >= report_due_) {
+    return;
+  }
+  report_due_ = due;
+  report_timer_->Set(due, [this] {
+    report_due_ = absl::InfiniteFuture();
+    SendReport();
+  });
+}
+
+void FleetCoordinator::SendReport() {
+  DemandReport report;
+  report.node = settings_.node;
+  report.incarnation = settings_.incarnation;
+  report.number = ++report_number_;
+  parts_.fill_report(&report);
+  bool waiting = false;
+  bool anything = !report.loads.empty();
+  for (const ModelDemand& demand : report.demands) {
+    waiting = waiting || demand.waiting > 0;
+    anything = true;
+  }
+  own_running_reported_.clear();
+  own_tokens_reported_.clear();
+  for (const WorkerLoad& load : report.loads) {
+    own_running_reported_[load.worker_id] = load.running;
+    own_tokens_reported_[load.worker_id] = load.unread_tokens;
+  }
+  if (lease_.holding()) {
+    placer_.OnReport(report, parts_.loop->Now());
+    SchedulePlacement(parts_.loop->Now());
+  } else if (lease_.record().has_value() && lease_.record()->holder != settings_.node) {
+    parts_.send(lease_.record()->address, EncodeFleetMessage(report));
+  }
+  if (waiting) {
+    ScheduleReport(settings_.waiting_report_interval);
+  } else if (anything) {
+    ScheduleReport(settings_.report_interval);
+  }
+}
+
+void FleetCoordinator::WorkersChanged() {
+  if (lease_.holding()) {
+    SchedulePlacement(parts_.loop->Now());
+  }
+}
+
+void FleetCoordinator::OnDatagram(absl::string_view bytes) {
+  const std::optional<FleetMessage> message = DecodeFleetMessage(bytes);
+  if (!message.has_value()) {
+    return;
+  }
+  if (const auto* const report = std::get_if<DemandReport>(&*message)) {
+    placer_.OnReport(*report, parts_.loop->Now());
+    if (lease_.holding()) {
+      SchedulePlacement(parts_.loop->Now());
+    }
+    return;
+  }
+  const auto& news = std::get<PlacementNews>(*message);
+  const bool older = news.token < news_token_seen_ ||
+                     (news.token == news_token_seen_ && news.number <= news_number_seen_);
+  if (older) {
+    return;
+  }
+  news_token_seen_ = news.token;
+  news_number_seen_ = news.number;
+  ApplyNews(news);
+}
+
+void FleetCoordinator::ApplyNews(const PlacementNews& news) {
+  const absl::Time now = parts_.loop->Now();
+  for (const ReplicaNews& replica : news.replicas) {
+    const ModelKey key{replica.model, replica.adapter};
+    switch (replica.state) {
+      case ReplicaState::kReady:
+        parts_.workers->NoteReplica(replica.worker_id, key, true, now + kNewsLifetime);
+        expected_ready_.erase(key);
+        break;
+      case ReplicaState::kLeaving:
+        parts_.workers->NoteReplica(replica.worker_id, key, false, now + kNewsLifetime);
+        break;
+      case ReplicaState::kLoading:
+        expected_ready_[key] = now + absl::Milliseconds(replica.expected_in_ms);
+        break;
+    }
+  }
+  for (const WorkerLoad& load : news.loads) {
+    WorkerState* const worker = parts_.workers->Find(load.worker_id);
+    if (worker == nullptr) {
+      continue;
+    }
+    worker->peers_running = std::max(0, load.running - own_running_reported_[load.worker_id]);
+    worker->peers_unread_tokens =
+        std::max(0, load.unread_tokens - own_tokens_reported_[load.worker_id]);
+  }
+  parts_.on_news();
+}
+
+absl::Time FleetCoordinator::ExpectedReady(const ModelKey& model) const {
+  const auto entry = expected_ready_.find(ModelKey{model.model, ""});
+  if (entry == expected_ready_.end() || entry->second + kExpectedSlack < parts_.loop->Now()) {
+    return absl::InfiniteFuture();
+  }
+  return entry->second;
+}
+
+void FleetCoordinator::SchedulePlacement(absl::Time when) {
+  if (when >= placement_due_) {
+    return;
+  }
+  placement_due_ = when;
+  placement_timer_->Set(when, [this] {
+    placement_due_ = absl::InfiniteFuture();
+    RunPlacement();
+  });
+}
+
+void FleetCoordinator::RunPlacement() {
+  const absl::Time now = parts_.loop->Now();
+  if (!lease_.holding() || configuration_ == nullptr) {
+    return;
+  }
+  if (lease_.MayOrder(now)) {
+    for (const PlannedOrder& planned :
+         placer_.Plan(*configuration_, parts_.workers->workers(), now)) {
+      SendOrder(planned);
+    }
+    for (const std::string& id : placer_.WorkersToAsk(now)) {
+      const WorkerState* const worker = parts_.workers->Find(id);
+      if (worker == nullptr) {
+        continue;
+      }
+      parts_.control->ReadReport(id, worker->record.address,
+                                 [this, id](Result<WorkerReport> report) {
+                                   if (report.ok()) {
+                                     placer_.OnWorkerReport(id, *report, parts_.loop->Now());
+                                     SchedulePlacement(parts_.loop->Now());
+                                   }
+                                 });
+    }
+  }
+  std::vector<ReplicaNews> news = placer_.TakeNews(now);
+  if (!news.empty() || now - last_news_ >= kNewsInterval) {
+    SendNews(std::move(news));
+  }
+  const absl::Time due = std::min(placer_.NextDue(now), now + absl::Milliseconds(500));
+  SchedulePlacement(std::max(due, now + absl::Milliseconds(1)));
+}
+
+void FleetCoordinator::SendOrder(const PlannedOrder& planned) {
+  WorkerOrder order = planned.order;
+  order.holder = settings_.node;
+  order.fencing_token = lease_.token();
+  ++parts_.metrics->orders;
+  parts_.log->Write(LogLevel::kInfo, "order",
+                    {{"worker", order.worker_id},
+                     {"operation", order.kind == OrderKind::kLoad ? "load" : "unload"},
+                     {"model", order.model},
+                     {"adapter", order.adapter},
+                     {"why", planned.reason},
+                     {"waiting", absl::StrCat(planned.waiting)},
+                     {"rate", absl::StrCat(planned.rate)},
+                     {"expected_sequence", absl::StrCat(order.expected_sequence)},
+                     {"token", absl::StrCat(order.fencing_token)}});
+  parts_.control->SendOrder(order, [this, order](OrderOutcome outcome) {
+    const absl::Time now = parts_.loop->Now();
+    if (outcome == OrderOutcome::kUnknown) {
+      ++parts_.metrics->orders_without_answer;
+    }
+    parts_.log->Write(outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kDone
+                          ? LogLevel::kDebug
+                          : LogLevel::kInfo,
+                      "order_answered",
+                      {{"worker", order.worker_id},
+                       {"model", order.model},
+                       {"adapter", order.adapter},
+                       {"outcome", std::string(OutcomeName(outcome))},
+                       {"expected_sequence", absl::StrCat(order.expected_sequence)}});
+    if (outcome == OrderOutcome::kFenced && order.fencing_token == lease_.token()) {
+      const bool held_before = lease_.holding();
+      lease_.OnFenced(now);
+      NoteLeaseChange(held_before);
+      ReadTable();
+      return;
+    }
+    placer_.OnOutcome(order, outcome, now);
+    SchedulePlacement(now);
+  });
+}
+
+void FleetCoordinator::SendNews(std::vector<ReplicaNews> replicas) {
+  last_news_ = parts_.loop->Now();
+  std::size_t begin = 0;
+  do {
+    PlacementNews news;
+    news.holder = settings_.node;
+    news.token = lease_.token();
+    news.number = ++news_number_;
+    const std::size_t end = std::min(replicas.size(), begin + kMostReplicasInNews);
+    news.replicas.assign(replicas.begin() + static_cast<std::ptrdiff_t>(begin),
+                         replicas.begin() + static_cast<std::ptrdiff_t>(end));
+    begin = end;
+    if (begin >= replicas.size()) {
+      news.loads = placer_.TotalLoads(last_news_);
+    }
+    const std::string bytes = EncodeFleetMessage(news);
+    for (const auto& [node, address] : peers_) {
+      if (node != settings_.node) {
+        parts_.send(address, bytes);
+      }
+    }
+    ApplyNews(news);
+  } while (begin < replicas.size());
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/fleet/fleet_messages.cc
@@ -0,0 +1,120 @@
+#include "hingespan/fleet/fleet_messages.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace hingespan::gateway {
+namespace {
+
+using Json = nlohmann::json;
+
+// Lists in place of objects: field names would be most of a datagram. The order is the contract;
+// the first entry names the kind of message.
+constexpr int kDemandReport = 1;
+constexpr int kPlacementNews = 2;
+
+Json Encode(const WorkerLoad& load) {
+  return Json::array({load.worker_id, load.running, load.unread_tokens});
+}
+
+WorkerLoad DecodeLoad(const Json& json) {
+  return {json.at(0).get<std::string>(), json.at(1).get<int>(), json.at(2).get<int>()};
+}
+
+Json EncodeLoads(const std::vector<WorkerLoad>& loads) {
+  Json list = Json::array();
+  for (const WorkerLoad& load : loads) {
+    list.push_back(Encode(load));
+  }
+  return list;
+}
+
+std::vector<WorkerLoad> DecodeLoads(const Json& json) {
+  std::vector<WorkerLoad> loads;
+  for (const Json& entry : json) {
+    loads.push_back(DecodeLoad(entry));
+  }
+  return loads;
+}
+
+Json Encode(const DemandReport& report) {
+  Json demands = Json::array();
+  for (const ModelDemand& demand : report.demands) {
+    demands.push_back(Json::array({demand.service, demand.model, demand.adapter, demand.waiting,
+                                   demand.running, demand.arrived}));
+  }
+  return Json::array({kDemandReport, report.node, report.incarnation, report.number,
+                      std::move(demands), EncodeLoads(report.loads)});
+}
+
+DemandReport DecodeReport(const Json& json) {
+  DemandReport report;
+  report.node = json.at(1).get<std::string>();
+  report.incarnation = json.at(2).get<std::uint64_t>();
+  report.number = json.at(3).get<std::uint64_t>();
+  for (const Json& entry : json.at(4)) {
+    report.demands.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
+                              entry.at(2).get<std::string>(), entry.at(3).get<int>(),
+                              entry.at(4).get<int>(), entry.at(5).get<int>()});
+  }
+  report.loads = DecodeLoads(json.at(5));
+  return report;
+}
+
+Json Encode(const PlacementNews& news) {
+  Json replicas = Json::array();
+  for (const ReplicaNews& replica : news.replicas) {
+    replicas.push_back(Json::array({replica.worker_id, replica.model, replica.adapter,
+                                    static_cast<int>(replica.state), replica.expected_in_ms}));
+  }
+  return Json::array({kPlacementNews, news.holder, news.token, news.number, std::move(replicas),
+                      EncodeLoads(news.loads)});
+}
+
+PlacementNews DecodeNews(const Json& json) {
+  PlacementNews news;
+  news.holder = json.at(1).get<std::string>();
+  news.token = json.at(2).get<std::uint64_t>();
+  news.number = json.at(3).get<std::uint64_t>();
+  for (const Json& entry : json.at(4)) {
+    const int state = entry.at(3).get<int>();
+    if (state < 0 || state > static_cast<int>(ReplicaState::kLeaving)) {
+      continue;
+    }
+    news.replicas.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
+                             entry.at(2).get<std::string>(), static_cast<ReplicaState>(state),
+                             entry.at(4).get<int>()});
+  }
+  news.loads = DecodeLoads(json.at(5));
+  return news;
+}
+
+}  // namespace
+
+std::string EncodeFleetMessage(const FleetMessage& message) {
+  const Json json = std::visit([](const auto& typed) { return Encode(typed); }, message);
+  std::string bytes;
+  Json::to_cbor(json, bytes);
+  return bytes;
+}
+
+std::optional<FleetMessage> DecodeFleetMessage(absl::string_view bytes) {
+  const Json json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  if (!json.is_array() || json.size() < 6 || !json.at(0).is_number_integer()) {
+    return std::nullopt;
+  }
+  try {
+    switch (json.at(0).get<int>()) {
+      case kDemandReport:
+        return DecodeReport(json);
+      case kPlacementNews:
+        return DecodeNews(json);
+      default:
+        return std::nullopt;
+    }
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/fleet/lease_manager.cc
@@ -0,0 +1,118 @@
+#include "hingespan/fleet/lease_manager.h"
+
+#include <algorithm>
+
+namespace hingespan::gateway {
+
+bool LeaseManager::IsMine(const LeaseRecord& record) const {
+  return record.holder == settings_.node && record.incarnation == settings_.incarnation;
+}
+
+void LeaseManager::Lose() {
+  holding_ = false;
+  token_ = 0;
+}
+
+void LeaseManager::OnRead(const std::optional<LeaseRecord>& record, std::uint64_t row_version,
+                          absl::Time now) {
+  if (row_known_ && row_version < row_version_) {
+    return;  // An older snapshot than what is known already.
+  }
+  if (!row_known_ || row_version != row_version_ || unchanged_since_ == absl::InfiniteFuture()) {
+    unchanged_since_ = now;
+  }
+  row_known_ = true;
+  row_version_ = row_version;
+  record_ = record;
+  needs_read_ = false;
+  if (!record_.has_value() || !IsMine(*record_)) {
+    Lose();
+    return;
+  }
+  // A write of this process, whether or not its answer came.
+  const std::uint64_t token = record_->token == 0 ? row_version : record_->token;
+  if (token <= fenced_token_) {
+    Lose();
+    return;
+  }
+  holding_ = true;
+  token_ = token;
+}
+
+void LeaseManager::OnReadFailed(absl::Time) {
+  // While the store can't be read, a renewal can't be told from none.
+  unchanged_since_ = absl::InfiniteFuture();
+}
+
+std::optional<LeaseManager::Write> LeaseManager::NextWrite(absl::Time now) {
+  if (resigned_ || write_under_way_ || needs_read_ || !row_known_) {
+    return std::nullopt;
+  }
+  if (now - last_attempt_ < settings_.renew_interval && last_attempt_ != absl::InfinitePast()) {
+    return std::nullopt;
+  }
+  Write write;
+  write.condition_version = record_.has_value() ? row_version_ : 0;
+  write.record = {settings_.node, settings_.incarnation, settings_.address, 0};
+  if (holding_) {
+    write.record.token = token_;
+  } else if (record_.has_value()) {
+    // Another process on this machine is gone for certain; another machine may only be silent.
+    const bool same_machine =
+        record_->holder == settings_.node && record_->incarnation != settings_.incarnation;
+    const absl::Duration wait = settings_.duration + settings_.slack;
+    if (!same_machine &&
+        (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < wait)) {
+      return std::nullopt;
+    }
+  }
+  write_under_way_ = true;
+  write_sent_ = now;
+  last_attempt_ = now;
+  return write;
+}
+
+void LeaseManager::OnCommitted(std::uint64_t row_version, absl::Time now) {
+  write_under_way_ = false;
+  if (!holding_) {
+    token_ = row_version;
+  }
+  holding_ = true;
+  record_ = LeaseRecord{settings_.node, settings_.incarnation, settings_.address, token_};
+  row_version_ = row_version;
+  row_known_ = true;
+  unchanged_since_ = now;
+  confirmed_at_ = write_sent_;
+  confirmed_since_pause_ = true;
+}
+
+void LeaseManager::OnConflict(absl::Time) {
+  write_under_way_ = false;
+  needs_read_ = true;
+  confirmed_at_ = absl::InfinitePast();
+}
+
+void LeaseManager::OnCommitFailed(absl::Time) {
+  write_under_way_ = false;
+  // It may have happened: the row tells.
+  needs_read_ = true;
+}
+
+void LeaseManager::OnFenced(absl::Time) {
+  fenced_token_ = std::max(fenced_token_, token_);
+  Lose();
+  needs_read_ = true;
+}
+
+void LeaseManager::OnPaused() {
+  confirmed_since_pause_ = false;
+  unchanged_since_ = absl::InfiniteFuture();
+  needs_read_ = true;
+}
+
+bool LeaseManager::MayOrder(absl::Time now) const {
+  return holding_ && !resigned_ && confirmed_since_pause_ &&
+         confirmed_at_ != absl::InfinitePast() && now - confirmed_at_ < settings_.unconfirmed_limit;
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/http/http_client.cc
@@ -0,0 +1,450 @@
+#include "hingespan/http/http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <list>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+#include "hingespan/http/message_parser.h"
+#include "hingespan/net/socket_address.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t kReadSize = 16 * 1024;
+// A kept connection is used until this part of the time the other side keeps it.
+constexpr double kUsablePartOfKeepAlive = 0.7;
+
+class Connection;
+
+// The kept connections by address.
+struct Pool {
+  EventLoop* loop = nullptr;
+  ClientLimits limits;
+  absl::flat_hash_map<std::string, std::list<std::shared_ptr<Connection>>> kept;
+  absl::flat_hash_map<std::string, std::size_t> open;
+};
+
+class Exchange;
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Pool> pool, std::string address)
+      : pool_(std::move(pool)),
+        address_(std::move(address)),
+        socket_(pool_->loop->context()),
+        timer_(pool_->loop->MakeTimer()) {
+    ++pool_->open[address_];
+  }
+  ~Connection() {
+    const auto entry = pool_->open.find(address_);
+    if (--entry->second == 0) {
+      pool_->open.erase(entry);
+    }
+  }
+
+  void Begin(Exchange* exchange, std::string message) {
+    timer_->Cancel();
+    exchange_ = exchange;
+    message_ = std::move(message);
+    received_any_ = false;
+    written_ = false;
+    paused_ = false;
+    parser_ = std::make_unique<AnswerParser>([this](absl::string_view piece) { TakeBody(piece); });
+    head_given_ = false;
+    if (connected_) {
+      Write();
+      return;
+    }
+    Connect();
+  }
+
+  void Close() {
+    if (closed_) {
+      return;
+    }
+    closed_ = true;
+    exchange_ = nullptr;
+    timer_->Cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    RemoveFromKept();
+  }
+
+  void Pause() { paused_ = true; }
+  void Resume() {
+    if (!paused_) {
+      return;
+    }
+    paused_ = false;
+    Read();
+  }
+
+  bool closed() const { return closed_; }
+
+ private:
+  void Connect() {
+    const Result<HostPort> parsed = ParseHostPort(address_);
+    boost::system::error_code error;
+    boost::asio::ip::address host;
+    if (parsed.ok()) {
+      host = boost::asio::ip::make_address(parsed->host, error);
+    }
+    if (!parsed.ok() || error) {
+      pool_->loop->Post([self = shared_from_this()] { self->End(ExchangeResult::kNotSent); });
+      return;
+    }
+    timer_->Set(pool_->loop->Now() + pool_->limits.connect_timeout, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->End(ExchangeResult::kNotSent);
+      }
+    });
+    socket_.async_connect(tcp::endpoint(host, static_cast<unsigned short>(parsed->port)),
+                          [self = shared_from_this()](const boost::system::error_code& failed) {
+                            self->OnConnected(failed);
+                          });
+  }
+
+  void OnConnected(const boost::system::error_code& error) {
+    if (closed_) {
+      return;
+    }
+    timer_->Cancel();
+    if (error) {
+      End(ExchangeResult::kNotSent);
+      return;
+    }
+    connected_ = true;
+    boost::system::error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    const unsigned int milliseconds =
+        static_cast<unsigned int>(absl::ToInt64Milliseconds(pool_->limits.unacknowledged_timeout));
+    setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds,
+               sizeof(milliseconds));
+    Write();
+  }
+
+  void Write() {
+    Read();
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(message_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+          self->OnWritten(error, count);
+        });
+  }
+
+  void OnWritten(const boost::system::error_code& error, std::size_t count) {
+    if (closed_) {
+      return;
+    }
+    if (error) {
+      End(count == 0 && !received_any_ ? ExchangeResult::kNotSent : ExchangeResult::kBroken);
+      return;
+    }
+    written_ = true;
+    message_.clear();
+  }
+
+  void Read() {
+    if (reading_ || closed_ || paused_) {
+      return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        boost::asio::buffer(buffer_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
+          self->reading_ = false;
+          self->OnRead(error, count);
+        });
+  }
+
+  void OnRead(const boost::system::error_code& error, std::size_t count) {
+    if (closed_) {
+      return;
+    }
+    if (exchange_ == nullptr) {
+      // Kept without a request: an end, or bytes that belong to no request.
+      Close();
+      return;
+    }
+    if (error) {
+      OnConnectionEnd(error == boost::asio::error::eof);
+      return;
+    }
+    received_any_ = true;
+    Feed(absl::string_view(buffer_.data(), count));
+    Read();
+  }
+
+  void OnConnectionEnd(bool in_good_order) {
+    if (in_good_order) {
+      parser_->FeedEnd();
+      if (parser_->complete()) {
+        End(ExchangeResult::kComplete);
+        return;
+      }
+    }
+    End(ExchangeResult::kBroken);
+  }
+
+  void Feed(absl::string_view bytes);
+  void TakeBody(absl::string_view piece);
+  bool GiveHead();
+  void End(ExchangeResult result);
+
+  // The answer is whole: the connection is kept when both sides allow it.
+  void Complete(bool surplus) {
+    const AnswerHead& head = parser_->head();
+    may_keep_ = head.keep_alive && !surplus && written_;
+    ReadKeepAlive(head);
+    End(ExchangeResult::kComplete);
+  }
+
+  void ReadKeepAlive(const AnswerHead& head) {
+    keep_for_ = pool_->limits.idle_timeout;
+    const std::string* const value = FindField(head.fields, "Keep-Alive");
+    if (value == nullptr) {
+      return;
+    }
+    for (const absl::string_view part : absl::StrSplit(*value, ',')) {
+      const std::pair<absl::string_view, absl::string_view> pair = absl::StrSplit(part, '=');
+      int seconds = 0;
+      if (absl::StripAsciiWhitespace(pair.first) == "timeout" &&
+          absl::SimpleAtoi(pair.second, &seconds)) {
+        keep_for_ = std::min(keep_for_, absl::Seconds(seconds) * kUsablePartOfKeepAlive);
+      }
+    }
+  }
+
+  void Release() {
+    timer_->Set(pool_->loop->Now() + keep_for_, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->Close();
+      }
+    });
+    pool_->kept[address_].push_back(shared_from_this());
+    Read();
+  }
+
+  void RemoveFromKept() {
+    const auto entry = pool_->kept.find(address_);
+    if (entry == pool_->kept.end()) {
+      return;
+    }
+    entry->second.remove_if(
+        [this](const std::shared_ptr<Connection>& kept) { return kept.get() == this; });
+    if (entry->second.empty()) {
+      pool_->kept.erase(entry);
+    }
+  }
+
+  std::shared_ptr<Pool> pool_;
+  std::string address_;
+  tcp::socket socket_;
+  std::unique_ptr<LoopTimer> timer_;
+  std::unique_ptr<AnswerParser> parser_;
+  std::array<char, kReadSize> buffer_;
+  std::string message_;
+  Exchange* exchange_ = nullptr;
+  absl::Duration keep_for_;
+  bool connected_ = false;
+  bool written_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool received_any_ = false;
+  bool head_given_ = false;
+  bool may_keep_ = false;
+  bool closed_ = false;
+};
+
+class Exchange : public ClientExchange {
+ public:
+  Exchange(std::shared_ptr<Connection> connection, AnswerReceiver* receiver)
+      : connection_(std::move(connection)), receiver_(receiver) {}
+  ~Exchange() override { Cancel(); }
+
+  void Cancel() override {
+    receiver_ = nullptr;
+    if (connection_ != nullptr) {
+      connection_->Close();
+      connection_ = nullptr;
+    }
+  }
+  void PauseReading() override {
+    if (connection_ != nullptr) {
+      connection_->Pause();
+    }
+  }
+  void ResumeReading() override {
+    if (connection_ != nullptr) {
+      connection_->Resume();
+    }
+  }
+
+  bool Head(const AnswerHead& head) { return receiver_ == nullptr || receiver_->OnHead(head); }
+  void Body(absl::string_view piece) {
+    if (receiver_ != nullptr) {
+      receiver_->OnBody(piece);
+    }
+  }
+  void End(ExchangeResult result) {
+    connection_ = nullptr;
+    AnswerReceiver* const receiver = std::exchange(receiver_, nullptr);
+    if (receiver != nullptr) {
+      receiver->OnEnd(result);
+    }
+  }
+
+ private:
+  std::shared_ptr<Connection> connection_;
+  AnswerReceiver* receiver_;
+};
+
+void Connection::Feed(absl::string_view bytes) {
+  const std::shared_ptr<Connection> self = shared_from_this();
+  const std::size_t taken = parser_->Feed(bytes);
+  if (closed_ || exchange_ == nullptr) {
+    return;
+  }
+  if (parser_->fault() != ParseFault::kNone) {
+    End(ExchangeResult::kMalformed);
+    return;
+  }
+  // An interim answer (1xx) is followed by the answer itself.
+  if (parser_->complete() && parser_->head().status / 100 == 1) {
+    parser_ = std::make_unique<AnswerParser>([this](absl::string_view piece) { TakeBody(piece); });
+    Feed(bytes.substr(taken));
+    return;
+  }
+  if (parser_->head_complete() && !GiveHead()) {
+    return;
+  }
+  if (parser_->complete()) {
+    Complete(taken < bytes.size());
+  }
+}
+
+bool Connection::GiveHead() {
+  if (head_given_) {
+    return true;
+  }
+  head_given_ = true;
+  if (exchange_ != nullptr && !exchange_->Head(parser_->head())) {
+    End(ExchangeResult::kMalformed);
+    return false;
+  }
+  return exchange_ != nullptr;
+}
+
+void Connection::TakeBody(absl::string_view piece) {
+  if (closed_ || exchange_ == nullptr || !GiveHead()) {
+    return;
+  }
+  exchange_->Body(piece);
+}
+
+void Connection::End(ExchangeResult result) {
+  const std::shared_ptr<Connection> self = shared_from_this();
+  Exchange* const exchange = std::exchange(exchange_, nullptr);
+  const bool keep = result == ExchangeResult::kComplete && may_keep_ && !closed_;
+  may_keep_ = false;
+  if (keep) {
+    Release();
+  } else {
+    Close();
+  }
+  if (exchange != nullptr) {
+    exchange->End(result);
+  }
+}
+
+}  // namespace
+
+struct HttpClient::Implementation {
+  std::shared_ptr<Pool> pool = std::make_shared<Pool>();
+};
+
+HttpClient::HttpClient(EventLoop* loop, const ClientLimits& limits)
+    : implementation_(std::make_shared<Implementation>()) {
+  implementation_->pool->loop = loop;
+  implementation_->pool->limits = limits;
+}
+
+HttpClient::~HttpClient() {
+  auto kept = std::move(implementation_->pool->kept);
+  implementation_->pool->kept.clear();
+  for (auto& [address, connections] : kept) {
+    for (const std::shared_ptr<Connection>& connection : connections) {
+      connection->Close();
+    }
+  }
+}
+
+std::unique_ptr<ClientExchange> HttpClient::Send(const std::string& address, std::string message,
+                                                 AnswerReceiver* receiver) {
+  const std::shared_ptr<Pool>& pool = implementation_->pool;
+  std::shared_ptr<Connection> connection;
+  const auto entry = pool->kept.find(address);
+  if (entry != pool->kept.end()) {
+    // The one used last: the others may then close for want of use.
+    connection = entry->second.back();
+    entry->second.pop_back();
+    if (entry->second.empty()) {
+      pool->kept.erase(entry);
+    }
+  } else {
+    connection = std::make_shared<Connection>(pool, address);
+  }
+  auto exchange = std::make_unique<Exchange>(connection, receiver);
+  connection->Begin(exchange.get(), std::move(message));
+  return exchange;
+}
+
+std::size_t HttpClient::connections(const std::string& address) const {
+  const auto entry = implementation_->pool->open.find(address);
+  return entry == implementation_->pool->open.end() ? 0 : entry->second;
+}
+
+std::size_t HttpClient::kept_connections(const std::string& address) const {
+  const auto entry = implementation_->pool->kept.find(address);
+  return entry == implementation_->pool->kept.end() ? 0 : entry->second.size();
+}
+
+void HttpClient::Forget(const std::string& address) {
+  const auto entry = implementation_->pool->kept.find(address);
+  if (entry == implementation_->pool->kept.end()) {
+    return;
+  }
+  const auto connections = std::move(entry->second);
+  implementation_->pool->kept.erase(entry);
+  for (const std::shared_ptr<Connection>& connection : connections) {
+    connection->Close();
+  }
+}
+
+std::string RequestText(absl::string_view method, absl::string_view target, absl::string_view host,
+                        const HeaderFields& fields, absl::string_view body) {
+  std::string text = absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: ", host, "\r\n");
+  for (const HeaderField& field : fields) {
+    absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
+  }
+  if (!body.empty() || (method != "GET" && method != "DELETE")) {
+    absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n");
+  }
+  absl::StrAppend(&text, "\r\n", body);
+  return text;
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/http/http_server.cc
@@ -0,0 +1,101 @@
+#include "hingespan/http/http_server.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "hingespan/http/server_connection.h"
+#include "hingespan/net/socket_address.h"
+
+namespace hingespan::gateway {
+
+using boost::asio::ip::tcp;
+
+struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
+  Implementation(EventLoop* event_loop, Handler request_handler)
+      : loop(event_loop), acceptor(event_loop->context()) {
+    shared = std::make_shared<ServerState>();
+    shared->loop = event_loop;
+    shared->handler = std::move(request_handler);
+  }
+
+  void Accept() {
+    acceptor.async_accept(
+        [weak = weak_from_this()](const boost::system::error_code& error, tcp::socket socket) {
+          const std::shared_ptr<Implementation> self = weak.lock();
+          if (self == nullptr || error == boost::asio::error::operation_aborted) {
+            return;
+          }
+          if (!error) {
+            self->Take(std::move(socket));
+          }
+          self->Accept();
+        });
+  }
+
+  void Take(tcp::socket socket) {
+    if (shared->connections >= shared->limits.max_connections) {
+      return;  // The socket closes: nothing was read of it.
+    }
+    StartServerConnection(shared, std::move(socket));
+  }
+
+  EventLoop* loop;
+  tcp::acceptor acceptor;
+  std::shared_ptr<ServerState> shared;
+};
+
+HttpServer::HttpServer(EventLoop* loop, Handler handler)
+    : implementation_(std::make_shared<Implementation>(loop, std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  boost::system::error_code ignored;
+  implementation_->acceptor.close(ignored);
+}
+
+std::error_code HttpServer::Listen(const std::string& address) {
+  const Result<HostPort> parsed = ParseHostPort(address);
+  if (!parsed.ok()) {
+    return parsed.error();
+  }
+  boost::system::error_code error;
+  const auto host = boost::asio::ip::make_address(parsed->host, error);
+  if (error) {
+    return make_error_code(Error::kInvalidArgument);
+  }
+  const tcp::endpoint endpoint(host, static_cast<unsigned short>(parsed->port));
+  tcp::acceptor& acceptor = implementation_->acceptor;
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return {error.value(), std::system_category()};
+  }
+  implementation_->Accept();
+  return {};
+}
+
+std::string HttpServer::address() const {
+  boost::system::error_code error;
+  const tcp::endpoint endpoint = implementation_->acceptor.local_endpoint(error);
+  if (error) {
+    return {};
+  }
+  return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+void HttpServer::SetLimits(const ServerLimits& limits) { implementation_->shared->limits = limits; }
+void HttpServer::AskToClose() { implementation_->shared->ask_to_close = true; }
+std::size_t HttpServer::connections() const { return implementation_->shared->connections; }
+std::size_t HttpServer::open_exchanges() const { return implementation_->shared->open_exchanges; }
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/serving/event_splitter.cc
@@ -0,0 +1,59 @@
+#include "hingespan/serving/event_splitter.h"
+
+#include <algorithm>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr absl::string_view kEventEnd = "\n\n";
+constexpr absl::string_view kEventEndWithReturns = "\r\n\r\n";
+constexpr absl::string_view kIdField = "id:";
+
+// Length of the part of `text` that ends with a whole event; 0: none.
+std::size_t WholeEventsLength(absl::string_view text) {
+  std::size_t length = 0;
+  const std::size_t plain = text.rfind(kEventEnd);
+  if (plain != absl::string_view::npos) {
+    length = plain + kEventEnd.size();
+  }
+  const std::size_t returns = text.rfind(kEventEndWithReturns);
+  if (returns != absl::string_view::npos) {
+    length = std::max(length, returns + kEventEndWithReturns.size());
+  }
+  return length;
+}
+
+}  // namespace
+
+std::string EventSplitter::Feed(absl::string_view piece) {
+  held_.append(piece.data(), piece.size());
+  const std::size_t length = WholeEventsLength(held_);
+  if (length == 0) {
+    return {};
+  }
+  std::string events = held_.substr(0, length);
+  held_.erase(0, length);
+  any_event_ = true;
+  ReadIds(events);
+  return events;
+}
+
+std::string EventSplitter::TakeRest() {
+  std::string rest;
+  rest.swap(held_);
+  return rest;
+}
+
+void EventSplitter::ReadIds(absl::string_view events) {
+  for (const absl::string_view line : absl::StrSplit(events, '\n')) {
+    if (absl::StartsWith(line, kIdField)) {
+      last_event_id_ = std::string(absl::StripAsciiWhitespace(line.substr(kIdField.size())));
+    }
+  }
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/serving/gateway.cc
@@ -0,0 +1,360 @@
+#include "hingespan/serving/gateway.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "hingespan/common/clock.h"
+
+namespace hingespan::gateway {
+namespace {
+
+// How long after the request to stop new requests are still taken: the platform asks twice, a
+// second apart, before it sends them elsewhere.
+constexpr absl::Duration kTakesAfterStop = absl::Milliseconds(2500);
+constexpr absl::Duration kLeastStopTime = absl::Milliseconds(3000);
+// Before the process would be killed.
+constexpr absl::Duration kStopMargin = absl::Milliseconds(250);
+constexpr absl::Duration kStopCheck = absl::Milliseconds(50);
+// A waiting request is looked at again this often even if nothing is known to have changed.
+constexpr absl::Duration kPumpAgain = absl::Milliseconds(60);
+
+std::uint64_t NewIncarnation() {
+  return static_cast<std::uint64_t>(absl::ToUnixMicros(SystemClock().WallTime()));
+}
+
+FleetCoordinatorSettings FleetSettings(const GatewaySettings& settings) {
+  FleetCoordinatorSettings fleet;
+  fleet.node = settings.node;
+  fleet.incarnation = NewIncarnation();
+  fleet.address = settings.peer_listen;
+  fleet.lease.node = settings.node;
+  fleet.lease.incarnation = fleet.incarnation;
+  fleet.lease.address = settings.peer_listen;
+  fleet.lease.duration = settings.lease;
+  return fleet;
+}
+
+HeaderFields RetryAfter(std::string seconds) { return {{"Retry-After", std::move(seconds)}}; }
+
+}  // namespace
+
+Gateway::Gateway(GatewaySettings settings, GatewayParts parts)
+    : settings_(std::move(settings)),
+      parts_(parts),
+      workers_(settings_.zone),
+      budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window}),
+      requests_(parts_.loop,
+                [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
+      status_(
+          parts_.loop,
+          [this](const std::shared_ptr<ServerExchange>& exchange) { OnStatusRequest(exchange); }),
+      peers_(parts_.loop, [this](absl::string_view bytes) { fleet_->OnDatagram(bytes); }),
+      stop_timer_(parts_.loop->MakeTimer()),
+      pump_timer_(parts_.loop->MakeTimer()) {
+  context_ = {parts_.loop, parts_.dialect, parts_.client,  &workers_,
+              &budget_,    parts_.log,     parts_.metrics, this};
+}
+
+Gateway::~Gateway() = default;
+
+std::error_code Gateway::Start() {
+  if (const std::error_code error = peers_.Listen(settings_.peer_listen)) {
+    return error;
+  }
+  if (const std::error_code error = status_.Listen(settings_.status_listen)) {
+    return error;
+  }
+  ServerLimits limits;
+  limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
+  requests_.SetLimits(limits);
+  if (const std::error_code error = requests_.Listen(settings_.request_listen)) {
+    return error;
+  }
+  settings_.peer_listen = peers_.address();
+  FleetCoordinatorSettings fleet = FleetSettings(settings_);
+  FleetCoordinatorParts fleet_parts;
+  fleet_parts.loop = parts_.loop;
+  fleet_parts.store = parts_.store;
+  fleet_parts.control = parts_.control;
+  fleet_parts.workers = &workers_;
+  fleet_parts.log = parts_.log;
+  fleet_parts.metrics = parts_.metrics;
+  fleet_parts.send = [this](const std::string& address, absl::string_view bytes) {
+    peers_.Send(address, bytes);
+  };
+  fleet_parts.fill_report = [this](DemandReport* report) { FillReport(report); };
+  fleet_parts.on_news = [this] { PumpSoon(); };
+  const std::uint64_t seed = fleet.incarnation;
+  fleet_ = std::make_unique<FleetCoordinator>(std::move(fleet), std::move(fleet_parts));
+  const auto contact = [this](const char* table) {
+    return [this, table](bool in_touch) {
+      parts_.log->Write(in_touch ? LogLevel::kInfo : LogLevel::kWarning,
+                        in_touch ? "store_regained" : "store_lost", {{"table", table}});
+    };
+  };
+  TableFollower::Callbacks configuration;
+  configuration.on_snapshot = [this](const StoreRows& rows) {
+    for (const StoreRow& row : rows.rows) {
+      TakeConfiguration(row);
+    }
+  };
+  configuration.on_changes = configuration.on_snapshot;
+  configuration.on_contact = contact("configuration");
+  configuration_follower_ = std::make_unique<TableFollower>(
+      parts_.loop, parts_.store, TableFollowerSettings{parts_.reader->configuration_table()}, seed,
+      std::move(configuration));
+  TableFollower::Callbacks workers;
+  workers.on_snapshot = [this](const StoreRows& rows) { TakeWorkerSnapshot(rows); };
+  workers.on_changes = [this](const StoreRows& rows) {
+    for (const StoreRow& row : rows.rows) {
+      TakeWorkerRow(row);
+    }
+    fleet_->WorkersChanged();
+    PumpSoon();
+  };
+  workers.on_contact = contact("workers");
+  worker_follower_ = std::make_unique<TableFollower>(
+      parts_.loop, parts_.store, TableFollowerSettings{parts_.reader->worker_table()}, seed + 1,
+      std::move(workers));
+  configuration_follower_->Start();
+  worker_follower_->Start();
+  fleet_->Start();
+  return {};
+}
+
+bool Gateway::ready() const { return routes_ != nullptr && workers_known_ && !stopping_; }
+
+void Gateway::TakeConfiguration(const StoreRow& row) {
+  if (row.removed || row.key != parts_.reader->configuration_key()) {
+    return;
+  }
+  Result<Configuration> read = parts_.reader->ReadConfiguration(row);
+  if (!read.ok()) {
+    parts_.log->Write(LogLevel::kError, "configuration_malformed",
+                      {{"row_version", absl::StrCat(row.version)}});
+    return;
+  }
+  if (routes_ != nullptr && read->version <= routes_->configuration().version) {
+    return;
+  }
+  auto configuration = std::make_shared<const Configuration>(std::move(*read));
+  routes_ = std::make_shared<const RouteTable>(configuration);
+  ServerLimits limits;
+  limits.message.head_bytes = configuration->limits.max_head_bytes;
+  limits.message.body_bytes = configuration->limits.max_body_bytes;
+  limits.head_timeout = configuration->limits.head_timeout;
+  limits.idle_timeout = configuration->limits.idle_timeout;
+  limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
+  requests_.SetLimits(limits);
+  fleet_->SetConfiguration(configuration);
+  parts_.metrics->configuration_version = configuration->version;
+  parts_.log->Write(LogLevel::kInfo, "configuration_applied",
+                    {{"version", absl::StrCat(configuration->version)},
+                     {"row_version", absl::StrCat(row.version)},
+                     {"routes", absl::StrCat(configuration->routes.size())}});
+  PumpSoon();
+}
+
+void Gateway::TakeWorkerRow(const StoreRow& row) {
+  if (row.removed) {
+    if (workers_.Remove(row.key, row.version)) {
+      parts_.log->Write(LogLevel::kInfo, "worker_gone",
+                        {{"worker", row.key}, {"row_version", absl::StrCat(row.version)}});
+    }
+    return;
+  }
+  Result<WorkerRecord> record = parts_.reader->ReadWorker(row);
+  if (!record.ok()) {
+    parts_.log->Write(LogLevel::kWarning, "worker_row_malformed", {{"worker", row.key}});
+    return;
+  }
+  const bool draining = record->draining;
+  const std::string address = record->address;
+  const std::size_t models = record->models.size();
+  if (workers_.Update(std::move(*record), row.version, parts_.loop->Now())) {
+    parts_.log->Write(LogLevel::kInfo, "worker_changed",
+                      {{"worker", row.key},
+                       {"address", address},
+                       {"draining", draining ? "true" : "false"},
+                       {"models", absl::StrCat(models)},
+                       {"row_version", absl::StrCat(row.version)}});
+  }
+}
+
+void Gateway::TakeWorkerSnapshot(const StoreRows& rows) {
+  std::set<std::string> present;
+  for (const StoreRow& row : rows.rows) {
+    present.insert(row.key);
+    TakeWorkerRow(row);
+  }
+  workers_.RetainOnly(present, rows.version);
+  workers_known_ = true;
+  fleet_->WorkersChanged();
+  PumpSoon();
+}
+
+void Gateway::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  const auto refuse = [&](int status, const char* why) {
+    parts_.log->Write(
+        LogLevel::kInfo, "request_refused",
+        {{"target", exchange->head().target}, {"status", absl::StrCat(status)}, {"why", why}});
+    ++parts_.metrics->requests_by_status[status];
+    ++parts_.metrics->refusals[why];
+    exchange->Answer(status, ReasonPhrase(status),
+                     status == 503 ? RetryAfter("0.1") : HeaderFields{}, {});
+  };
+  if (routes_ == nullptr || !workers_known_) {
+    refuse(503, "no_configuration_yet");
+    return;
+  }
+  if (stopping_ && parts_.loop->Now() - stop_began_ > kTakesAfterStop) {
+    refuse(503, "stopping");
+    return;
+  }
+  const RequestHead& head = exchange->head();
+  const std::string* const host = FindField(head.fields, "Host");
+  const Route* const route =
+      routes_->Find(host == nullptr ? absl::string_view() : absl::string_view(*host), head.target);
+  if (route == nullptr) {
+    refuse(404, "no_route");
+    return;
+  }
+  auto relay = std::make_shared<RequestRelay>(
+      &context_, exchange, parts_.dialect->ReadRequest(head), routes_, route, ++next_number_);
+  relay->Start();
+}
+
+void Gateway::OnStatusRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  const std::string& target = exchange->head().target;
+  if (target == settings_.readiness_path) {
+    const int status = ready() ? 200 : 503;
+    exchange->Answer(status, ReasonPhrase(status), {}, {});
+    return;
+  }
+  if (target == settings_.metrics_path) {
+    parts_.metrics->waiting_now = queue_.size();
+    parts_.metrics->holds_lease = fleet_->holds_lease();
+    parts_.metrics->log_lines_left_out = parts_.log->left_out();
+    exchange->Answer(200, ReasonPhrase(200), {{"Content-Type", "text/plain; version=0.0.4"}},
+                     MetricsText(*parts_.metrics));
+    return;
+  }
+  exchange->Answer(404, ReasonPhrase(404), {}, {});
+}
+
+void Gateway::Enqueue(const QueuePlace& place, std::shared_ptr<RequestRelay> request) {
+  if (request->first_attempt()) {
+    ++demand_[{request->service(), request->model()}].arrived;
+  }
+  const absl::Time now = parts_.loop->Now();
+  // Straight to a worker when nobody waits that might come first.
+  const bool nobody_waits = queue_.empty();
+  queue_.Add(place, request);
+  if (nobody_waits && request->TryDispatch(now)) {
+    return;
+  }
+  if (!request->model().model.empty()) {
+    fleet_->DemandWaits();
+  }
+  PumpSoon();
+}
+
+void Gateway::Dequeue(const QueuePlace& place) { queue_.Remove(place); }
+
+void Gateway::PumpSoon() {
+  if (pump_scheduled_ || queue_.empty()) {
+    return;
+  }
+  pump_scheduled_ = true;
+  parts_.loop->Post([this] {
+    pump_scheduled_ = false;
+    Pump();
+  });
+}
+
+void Gateway::Pump() {
+  const absl::Time now = parts_.loop->Now();
+  // First attempts for the same model wait for the same workers: one look tells for all.
+  std::set<std::pair<std::string, ModelKey>> blocked;
+  for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
+    const std::pair<std::string, ModelKey> key{request->service(), request->model()};
+    if (!request->waiting() || (request->first_attempt() && blocked.contains(key))) {
+      continue;
+    }
+    if (!request->TryDispatch(now) && request->first_attempt()) {
+      blocked.insert(key);
+    }
+  }
+  if (!queue_.empty()) {
+    pump_timer_->Set(now + kPumpAgain, [this] { PumpSoon(); });
+  }
+}
+
+void Gateway::RunningChanged(const std::string& service, const ModelKey& model, int change) {
+  if (model.model.empty()) {
+    return;
+  }
+  demand_[{service, model}].running += change;
+  fleet_->DemandChanged();
+}
+
+absl::Time Gateway::ExpectedReady(const ModelKey& model) const {
+  return model.model.empty() ? absl::InfiniteFuture() : fleet_->ExpectedReady(model);
+}
+
+void Gateway::FillReport(DemandReport* report) {
+  std::map<std::pair<std::string, ModelKey>, int> waiting;
+  for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
+    ++waiting[{request->service(), request->model()}];
+  }
+  for (auto entry = demand_.begin(); entry != demand_.end();) {
+    const auto& [service, model] = entry->first;
+    DemandCounts& counts = entry->second;
+    const auto waits = waiting.find(entry->first);
+    const int waiting_count = waits == waiting.end() ? 0 : waits->second;
+    if (model.model.empty() || (counts.running == 0 && counts.arrived == 0 && waiting_count == 0)) {
+      entry = demand_.erase(entry);
+      continue;
+    }
+    report->demands.push_back(
+        {service, model.model, model.adapter, waiting_count, counts.running, counts.arrived});
+    counts.arrived = 0;
+    ++entry;
+  }
+  for (const auto& [id, worker] : workers_.workers()) {
+    if (worker.running > 0) {
+      report->loads.push_back({id, worker.running, static_cast<int>(worker.unread_tokens)});
+    }
+  }
+  budget_.SetNodes(fleet_->nodes());
+}
+
+void Gateway::Stop(std::function<void()> done) {
+  if (stopping_) {
+    return;
+  }
+  stopping_ = true;
+  stop_began_ = parts_.loop->Now();
+  stopped_ = std::move(done);
+  requests_.AskToClose();
+  fleet_->Stop();
+  parts_.log->Write(LogLevel::kInfo, "stopping",
+                    {{"open_requests", absl::StrCat(requests_.open_exchanges())}});
+  CheckStopped();
+}
+
+void Gateway::CheckStopped() {
+  const absl::Time now = parts_.loop->Now();
+  const bool idle = now - stop_began_ >= kLeastStopTime && requests_.open_exchanges() == 0;
+  if (idle || now - stop_began_ >= settings_.stop_time - kStopMargin) {
+    parts_.log->Write(LogLevel::kInfo, "stopped",
+                      {{"open_requests", absl::StrCat(requests_.open_exchanges())}});
+    stopped_();
+    return;
+  }
+  stop_timer_->Set(now + kStopCheck, [this] { CheckStopped(); });
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/serving/gateway_settings.cc
@@ -0,0 +1,147 @@
+#include "hingespan/serving/gateway_settings.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "hingespan/net/socket_address.h"
+#include "hingespan/settings/toml_document.h"
+
+namespace hingespan::gateway {
+namespace {
+
+// One setting: how its value is checked and stored. Returns what is allowed when it is not.
+using Setter = std::function<std::string(const TomlValue&)>;
+
+Setter Text(std::string* target) {
+  return [target](const TomlValue& value) -> std::string {
+    const auto* const text = std::get_if<std::string>(&value);
+    if (text == nullptr || text->empty()) {
+      return "a text that is not empty";
+    }
+    *target = *text;
+    return {};
+  };
+}
+
+Setter Address(std::string* target) {
+  return [target](const TomlValue& value) -> std::string {
+    const auto* const text = std::get_if<std::string>(&value);
+    if (text == nullptr || !ParseHostPort(*text).ok()) {
+      return "\"ip:port\"";
+    }
+    *target = *text;
+    return {};
+  };
+}
+
+bool ReadNumber(const TomlValue& value, double* number) {
+  if (const auto* const whole = std::get_if<std::int64_t>(&value)) {
+    *number = static_cast<double>(*whole);
+    return true;
+  }
+  if (const auto* const fraction = std::get_if<double>(&value)) {
+    *number = *fraction;
+    return true;
+  }
+  return false;
+}
+
+Setter Number(double least, double most, const std::function<void(double)>& store) {
+  return [=](const TomlValue& value) -> std::string {
+    double number = 0;
+    if (!ReadNumber(value, &number) || number < least || number > most) {
+      return absl::StrCat("a number from ", least, " to ", most);
+    }
+    store(number);
+    return {};
+  };
+}
+
+Setter Level(LogLevel* target) {
+  return [target](const TomlValue& value) -> std::string {
+    static const std::map<std::string, LogLevel> levels = {{"debug", LogLevel::kDebug},
+                                                           {"info", LogLevel::kInfo},
+                                                           {"warning", LogLevel::kWarning},
+                                                           {"error", LogLevel::kError}};
+    const auto* const text = std::get_if<std::string>(&value);
+    const auto entry = text == nullptr ? levels.end() : levels.find(*text);
+    if (entry == levels.end()) {
+      return "\"debug\", \"info\", \"warning\" or \"error\"";
+    }
+    *target = entry->second;
+    return {};
+  };
+}
+
+std::map<std::string, Setter> Setters(GatewaySettings* settings) {
+  return {
+      {"node.name", Text(&settings->node)},
+      {"node.zone", Text(&settings->zone)},
+      {"listen.requests", Address(&settings->request_listen)},
+      {"listen.status", Address(&settings->status_listen)},
+      {"listen.readiness_path", Text(&settings->readiness_path)},
+      {"listen.metrics", Address(&settings->metrics_listen)},
+      {"listen.metrics_path", Text(&settings->metrics_path)},
+      {"listen.peers", Address(&settings->peer_listen)},
+      {"listen.max_connections",
+       Number(1, 1e6,
+              [settings](double value) { settings->max_connections = static_cast<int>(value); })},
+      {"store.address", Address(&settings->store_address)},
+      {"store.row_bytes",
+       Number(1024, 1e9,
+              [settings](double value) { settings->store_row_bytes = static_cast<int>(value); })},
+      {"placement.lease_ms",
+       Number(100, 1e6, [settings](double value) { settings->lease = absl::Milliseconds(value); })},
+      {"stop.time_s",
+       Number(0.1, 3600, [settings](double value) { settings->stop_time = absl::Seconds(value); })},
+      {"retries.ratio", Number(0, 10, [settings](double value) { settings->retry_ratio = value; })},
+      {"retries.extra",
+       Number(0, 1e6, [settings](double value) { settings->retry_extra = value; })},
+      {"retries.window_s",
+       Number(1, 3600,
+              [settings](double value) { settings->retry_window = absl::Seconds(value); })},
+      {"log.level", Level(&settings->log_level)},
+  };
+}
+
+constexpr const char* kRequired[] = {"node.name",     "node.zone",    "listen.requests",
+                                     "listen.status", "listen.peers", "store.address"};
+
+}  // namespace
+
+GatewaySettings ReadGatewaySettings(absl::string_view text, const std::string& file,
+                                    Findings* findings) {
+  GatewaySettings settings;
+  const TomlDocument document = ParseToml(std::string_view(text.data(), text.size()), file);
+  findings->insert(findings->end(), document.findings.begin(), document.findings.end());
+  if (!document.findings.empty()) {
+    return settings;
+  }
+  const std::map<std::string, Setter> setters = Setters(&settings);
+  std::set<std::string> given;
+  for (const TomlEntry& entry : document.entries) {
+    const std::string key = absl::StrJoin(entry.path, ".");
+    const auto setter = setters.find(key);
+    if (setter == setters.end()) {
+      continue;
+    }
+    given.insert(key);
+    const std::string allowed = setter->second(entry.value);
+    if (!allowed.empty()) {
+      findings->push_back({entry.place, key, "the value is not allowed", allowed});
+    }
+  }
+  for (const char* const key : kRequired) {
+    if (!given.contains(key)) {
+      findings->push_back({{file, 0, 0}, key, "missing", "a value"});
+    }
+  }
+  return settings;
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/serving/table_follower.cc
@@ -0,0 +1,94 @@
+#include "hingespan/serving/table_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hingespan::gateway {
+
+TableFollower::TableFollower(EventLoop* loop, SharedStore* store, TableFollowerSettings settings,
+                             std::uint64_t seed, Callbacks callbacks)
+    : loop_(loop),
+      store_(store),
+      settings_(std::move(settings)),
+      random_(seed),
+      callbacks_(std::move(callbacks)),
+      timer_(loop->MakeTimer()) {}
+
+TableFollower::~TableFollower() { *alive_ = false; }
+
+void TableFollower::Start() { ReadAll(); }
+
+void TableFollower::Next() {
+  if (version_known_) {
+    WatchOn();
+  } else {
+    ReadAll();
+  }
+}
+
+void TableFollower::Contact(bool in_touch) {
+  if (contact_known_ && in_touch_ == in_touch) {
+    return;
+  }
+  contact_known_ = true;
+  in_touch_ = in_touch;
+  if (callbacks_.on_contact) {
+    callbacks_.on_contact(in_touch);
+  }
+}
+
+void TableFollower::ReadAll() {
+  store_->Read(settings_.table, [this, alive = alive_](Result<StoreRows> result) {
+    if (!*alive) {
+      return;
+    }
+    // A snapshot older than what is known already would take things back.
+    if (!result.ok() || result->version < version_) {
+      Retry();
+      return;
+    }
+    failures_ = 0;
+    Contact(true);
+    version_ = result->version;
+    version_known_ = true;
+    callbacks_.on_snapshot(*result);
+    Next();
+  });
+}
+
+void TableFollower::WatchOn() {
+  store_->Watch(settings_.table, version_, settings_.wait,
+                [this, alive = alive_](Result<StoreRows> result) {
+                  if (!*alive) {
+                    return;
+                  }
+                  if (!result.ok()) {
+                    if (result.error() == make_error_code(Error::kNotFound)) {
+                      version_known_ = false;
+                      Next();
+                      return;
+                    }
+                    Retry();
+                    return;
+                  }
+                  failures_ = 0;
+                  Contact(true);
+                  version_ = std::max(version_, result->version);
+                  if (!result->rows.empty()) {
+                    callbacks_.on_changes(*result);
+                  }
+                  Next();
+                });
+}
+
+void TableFollower::Retry() {
+  ++failures_;
+  Contact(false);
+  const int doublings = std::min(failures_ - 1, 4);
+  const absl::Duration longest =
+      std::min(settings_.longest_retry, settings_.first_retry * (1 << doublings));
+  const absl::Duration wait = longest * (0.5 + 0.5 * random_.Fraction());
+  timer_->Set(loop_->Now() + wait, [this] { Next(); });
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/serving/worker_directory.cc
@@ -0,0 +1,272 @@
+#include "hingespan/serving/worker_directory.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::gateway {
+namespace {
+
+// Prompt tokens an engine reads in a millisecond. Workers don't tell it; only the proportion to the
+// other costs matters.
+constexpr double kPromptTokensPerMs = 18.0;
+// What one running request adds to the wait for the first event.
+constexpr double kRunningCostMs = 4.0;
+// What a worker in another zone costs more, in the way and in priced bytes.
+constexpr double kOtherZoneCostMs = 12.0;
+constexpr double kPlainServiceMs = 30.0;
+constexpr double kSuccessWeight = 0.12;
+constexpr double kLatencyWeight = 0.15;
+// A worker's bad record is forgotten by half in this time, so that it is tried again.
+constexpr absl::Duration kSuccessHalfLife = absl::Seconds(6);
+constexpr double kLeastSuccess = 0.08;
+constexpr absl::Duration kAvoidUnreachable = absl::Milliseconds(1000);
+constexpr absl::Duration kAvoidFull = absl::Milliseconds(60);
+constexpr absl::Duration kAvoidFailed = absl::Milliseconds(40);
+// Kept prompts are assumed to be there for this long.
+constexpr absl::Duration kPromptPartMemory = absl::Seconds(20);
+constexpr std::size_t kMaxPromptParts = 2000;
+// The part of a worker's token memory that is filled.
+constexpr double kTokenCapacityUsed = 0.9;
+
+double RecoveredSuccess(const WorkerState& worker, absl::Time now) {
+  if (worker.success_updated == absl::InfinitePast()) {
+    return worker.success;
+  }
+  const double age = absl::FDivDuration(now - worker.success_updated, kSuccessHalfLife);
+  return 1.0 - (1.0 - worker.success) * std::exp2(-age);
+}
+
+}  // namespace
+
+std::string PromptPartKey(const ModelKey& model, const PromptPart& part) {
+  return absl::StrCat(model.model, "/", model.adapter, "/", part.id);
+}
+
+bool WorkerState::Holds(const ModelKey& key, absl::Time now) const {
+  const auto holds = [&](const ModelKey& wanted, bool recorded) {
+    const auto notice = notices.find(wanted);
+    return notice != notices.end() && notice->second.until > now ? notice->second.present
+                                                                 : recorded;
+  };
+  const auto model = record.models.find(key.model);
+  const bool model_recorded = model != record.models.end();
+  if (!holds(ModelKey{key.model, ""}, model_recorded)) {
+    return false;
+  }
+  if (key.adapter.empty()) {
+    return true;
+  }
+  return holds(key, model_recorded && model->second.contains(key.adapter));
+}
+
+bool WorkerDirectory::Update(WorkerRecord record, std::uint64_t row_version, absl::Time now) {
+  WorkerState& worker = workers_[record.id];
+  if (worker.row_version >= row_version) {
+    return false;
+  }
+  const bool changed = worker.row_version == 0 || worker.record.draining != record.draining ||
+                       worker.record.models != record.models ||
+                       worker.record.address != record.address;
+  if (record.leaves_in.has_value()) {
+    worker.leaves_at = std::min(worker.leaves_at, now + *record.leaves_in);
+  }
+  worker.row_version = row_version;
+  worker.record = std::move(record);
+  return changed;
+}
+
+bool WorkerDirectory::Remove(const std::string& worker_id, std::uint64_t row_version) {
+  const auto entry = workers_.find(worker_id);
+  if (entry == workers_.end() || entry->second.row_version >= row_version) {
+    return false;
+  }
+  workers_.erase(entry);
+  return true;
+}
+
+void WorkerDirectory::RetainOnly(const std::set<std::string>& worker_ids, std::uint64_t version) {
+  for (auto entry = workers_.begin(); entry != workers_.end();) {
+    const bool stays = worker_ids.contains(entry->first) || entry->second.row_version > version;
+    entry = stays ? std::next(entry) : workers_.erase(entry);
+  }
+}
+
+WorkerState* WorkerDirectory::Find(const std::string& worker_id) {
+  const auto entry = workers_.find(worker_id);
+  return entry == workers_.end() ? nullptr : &entry->second;
+}
+
+int WorkerDirectory::CountOfService(const std::string& service) const {
+  int count = 0;
+  for (const auto& [id, worker] : workers_) {
+    count += worker.record.service == service && !worker.record.draining ? 1 : 0;
+  }
+  return count;
+}
+
+bool WorkerDirectory::IsFull(const WorkerState& worker, const WorkerDemand& demand,
+                             const Service* service) {
+  const int running = worker.running + worker.peers_running;
+  if (running >= worker.record.slots) {
+    return true;
+  }
+  if (service == nullptr || !service->engine.has_value() || service->engine->token_capacity <= 0 ||
+      running == 0) {
+    return false;
+  }
+  const double each = demand.prompt_tokens + demand.output_tokens;
+  return (running + 1) * each >
+         kTokenCapacityUsed * static_cast<double>(service->engine->token_capacity);
+}
+
+double WorkerDirectory::Cost(const WorkerState& worker, const WorkerDemand& demand,
+                             absl::Time now) const {
+  const double success = std::max(kLeastSuccess, RecoveredSuccess(worker, now));
+  const double running = worker.running + worker.peers_running;
+  const double other_zone = worker.record.zone == zone_ ? 0.0 : kOtherZoneCostMs;
+  if (demand.model.model.empty()) {
+    const double latency = worker.latency_ms > 0 ? worker.latency_ms : kPlainServiceMs;
+    const double waiting = std::max(0.0, running + 1 - worker.record.slots);
+    const double spread = running / std::max(1, worker.record.slots);
+    return (latency * (1.0 + spread + waiting) + other_zone) / success;
+  }
+  double unread = demand.prompt_tokens;
+  if (demand.prompt_parts != nullptr) {
+    for (const PromptPart& part : *demand.prompt_parts) {
+      const auto kept = worker.prompt_parts.find(PromptPartKey(demand.model, part));
+      if (kept == worker.prompt_parts.end() || kept->second + kPromptPartMemory < now) {
+        break;
+      }
+      unread -= part.tokens;
+    }
+  }
+  const double queue = worker.unread_tokens + worker.peers_unread_tokens + std::max(0.0, unread);
+  return (queue / kPromptTokensPerMs + running * kRunningCostMs + other_zone) / success;
+}
+
+WorkerChoice WorkerDirectory::Choose(const WorkerDemand& demand, const Configuration& configuration,
+                                     absl::Time now) {
+  const Service* const service = configuration.FindService(demand.service);
+  WorkerChoice choice;
+  bool any_worker = false;
+  bool any_model = false;
+  bool any_replica = false;
+  double best = std::numeric_limits<double>::infinity();
+  bool best_avoided = true;
+  for (auto& [id, worker] : workers_) {
+    if (worker.record.service != demand.service || worker.record.draining) {
+      continue;
+    }
+    any_worker = true;
+    if (!demand.model.model.empty()) {
+      if (!worker.Holds(ModelKey{demand.model.model, ""}, now)) {
+        continue;
+      }
+      any_model = true;
+      if (!worker.Holds(demand.model, now)) {
+        continue;
+      }
+    }
+    any_replica = true;
+    if (demand.excluded != nullptr && demand.excluded->contains(id)) {
+      continue;
+    }
+    ++choice.candidates;
+    if (IsFull(worker, demand, service)) {
+      continue;
+    }
+    const bool avoided = worker.avoided_until > now;
+    const double cost = Cost(worker, demand, now);
+    if (choice.worker == nullptr || (best_avoided && !avoided) ||
+        (best_avoided == avoided && cost < best)) {
+      choice.worker = &worker;
+      best = cost;
+      best_avoided = avoided;
+    }
+  }
+  if (choice.worker != nullptr) {
+    return choice;
+  }
+  if (!any_worker) {
+    choice.problem = ChoiceProblem::kNoWorkers;
+  } else if (any_replica || demand.model.model.empty()) {
+    choice.problem = ChoiceProblem::kAllBusy;
+  } else {
+    choice.problem = any_model ? ChoiceProblem::kAdapterAbsent : ChoiceProblem::kModelAbsent;
+  }
+  return choice;
+}
+
+void WorkerDirectory::AttemptStarted(WorkerState* worker, const WorkerDemand& demand,
+                                     absl::Time now) {
+  ++worker->running;
+  worker->unread_tokens += demand.prompt_tokens;
+  if (demand.prompt_parts == nullptr) {
+    return;
+  }
+  if (worker->prompt_parts.size() > kMaxPromptParts) {
+    worker->prompt_parts.clear();
+  }
+  for (const PromptPart& part : *demand.prompt_parts) {
+    worker->prompt_parts[PromptPartKey(demand.model, part)] = now;
+  }
+}
+
+void WorkerDirectory::AttemptBegan(const std::string& worker_id, double unread_tokens,
+                                   absl::Duration latency, absl::Time) {
+  WorkerState* const worker = Find(worker_id);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->unread_tokens = std::max(0.0, worker->unread_tokens - unread_tokens);
+  const double latency_ms = absl::ToDoubleMilliseconds(latency);
+  worker->latency_ms =
+      worker->latency_ms == 0
+          ? latency_ms
+          : worker->latency_ms + kLatencyWeight * (latency_ms - worker->latency_ms);
+}
+
+void WorkerDirectory::AttemptEnded(const std::string& worker_id, double unread_tokens,
+                                   AttemptOutcome outcome, absl::Time now) {
+  WorkerState* const worker = Find(worker_id);
+  if (worker == nullptr) {
+    return;
+  }
+  worker->running = std::max(0, worker->running - 1);
+  worker->unread_tokens = std::max(0.0, worker->unread_tokens - unread_tokens);
+  if (outcome == AttemptOutcome::kCancelled) {
+    return;
+  }
+  const double success = RecoveredSuccess(*worker, now);
+  const bool served = outcome == AttemptOutcome::kServed;
+  worker->success = success + kSuccessWeight * ((served ? 1.0 : 0.0) - success);
+  worker->success_updated = now;
+  switch (outcome) {
+    case AttemptOutcome::kServed:
+    case AttemptOutcome::kCancelled:
+      break;
+    case AttemptOutcome::kFailed:
+      worker->avoided_until = std::max(worker->avoided_until, now + kAvoidFailed);
+      break;
+    case AttemptOutcome::kFull:
+      worker->avoided_until = std::max(worker->avoided_until, now + kAvoidFull);
+      break;
+    case AttemptOutcome::kUnreachable:
+      worker->avoided_until = std::max(worker->avoided_until, now + kAvoidUnreachable);
+      break;
+  }
+}
+
+void WorkerDirectory::NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
+                                  absl::Time until) {
+  WorkerState* const worker = Find(worker_id);
+  if (worker != nullptr) {
+    worker->notices[key] = WorkerState::ReplicaNotice{present, until};
+  }
+}
+
+}  // namespace hingespan::gateway
