--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -92,6 +92,7 @@
   void SendNews(std::vector<ReplicaNews> replicas);
   void ApplyNews(const PlacementNews& news);
   void PauseTick();
+  void NotePause();
 
   FleetCoordinatorSettings settings_;
   FleetCoordinatorParts parts_;
--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -164,6 +164,7 @@
   void Accepted(const WorkerOrder& order, Ledger* ledger, absl::Time now);
   void FinishLoads(const std::string& worker_id, Ledger* ledger, absl::Time now);
   void FinishAdapters(absl::Time now);
+  static void TakePendingAdapters(const WorkerReport& report, Ledger* ledger, absl::Time now);
 
   FleetPlacerSettings settings_;
   std::map<std::string, Ledger> ledgers_;
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -93,6 +93,11 @@
 }
 
 void FleetCoordinator::PauseTick() {
+  NotePause();
+  pause_timer_->Set(last_tick_ + kPauseTick, [this] { PauseTick(); });
+}
+
+void FleetCoordinator::NotePause() {
   const absl::Time now = parts_.loop->Now();
   if (now - last_tick_ > settings_.pause_limit) {
     parts_.log->Write(LogLevel::kWarning, "process_paused",
@@ -100,7 +105,6 @@
     lease_.OnPaused();
   }
   last_tick_ = now;
-  pause_timer_->Set(now + kPauseTick, [this] { PauseTick(); });
 }
 
 void FleetCoordinator::StoreTick() {
@@ -343,6 +347,8 @@
 }
 
 void FleetCoordinator::RunPlacement() {
+  // After a pause this may be called before the tick that looks for it.
+  NotePause();
   const absl::Time now = parts_.loop->Now();
   if (!lease_.holding() || configuration_ == nullptr) {
     return;
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -589,6 +590,20 @@
   }
 }
 
+void FleetPlacer::TakePendingAdapters(const WorkerReport& report, Ledger* ledger, absl::Time now) {
+  for (const std::string& pending : report.pending_adapters) {
+    const std::pair<std::string, std::string> parts =
+        absl::StrSplit(pending, absl::MaxSplits('/', 1));
+    const ModelKey key{parts.first, parts.second};
+    const bool known = std::any_of(ledger->adapter_loads.begin(), ledger->adapter_loads.end(),
+                                   [&](const RunningLoad& load) { return load.key == key; });
+    if (!known) {
+      const absl::Time expected = now + kAdapterLoadTime;
+      ledger->adapter_loads.push_back(RunningLoad{key, expected, expected});
+    }
+  }
+}
+
 void FleetPlacer::OnWorkerReport(const std::string& worker_id, const WorkerReport& report,
                                  absl::Time now) {
   const auto entry = ledgers_.find(worker_id);
@@ -604,10 +619,14 @@
     Accepted(*ledger.without_answer, &ledger, now);
   }
   ledger.without_answer.reset();
-  ledger.uncertain = false;
-  ledger.ask_at = absl::InfiniteFuture();
   ledger.sequence = report.order_sequence;
   ledger.models = report.models;
+  TakePendingAdapters(report, &ledger, now);
+  // An order that this holder knows nothing of, e.g. its predecessor's: what it will take up is not
+  // known before it has ended.
+  const bool known = ledger.model_load.has_value() || ledger.model_unload.has_value();
+  ledger.uncertain = report.busy && !known;
+  ledger.ask_at = ledger.uncertain ? now + kAskAgain : absl::InfiniteFuture();
   if (!report.busy && ledger.model_load.has_value() &&
       !ledger.models.contains(ledger.model_load->key.model) &&
       now > ledger.model_load->expected + absl::Seconds(2)) {
