Gateway: a stopping node answers all before it ends; stand-ins and tests on the loopback

Change: the stop sets an earlier deadline for all open requests: what waits is refused a second before the end, what runs gets 504 shortly before it. The gateway owns its open requests. emulator/ has a stand-in of the platform's store and of its workers; 20 tests of the gateway, the stop's seen failing first.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -10,17 +10,17 @@
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
 find_library(TOMLPLUSPLUS_LIBRARY tomlplusplus REQUIRED)
 
-add_library(hingespan_http INTERFACE)
-target_compile_definitions(hingespan_http INTERFACE CPPHTTPLIB_OPENSSL_SUPPORT
+add_library(hingespan_httplib INTERFACE)
+target_compile_definitions(hingespan_httplib INTERFACE CPPHTTPLIB_OPENSSL_SUPPORT
                            CPPHTTPLIB_ZLIB_SUPPORT CPPHTTPLIB_BROTLI_SUPPORT)
-target_link_libraries(hingespan_http INTERFACE ${HTTPLIB_LIBRARY} OpenSSL::SSL OpenSSL::Crypto
+target_link_libraries(hingespan_httplib INTERFACE ${HTTPLIB_LIBRARY} OpenSSL::SSL OpenSSL::Crypto
                       Threads::Threads)
 
 add_library(hingespan_third_party INTERFACE)
 target_compile_definitions(hingespan_third_party INTERFACE BOOST_LOG_DYN_LINK
                            TOML_HEADER_ONLY=0)
 target_link_libraries(hingespan_third_party INTERFACE
-  hingespan_http Boost::log Boost::log_setup Boost::thread prometheus-cpp::core
+  hingespan_httplib Boost::log Boost::log_setup Boost::thread prometheus-cpp::core
   ${XXHASH_LIBRARY} ${TOMLPLUSPLUS_LIBRARY} absl::flat_hash_map absl::flat_hash_set absl::btree
   absl::strings absl::str_format absl::time absl::hash absl::synchronization absl::random_random
   absl::span absl::status Threads::Threads)
--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -29,7 +29,7 @@
       add_library(hingespan_${library} STATIC ${sources})
       target_include_directories(hingespan_${library} PUBLIC ${CMAKE_SOURCE_DIR})
       target_link_libraries(hingespan_${library} PUBLIC hingespan_settings hingespan_platform
-                            hingespan_engine)
+                            hingespan_engine hingespan_http)
     endif()
   endforeach()
   # Hollow nodes run the node core before the emulator's engines, in one process.
--- /dev/null
+++ b/emulator/platform_store.cc
@@ -0,0 +1,196 @@
+#include "emulator/platform_store.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+namespace hingespan::emulator {
+namespace {
+
+using Json = nlohmann::json;
+using gateway::ServerExchange;
+
+void AnswerJson(const std::shared_ptr<ServerExchange>& exchange, int status,
+                const std::string& body) {
+  exchange->Answer(status, "Status", {{"Content-Type", "application/json"}}, body);
+}
+
+std::map<std::string, std::string> QueryOf(const std::string& target) {
+  std::map<std::string, std::string> query;
+  const std::size_t mark = target.find('?');
+  if (mark == std::string::npos) {
+    return query;
+  }
+  for (const absl::string_view part : absl::StrSplit(target.substr(mark + 1), '&')) {
+    const std::pair<std::string, std::string> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
+    query[pair.first] = pair.second;
+  }
+  return query;
+}
+
+std::uint64_t NumberOf(const std::string& text) {
+  std::uint64_t number = 0;
+  (void)absl::SimpleAtoi(text, &number);
+  return number;
+}
+
+}  // namespace
+
+PlatformStore::PlatformStore(gateway::EventLoop* loop)
+    : loop_(loop), server_(loop, [this](const std::shared_ptr<ServerExchange>& exchange) {
+        OnRequest(exchange);
+      }) {
+  (void)server_.Listen("127.0.0.1:0");
+}
+
+std::uint64_t PlatformStore::Put(const std::string& table, const std::string& key,
+                                 const std::string& value) {
+  rows_[{table, key}] = Row{value, ++version_, false};
+  Wake();
+  return version_;
+}
+
+void PlatformStore::Remove(const std::string& table, const std::string& key) {
+  rows_[{table, key}] = Row{"", ++version_, true};
+  Wake();
+}
+
+std::string PlatformStore::Value(const std::string& table, const std::string& key) const {
+  const auto row = rows_.find({table, key});
+  return row == rows_.end() || row->second.removed ? std::string() : row->second.value;
+}
+
+std::uint64_t PlatformStore::Version(const std::string& table, const std::string& key) const {
+  const auto row = rows_.find({table, key});
+  return row == rows_.end() || row->second.removed ? 0 : row->second.version;
+}
+
+void PlatformStore::Compact() {
+  oldest_version_ = ++version_;
+  std::list<Waiting> waiting;
+  waiting.swap(waiting_);
+  for (const Waiting& entry : waiting) {
+    AnswerJson(entry.exchange, 410, "{}");
+  }
+}
+
+void PlatformStore::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  ++calls_;
+  if (fault_ == StoreFault::kUnavailable) {
+    AnswerJson(exchange, 503, "{}");
+    return;
+  }
+  if (fault_ == StoreFault::kSilent) {
+    unanswered_.push_back(exchange);
+    return;
+  }
+  const std::string& target = exchange->head().target;
+  std::map<std::string, std::string> query = QueryOf(target);
+  if (absl::StartsWith(target, "/api/rows-get")) {
+    Get(exchange, query["table"]);
+  } else if (absl::StartsWith(target, "/api/rows-feed")) {
+    Feed(exchange, query["table"], NumberOf(query["after"]),
+         static_cast<int>(NumberOf(query["wait_ms"])));
+  } else if (absl::StartsWith(target, "/api/rows-tx")) {
+    Transact(exchange);
+  } else {
+    AnswerJson(exchange, 404, "{}");
+  }
+}
+
+std::string PlatformStore::RowsJson(const std::string& table, std::uint64_t after,
+                                    bool with_removed) const {
+  Json rows = Json::array();
+  for (const auto& [name, row] : rows_) {
+    if (name.first != table || row.version <= after || (row.removed && !with_removed)) {
+      continue;
+    }
+    Json entry{{"table", table}, {"part", ""}, {"private_key", name.second}, {"ver", row.version}};
+    if (row.removed) {
+      entry["is_gone"] = true;
+    } else {
+      entry["value"] = absl::Base64Escape(row.value);
+    }
+    rows.push_back(std::move(entry));
+  }
+  return Json{{"rows", rows}, {"has_more", false}, {"ver", version_}, {"now_ms", 1}}.dump();
+}
+
+void PlatformStore::Get(const std::shared_ptr<ServerExchange>& exchange, const std::string& table) {
+  AnswerJson(exchange, 200, RowsJson(table, 0, false));
+}
+
+bool PlatformStore::HasChanges(const std::string& table, std::uint64_t after) const {
+  for (const auto& [name, row] : rows_) {
+    if (name.first == table && row.version > after) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void PlatformStore::Feed(const std::shared_ptr<ServerExchange>& exchange, const std::string& table,
+                         std::uint64_t after, int wait_ms) {
+  if (after < oldest_version_) {
+    AnswerJson(exchange, 410, "{}");
+    return;
+  }
+  if (HasChanges(table, after)) {
+    AnswerJson(exchange, 200, RowsJson(table, after, true));
+    return;
+  }
+  Waiting waiting{exchange, table, after, loop_->MakeTimer()};
+  waiting_.push_back(std::move(waiting));
+  const auto entry = std::prev(waiting_.end());
+  exchange->OnCallerGone([] {});
+  entry->timer->Set(loop_->Now() + absl::Milliseconds(wait_ms), [this, entry] {
+    AnswerJson(entry->exchange, 200, RowsJson(entry->table, version_, true));
+    waiting_.erase(entry);
+  });
+}
+
+void PlatformStore::Wake() {
+  for (auto entry = waiting_.begin(); entry != waiting_.end();) {
+    if (!HasChanges(entry->table, entry->after) || fault_ != StoreFault::kNone) {
+      ++entry;
+      continue;
+    }
+    AnswerJson(entry->exchange, 200, RowsJson(entry->table, entry->after, true));
+    entry = waiting_.erase(entry);
+  }
+}
+
+void PlatformStore::Transact(const std::shared_ptr<ServerExchange>& exchange) {
+  const Json body = Json::parse(exchange->body(), nullptr, false);
+  if (!body.is_object()) {
+    AnswerJson(exchange, 400, "{}");
+    return;
+  }
+  for (const Json& condition : body.value("expected_revision", Json::array())) {
+    const std::uint64_t wanted = condition.at("ver").get<std::uint64_t>();
+    if (Version(condition.at("table"), condition.at("private_key")) != wanted) {
+      AnswerJson(exchange, 412, "{\"rows\":[]}");
+      return;
+    }
+  }
+  ++version_;
+  for (const Json& entry : body.value("put", Json::array())) {
+    std::string value;
+    absl::Base64Unescape(entry.at("value").get<std::string>(), &value);
+    rows_[{entry.at("table"), entry.at("private_key")}] = Row{value, version_, false};
+  }
+  for (const Json& entry : body.value("remove", Json::array())) {
+    rows_[{entry.at("table"), entry.at("private_key")}] = Row{"", version_, true};
+  }
+  Wake();
+  if (fault_ == StoreFault::kLoseAnswers) {
+    exchange->Abort();
+    return;
+  }
+  AnswerJson(exchange, 200, Json{{"ver", version_}, {"now_ms", 1}}.dump());
+}
+
+}  // namespace hingespan::emulator
--- /dev/null
+++ b/emulator/platform_store.h
@@ -0,0 +1,80 @@
+// A stand-in for the users' platform's store of rows, spoken as their protocol says, with faults.
+// Runs on the event loop of the test that uses it.
+#ifndef EMULATOR_PLATFORM_STORE_H_
+#define EMULATOR_PLATFORM_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "hingespan/http/event_loop.h"
+#include "hingespan/http/http_server.h"
+
+namespace hingespan::emulator {
+
+enum class StoreFault {
+  kNone,
+  // 503: nothing is done.
+  kUnavailable,
+  // No answer, and nothing is done.
+  kSilent,
+  // Writes are done; their connection ends without an answer.
+  kLoseAnswers,
+};
+
+class PlatformStore {
+ public:
+  explicit PlatformStore(gateway::EventLoop* loop);
+
+  std::string address() const { return server_.address(); }
+  // As the operator or a worker writes; the new version.
+  std::uint64_t Put(const std::string& table, const std::string& key, const std::string& value);
+  void Remove(const std::string& table, const std::string& key);
+  // Empty when there is none.
+  std::string Value(const std::string& table, const std::string& key) const;
+  std::uint64_t Version(const std::string& table, const std::string& key) const;
+  void SetFault(StoreFault fault) { fault_ = fault; }
+  // Forgets its history: waiting calls and calls for older versions get 410.
+  void Compact();
+  int calls() const { return calls_; }
+
+ private:
+  struct Row {
+    std::string value;
+    std::uint64_t version = 0;
+    bool removed = false;
+  };
+  struct Waiting {
+    std::shared_ptr<gateway::ServerExchange> exchange;
+    std::string table;
+    std::uint64_t after = 0;
+    std::unique_ptr<gateway::LoopTimer> timer;
+  };
+
+  void OnRequest(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  void Get(const std::shared_ptr<gateway::ServerExchange>& exchange, const std::string& table);
+  void Feed(const std::shared_ptr<gateway::ServerExchange>& exchange, const std::string& table,
+            std::uint64_t after, int wait_ms);
+  void Transact(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  std::string RowsJson(const std::string& table, std::uint64_t after, bool with_removed) const;
+  bool HasChanges(const std::string& table, std::uint64_t after) const;
+  void Wake();
+
+  gateway::EventLoop* loop_;
+  gateway::HttpServer server_;
+  std::map<std::pair<std::string, std::string>, Row> rows_;
+  std::list<Waiting> waiting_;
+  std::list<std::shared_ptr<gateway::ServerExchange>> unanswered_;
+  StoreFault fault_ = StoreFault::kNone;
+  std::uint64_t version_ = 0;
+  std::uint64_t oldest_version_ = 0;
+  int calls_ = 0;
+};
+
+}  // namespace hingespan::emulator
+
+#endif  // EMULATOR_PLATFORM_STORE_H_
--- /dev/null
+++ b/emulator/platform_worker.cc
@@ -0,0 +1,216 @@
+#include "emulator/platform_worker.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::emulator {
+namespace {
+
+using Json = nlohmann::json;
+using gateway::FindField;
+using gateway::HeaderFields;
+using gateway::ServerExchange;
+
+std::string Field(const ServerExchange& exchange, const char* name) {
+  const std::string* const value = FindField(exchange.head().fields, name);
+  return value == nullptr ? std::string() : *value;
+}
+
+HeaderFields NotExecuted(const std::string& id) {
+  return {{"Not-Executed", "1"}, {"Attempt-Id", id}};
+}
+
+Json ModelsJson(const std::map<std::string, std::set<std::string>>& models) {
+  Json list = Json::array();
+  for (const auto& [model, adapters] : models) {
+    list.push_back({{"name", model}, {"version", 1}, {"adapters", adapters}});
+  }
+  return list;
+}
+
+}  // namespace
+
+struct PlatformWorker::Stream {
+  std::shared_ptr<ServerExchange> exchange;
+  std::unique_ptr<gateway::LoopTimer> timer;
+  int next = 1;
+  int sent = 0;
+};
+
+PlatformWorker::PlatformWorker(gateway::EventLoop* loop, PlatformStore* store,
+                               PlatformWorkerOptions options)
+    : loop_(loop),
+      store_(store),
+      options_(std::move(options)),
+      server_(loop,
+              [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
+      load_timer_(loop->MakeTimer()) {
+  (void)server_.Listen("127.0.0.1:0");
+  WriteRow();
+}
+
+void PlatformWorker::WriteRow() {
+  const Json row{{"service", options_.service},
+                 {"address", server_.address()},
+                 {"zone", options_.zone},
+                 {"version", "v1"},
+                 {"slots", options_.slots},
+                 {"state", draining_ ? "draining" : "ready"},
+                 {"cold_remaining_ms", 0},
+                 {"models", ModelsJson(options_.models)},
+                 {"sequence", 1}};
+  store_->Put("servers", options_.id, row.dump());
+}
+
+void PlatformWorker::SetDraining() {
+  draining_ = true;
+  WriteRow();
+}
+
+void PlatformWorker::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  const std::string expected = Field(*exchange, "Expect-Instance");
+  if (!expected.empty() && expected != options_.id) {
+    exchange->Answer(421, "Misdirected Request", {{"Instance-Id", options_.id}}, "");
+    return;
+  }
+  const std::string& target = exchange->head().target;
+  if (target == "/api/order") {
+    OnOrder(exchange);
+  } else if (target == "/api/report") {
+    OnReport(exchange);
+  } else {
+    RunRequest(exchange);
+  }
+}
+
+int PlatformWorker::Take(const std::string& operation, const std::string& model,
+                         const std::string& adapter) {
+  if (busy_) {
+    return 409;
+  }
+  ++sequence_;
+  if (!adapter.empty()) {
+    if (operation == "model_load") {
+      options_.models[model].insert(adapter);
+      return 202;
+    }
+    options_.models[model].erase(adapter);
+    return 200;
+  }
+  busy_ = true;
+  load_timer_->Set(loop_->Now() + options_.load_time, [this, operation, model] {
+    busy_ = false;
+    if (operation == "model_load") {
+      options_.models[model];
+    } else {
+      options_.models.erase(model);
+    }
+    WriteRow();
+  });
+  return 202;
+}
+
+void PlatformWorker::OnOrder(const std::shared_ptr<ServerExchange>& exchange) {
+  const Json body = Json::parse(exchange->body());
+  Order order{body.at("operation"), body.at("model"), body.value("adapter", ""),
+              body.at("fencing_token").get<std::uint64_t>(), 0};
+  if (order.token < highest_token_) {
+    order.status = 412;
+  } else if (body.contains("expected_revision") &&
+             body["expected_revision"].get<std::uint64_t>() != sequence_) {
+    order.status = 409;
+  } else {
+    highest_token_ = order.token;
+    order.status = Take(order.operation, order.model, order.adapter);
+  }
+  orders_.push_back(order);
+  exchange->Answer(order.status, "Status", {}, "");
+}
+
+void PlatformWorker::OnReport(const std::shared_ptr<ServerExchange>& exchange) {
+  const Json report{{"stage", "prefill_decode"},
+                    {"models", ModelsJson(options_.models)},
+                    {"busy", busy_},
+                    {"sequence", sequence_},
+                    {"waiting", 0},
+                    {"running", 0}};
+  exchange->Answer(200, "OK", {{"Content-Type", "application/json"}}, report.dump());
+}
+
+void PlatformWorker::RunRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  const std::string id = Field(*exchange, "Attempt-Id");
+  if (fault_ == WorkerFault::kSheds) {
+    exchange->Answer(503, "Service Unavailable", NotExecuted(id), "");
+    return;
+  }
+  const std::string model = Field(*exchange, "Model");
+  const std::string base = model.substr(0, model.find('/'));
+  if (!model.empty() && !Holds(base)) {
+    exchange->Answer(421, "Misdirected Request", NotExecuted(id), "");
+    return;
+  }
+  runs_.push_back({id, exchange->head().target, exchange->body(), Field(*exchange, "Deadline-Ms"),
+                   Field(*exchange, "Last-Event-Id")});
+  Run* const run = &runs_.back();
+  exchange->OnCallerGone([run] { run->caller_left = true; });
+  switch (fault_) {
+    case WorkerFault::kSilent:
+      silent_.push_back(exchange);
+      return;
+    case WorkerFault::kLosesAnswer:
+      exchange->Abort();
+      return;
+    case WorkerFault::kFails:
+      exchange->Answer(500, "Failed", {{"Attempt-Id", id}, {"Server-Seal", "seal-500"}}, "");
+      return;
+    case WorkerFault::kOtherRequest:
+      exchange->Answer(200, "OK", {{"Attempt-Id", "another"}, {"Server-Seal", "s"}}, "wrong");
+      return;
+    default:
+      break;
+  }
+  if (!model.empty()) {
+    StartStream(exchange, run);
+    return;
+  }
+  exchange->Answer(200, "OK", {{"Attempt-Id", id}, {"Server-Seal", absl::StrCat("seal-", id)}},
+                   absl::StrCat("answer of ", options_.id));
+}
+
+void PlatformWorker::StartStream(const std::shared_ptr<ServerExchange>& exchange, Run* run) {
+  auto stream = std::make_shared<Stream>();
+  stream->exchange = exchange;
+  stream->timer = loop_->MakeTimer();
+  int last = 0;
+  (void)absl::SimpleAtoi(run->last_event_id, &last);
+  stream->next = last + 1;
+  exchange->StartChunked(200, "OK",
+                         {{"Attempt-Id", run->id},
+                          {"Server-Seal", absl::StrCat("seal-", run->id, "-", options_.id)},
+                          {"Content-Type", "text/event-stream"}});
+  NextEvent(stream);
+}
+
+void PlatformWorker::NextEvent(const std::shared_ptr<Stream>& stream) {
+  if (fault_ == WorkerFault::kBreaksStream && stream->sent == options_.events_before_break) {
+    stream->exchange->WriteChunk(absl::StrCat("id: ", stream->next, "\ndata: ha"));
+    stream->timer->Set(loop_->Now() + options_.event_interval,
+                       [stream] { stream->exchange->Abort(); });
+    return;
+  }
+  if (stream->next > options_.events) {
+    stream->exchange->FinishChunked();
+    return;
+  }
+  stream->exchange->WriteChunk(
+      absl::StrCat("id: ", stream->next, "\ndata: event ", stream->next, "\n\n"));
+  ++stream->next;
+  ++stream->sent;
+  stream->timer->Set(loop_->Now() + options_.event_interval, [this, stream] { NextEvent(stream); });
+}
+
+}  // namespace hingespan::emulator
--- /dev/null
+++ b/emulator/platform_worker.h
@@ -0,0 +1,109 @@
+// A stand-in for a worker of the users' platform: plain and streaming requests, orders, reports,
+// with faults. Runs on the event loop of the test that uses it.
+#ifndef EMULATOR_PLATFORM_WORKER_H_
+#define EMULATOR_PLATFORM_WORKER_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "emulator/platform_store.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/http/http_server.h"
+
+namespace hingespan::emulator {
+
+enum class WorkerFault {
+  kNone,
+  // Runs the request and fails with 500.
+  kFails,
+  // Takes the request and says nothing.
+  kSilent,
+  // 503 with the mark that it did not run.
+  kSheds,
+  // The answer belongs to another request.
+  kOtherRequest,
+  // Runs the request; its connection ends without an answer.
+  kLosesAnswer,
+  // Breaks a stream off within the event after `events_before_break`.
+  kBreaksStream,
+};
+
+struct PlatformWorkerOptions {
+  std::string id;
+  std::string service;
+  std::string zone = "zone-a";
+  int slots = 6;
+  std::map<std::string, std::set<std::string>> models;
+  // Of a stream.
+  int events = 6;
+  absl::Duration event_interval = absl::Milliseconds(2);
+  absl::Duration load_time = absl::Milliseconds(30);
+  int events_before_break = 3;
+};
+
+class PlatformWorker {
+ public:
+  // Writes its own row to the store.
+  PlatformWorker(gateway::EventLoop* loop, PlatformStore* store, PlatformWorkerOptions options);
+
+  // A request as it came, without those refused.
+  struct Run {
+    std::string id;
+    std::string target;
+    std::string body;
+    std::string deadline_ms;
+    std::string last_event_id;
+    bool caller_left = false;
+  };
+  struct Order {
+    std::string operation;
+    std::string model;
+    std::string adapter;
+    std::uint64_t token = 0;
+    int status = 0;
+  };
+
+  void SetFault(WorkerFault fault) { fault_ = fault; }
+  void SetDraining();
+  const std::list<Run>& runs() const { return runs_; }
+  const std::vector<Order>& orders() const { return orders_; }
+  bool Holds(const std::string& model) const { return options_.models.contains(model); }
+  std::string address() const { return server_.address(); }
+  // Another holder has ordered with this token.
+  void SeeToken(std::uint64_t token) { highest_token_ = token; }
+
+ private:
+  struct Stream;
+  void WriteRow();
+  void OnRequest(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  void OnOrder(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  void OnReport(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  void RunRequest(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  void StartStream(const std::shared_ptr<gateway::ServerExchange>& exchange, Run* run);
+  void NextEvent(const std::shared_ptr<Stream>& stream);
+  int Take(const std::string& operation, const std::string& model, const std::string& adapter);
+
+  gateway::EventLoop* loop_;
+  PlatformStore* store_;
+  PlatformWorkerOptions options_;
+  gateway::HttpServer server_;
+  std::unique_ptr<gateway::LoopTimer> load_timer_;
+  std::list<Run> runs_;
+  std::vector<Order> orders_;
+  std::list<std::shared_ptr<gateway::ServerExchange>> silent_;
+  WorkerFault fault_ = WorkerFault::kNone;
+  std::uint64_t sequence_ = 0;
+  std::uint64_t highest_token_ = 0;
+  bool draining_ = false;
+  bool busy_ = false;
+};
+
+}  // namespace hingespan::emulator
+
+#endif  // EMULATOR_PLATFORM_WORKER_H_
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -63,6 +63,9 @@
   void PumpSoon() override;
   void RunningChanged(const std::string& service, const ModelKey& model, int change) override;
   absl::Time ExpectedReady(const ModelKey& model) const override;
+  absl::Time StopLimit() const override;
+  void Begun(std::shared_ptr<RequestRelay> request) override;
+  void Ended(std::uint64_t number) override;
 
  private:
   struct DemandCounts {
@@ -91,6 +94,8 @@
   std::unique_ptr<TableFollower> configuration_follower_;
   std::unique_ptr<TableFollower> worker_follower_;
   RequestQueue queue_;
+  // All requests that have not ended, by number.
+  std::map<std::uint64_t, std::shared_ptr<RequestRelay>> open_requests_;
   std::map<std::pair<std::string, ModelKey>, DemandCounts> demand_;
   std::shared_ptr<const RouteTable> routes_;
   std::unique_ptr<LoopTimer> stop_timer_;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -40,6 +40,11 @@
   virtual void RunningChanged(const std::string& service, const ModelKey& model, int change) = 0;
   // When a replica is expected to be ready; InfiniteFuture: nothing is known.
   virtual absl::Time ExpectedReady(const ModelKey& model) const = 0;
+  // When this node, which stops, must have answered everything; InfiniteFuture: it does not stop.
+  virtual absl::Time StopLimit() const = 0;
+  // The host keeps a request alive from Start until its end.
+  virtual void Begun(std::shared_ptr<RequestRelay> request) = 0;
+  virtual void Ended(std::uint64_t number) = 0;
 };
 
 // Shared by all requests of a node.
@@ -65,6 +70,10 @@
   // Sends it to a worker when one has room. Returns whether it left the queue.
   bool TryDispatch(absl::Time now);
 
+  // The node stops: what can't end in time gets its answer before.
+  void OnStopping() { SetTimer(context_->loop->Now()); }
+
+  std::uint64_t number() const { return place_.number; }
   const std::string& service() const { return service_; }
   const ModelKey& model() const { return model_; }
   bool waiting() const { return state_ == State::kWaiting; }
@@ -82,6 +91,8 @@
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
   void SetTimer(absl::Time now);
   void OnTimer();
+  // The caller's, the route's or a stopping node's, whichever is earliest.
+  absl::Time Deadline() const;
   absl::Time WaitLimit() const;
   absl::Time StallLimit() const;
   bool MayTryAnother(absl::Time now) const;
@@ -111,8 +122,6 @@
   absl::Time deadline_;
   std::unique_ptr<LoopTimer> timer_;
   State state_ = State::kWaiting;
-  // Keeps the request alive until it has ended.
-  std::shared_ptr<RequestRelay> self_;
 
   // Workers that were sent the request.
   std::set<std::string> tried_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -16,6 +16,8 @@
 constexpr absl::Duration kLeastStopTime = absl::Milliseconds(3000);
 // Before the process would be killed.
 constexpr absl::Duration kStopMargin = absl::Milliseconds(250);
+// What still runs is answered this much before that.
+constexpr absl::Duration kAnswerBeforeStop = absl::Milliseconds(150);
 constexpr absl::Duration kStopCheck = absl::Milliseconds(50);
 // A waiting request is looked at again this often even if nothing is known to have changed.
 constexpr absl::Duration kPumpAgain = absl::Milliseconds(60);
@@ -304,6 +306,20 @@
   return model.model.empty() ? absl::InfiniteFuture() : fleet_->ExpectedReady(model);
 }
 
+absl::Time Gateway::StopLimit() const {
+  if (!stopping_) {
+    return absl::InfiniteFuture();
+  }
+  return stop_began_ + settings_.stop_time - kStopMargin - kAnswerBeforeStop;
+}
+
+void Gateway::Begun(std::shared_ptr<RequestRelay> request) {
+  const std::uint64_t number = request->number();
+  open_requests_[number] = std::move(request);
+}
+
+void Gateway::Ended(std::uint64_t number) { open_requests_.erase(number); }
+
 void Gateway::FillReport(DemandReport* report) {
   std::map<std::pair<std::string, ModelKey>, int> waiting;
   for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
@@ -340,6 +356,9 @@
   stopped_ = std::move(done);
   requests_.AskToClose();
   fleet_->Stop();
+  for (const auto& [number, request] : open_requests_) {
+    request->OnStopping();
+  }
   parts_.log->Write(LogLevel::kInfo, "stopping",
                     {{"open_requests", absl::StrCat(requests_.open_exchanges())}});
   CheckStopped();
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -28,6 +28,8 @@
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(200);
 // Bytes that may wait for a slow caller before the worker is not read any more.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
+// A request that still waits this long before its node ends is refused, so that another node may try.
+constexpr absl::Duration kWaitBeforeStop = absl::Seconds(1);
 // How long a replica that a worker denied is taken for absent.
 constexpr absl::Duration kDeniedReplica = absl::Milliseconds(700);
 
@@ -71,7 +73,7 @@
 }
 
 void RequestRelay::Start() {
-  self_ = shared_from_this();
+  context_->host->Begun(shared_from_this());
   exchange_->OnCallerGone([weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->OnCallerGone();
@@ -168,6 +170,10 @@
   SetTimer(now);
 }
 
+absl::Time RequestRelay::Deadline() const {
+  return std::min(deadline_, context_->host->StopLimit());
+}
+
 absl::Time RequestRelay::WaitLimit() const {
   const bool stream = route_->kind == RouteKind::kStreaming;
   const absl::Time latest = deadline_ - std::min(stream ? kLeastTimeForStream : kLeastTimeForPlain,
@@ -177,6 +183,10 @@
   if (expected != absl::InfiniteFuture() && expected < latest) {
     limit = std::max(limit, latest);
   }
+  const absl::Time stop = context_->host->StopLimit();
+  if (stop != absl::InfiniteFuture()) {
+    limit = std::min(limit, stop - kWaitBeforeStop);
+  }
   return std::min(limit, latest);
 }
 
@@ -199,7 +209,7 @@
 }
 
 void RequestRelay::SetTimer(absl::Time now) {
-  absl::Time due = deadline_;
+  absl::Time due = Deadline();
   if (state_ == State::kWaiting) {
     due = std::min(due, WaitLimit());
   } else if (state_ == State::kRunning) {
@@ -215,14 +225,14 @@
 void RequestRelay::OnTimer() {
   const absl::Time now = context_->loop->Now();
   if (state_ == State::kWaiting) {
-    if (now < WaitLimit() && now < deadline_) {
+    if (now < WaitLimit() && now < Deadline()) {
       SetTimer(now);
       return;
     }
     if (stream_started_) {
       AbortStream("no_worker_to_resume");
     } else if (may_have_run_) {
-      FailUnknown(now >= deadline_ ? 504 : 502, last_failure_);
+      FailUnknown(now >= Deadline() ? 504 : 502, last_failure_);
     } else {
       Refuse(ProblemName(last_problem_));
     }
@@ -231,7 +241,7 @@
   if (state_ != State::kRunning) {
     return;
   }
-  if (now >= deadline_) {
+  if (now >= Deadline()) {
     EndAttempt(AttemptOutcome::kCancelled);
     if (stream_started_) {
       AbortStream("deadline");
@@ -464,7 +474,8 @@
 }
 
 void RequestRelay::Finish(int status, absl::string_view why) {
-  const std::shared_ptr<RequestRelay> self = std::move(self_);
+  const std::shared_ptr<RequestRelay> self = shared_from_this();
+  context_->host->Ended(place_.number);
   state_ = State::kEnded;
   timer_->Cancel();
   const absl::Time now = context_->loop->Now();
--- /dev/null
+++ b/tests/serving/gateway_test.cc
@@ -0,0 +1,340 @@
+#include "hingespan/serving/gateway.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "tests/serving/gateway_world.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using emulator::StoreFault;
+using emulator::WorkerFault;
+
+std::string FieldOf(const TestCall& call, const char* name) {
+  const std::string* const value = FindField(call.head.fields, name);
+  return value == nullptr ? std::string() : *value;
+}
+
+TestRequest StreamRequest(const std::string& target, const std::string& model) {
+  TestRequest request;
+  request.target = target;
+  request.fields = {{"Model", model}, {"Token-Count", "10,6"}, {"Prompt-Prefix", "aa:5,bb:5"}};
+  return request;
+}
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int event = first; event <= last; ++event) {
+    absl::StrAppend(&text, "id: ", event, "\ndata: event ", event, "\n\n");
+  }
+  return text;
+}
+
+TEST_CASE("a request reaches a worker unchanged and its answer the caller") {
+  GatewayWorld world;
+  const auto* const worker = world.AddPlainWorker("w1");
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request;
+  request.target = "/plain/x?y=1";
+  request.body = "hello";
+  request.fields = {{"X-Own", "kept"}, {"Connection", "keep-alive, X-Hop"}, {"X-Hop", "dropped"}};
+  const auto call = world.Ask(node, request);
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->head.status == 200);
+  CHECK(call->body == "answer of w1");
+  CHECK(FieldOf(*call, "Server-Seal") == "seal-r1");
+  REQUIRE(worker->runs().size() == 1);
+  CHECK(worker->runs().front().target == "/plain/x?y=1");
+  CHECK(worker->runs().front().body == "hello");
+  int deadline = 0;
+  CHECK(absl::SimpleAtoi(worker->runs().front().deadline_ms, &deadline));
+  CHECK(deadline <= 2000);
+}
+
+TEST_CASE("no route is 404, a body beyond the limit 413, a head beyond it 431, noise 400") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1");
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request;
+  request.target = "/nowhere/";
+  CHECK(world.Ask(node, request)->head.status == 404);
+  request.target = "/plain/";
+  request.body = std::string(20000, 'x');
+  CHECK(world.Ask(node, request)->head.status == 413);
+  request.body.clear();
+  request.fields = {{"X-Long", std::string(6000, 'x')}};
+  CHECK(world.Ask(node, request)->head.status == 431);
+  TestCall noise;
+  noise.exchange = world.caller.Send(node->gateway.request_address(), "GARBAGE\r\n\r\n", &noise);
+  REQUIRE(world.Wait([&] { return noise.ended; }));
+  CHECK(noise.head.status == 400);
+  CHECK(world.workers.front()->runs().empty());
+}
+
+TEST_CASE("a request framed in two ways at once is refused and reaches nobody") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1");
+  TestNode* const node = world.AddNode("n1");
+  TestCall call;
+  call.exchange = world.caller.Send(
+      node->gateway.request_address(),
+      "POST /plain/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: s1\r\nContent-Length: 5\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /plain/y HTTP/1.1\r\nHost: h\r\n\r\n",
+      &call);
+  REQUIRE(world.Wait([&] { return call.ended; }));
+  CHECK(call.head.status == 400);
+  CHECK(world.workers.front()->runs().empty());
+}
+
+TEST_CASE("a node without a configuration answers 503, never 404") {
+  GatewayWorld world;
+  world.store.SetFault(StoreFault::kUnavailable);
+  world.nodes.push_back(std::make_unique<TestNode>(&world.loop, "n1", world.store.address()));
+  TestNode* const node = world.nodes.back().get();
+  REQUIRE(!node->gateway.Start());
+  const auto call = world.Ask(node, TestRequest{});
+  CHECK(call->head.status == 503);
+  CHECK(!node->gateway.ready());
+}
+
+TEST_CASE("a repeatable request goes to a second worker after a failure") {
+  for (const WorkerFault fault :
+       {WorkerFault::kFails, WorkerFault::kLosesAnswer, WorkerFault::kOtherRequest,
+        WorkerFault::kSheds, WorkerFault::kSilent}) {
+    CAPTURE(static_cast<int>(fault));
+    GatewayWorld world;
+    world.AddPlainWorker("w1")->SetFault(fault);
+    world.AddPlainWorker("w2")->SetFault(fault);
+    world.AddPlainWorker("w3");
+    TestNode* const node = world.AddNode("n1");
+    // Enough requests that some begin at a faulty worker.
+    int served = 0;
+    int repeated = 0;
+    for (int number = 0; number < 6; ++number) {
+      TestRequest request;
+      request.target = "/safe/x";
+      request.id = absl::StrCat("r", number);
+      const auto call = world.Ask(node, request);
+      CHECK(call->result == ExchangeResult::kComplete);
+      served += call->head.status == 200 ? 1 : 0;
+    }
+    repeated = static_cast<int>(node->metrics.repeats);
+    CHECK(served >= 1);
+    CHECK(repeated >= 1);
+  }
+}
+
+TEST_CASE("a request that may run once is never sent again once it may have run") {
+  for (const WorkerFault fault : {WorkerFault::kFails, WorkerFault::kLosesAnswer,
+                                  WorkerFault::kOtherRequest, WorkerFault::kSilent}) {
+    CAPTURE(static_cast<int>(fault));
+    GatewayWorld world;
+    world.AddPlainWorker("w1")->SetFault(fault);
+    world.AddPlainWorker("w2")->SetFault(fault);
+    TestNode* const node = world.AddNode("n1");
+    TestRequest request;
+    request.deadline_ms = 300;
+    const auto call = world.Ask(node, request);
+    CHECK(world.workers[0]->runs().size() + world.workers[1]->runs().size() == 1);
+    // Neither 503 nor any other status that promises that it has not run.
+    const bool promises_nothing =
+        call->head.status == 500 || call->head.status == 502 || call->head.status == 504;
+    CHECK(promises_nothing);
+  }
+}
+
+TEST_CASE("a request that a worker refused is refused with 503 and a time to come back") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1")->SetFault(WorkerFault::kSheds);
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, TestRequest{});
+  CHECK(call->head.status == 503);
+  CHECK(!FieldOf(*call, "Retry-After").empty());
+  CHECK(FieldOf(*call, "Server-Seal").empty());
+}
+
+TEST_CASE("a stream arrives whole and in order") {
+  GatewayWorld world;
+  world.AddModelWorker("w1", "m1");
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, StreamRequest("/once/x", "m1"));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, 6));
+}
+
+TEST_CASE("a resumable stream goes on at another worker with the head of the first") {
+  GatewayWorld world;
+  world.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kBreaksStream);
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Send(node, StreamRequest("/stream/x", "m1"));
+  REQUIRE(world.Wait([&] { return !call->body.empty(); }));
+  world.AddModelWorker("w2", "m1");
+  REQUIRE(world.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, 6));
+  CHECK(FieldOf(*call, "Server-Seal") == "seal-r1-w1");
+  REQUIRE(world.workers[1]->runs().size() == 1);
+  CHECK(world.workers[1]->runs().front().last_event_id == "3");
+}
+
+TEST_CASE("a stream that breaks off and may not go on does not look complete") {
+  GatewayWorld world;
+  world.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kBreaksStream);
+  world.AddModelWorker("w2", "m1")->SetFault(WorkerFault::kBreaksStream);
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, StreamRequest("/once/x", "m1"));
+  CHECK(call->result == ExchangeResult::kBroken);
+  CHECK(call->body == Events(1, 3));
+}
+
+TEST_CASE("when the caller leaves, its worker's connection ends") {
+  GatewayWorld world;
+  auto* const worker = world.AddPlainWorker("w1");
+  worker->SetFault(WorkerFault::kSilent);
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Send(node, TestRequest{});
+  REQUIRE(world.Wait([&] { return !worker->runs().empty(); }));
+  call->exchange->Cancel();
+  CHECK(world.Wait([&] { return worker->runs().front().caller_left; }));
+}
+
+TEST_CASE("a request that runs gets its final answer at the route's limit") {
+  GatewayWorld world;
+  world.PutConfiguration(2, 200);
+  world.AddPlainWorker("w1")->SetFault(WorkerFault::kSilent);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request;
+  request.deadline_ms = 15000;
+  CHECK(world.Ask(node, request)->head.status == 504);
+}
+
+TEST_CASE("a cold model is loaded when it is asked for, and its request then served") {
+  GatewayWorld world;
+  world.AddModelWorker("w1", "m1");
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, StreamRequest("/stream/x", "m2"));
+  CHECK(call->body == Events(1, 6));
+  // m1 and m2 do not fit together.
+  CHECK(!world.workers[0]->Holds("m1"));
+  for (const auto& order : world.workers[0]->orders()) {
+    CHECK(order.token > 0);
+  }
+}
+
+TEST_CASE("an adapter is loaded on demand") {
+  GatewayWorld world;
+  world.AddModelWorker("w1", "m1");
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, StreamRequest("/stream/x", "m1/a2"));
+  CHECK(call->body == Events(1, 6));
+}
+
+TEST_CASE("of several nodes one orders, and the others' demand reaches it") {
+  GatewayWorld world;
+  world.AddModelWorker("w1", "m1");
+  world.AddNode("n1");
+  world.AddNode("n2");
+  world.AddNode("n3");
+  for (const auto& node : world.nodes) {
+    const auto call = world.Ask(node.get(), StreamRequest("/stream/x", "m2"));
+    CHECK(call->head.status == 200);
+  }
+  std::set<std::uint64_t> tokens;
+  for (const auto& order : world.workers[0]->orders()) {
+    tokens.insert(order.token);
+  }
+  CHECK(tokens.size() == 1);
+}
+
+TEST_CASE("a holder whose token was passed at a worker stops ordering with it") {
+  GatewayWorld world;
+  auto* const worker = world.AddModelWorker("w1", "m1");
+  TestNode* const node = world.AddNode("n1");
+  worker->SeeToken(1000000);
+  TestRequest request = StreamRequest("/stream/x", "m2");
+  request.deadline_ms = 1500;
+  const auto call = world.Ask(node, request);
+  CHECK(call->head.status == 503);
+  const auto refused = std::count_if(worker->orders().begin(), worker->orders().end(),
+                                     [](const auto& order) { return order.status == 412; });
+  CHECK(refused >= 1);
+  // Each refusal ends the lease; it is acquired anew with a higher token before the next order.
+  std::set<std::uint64_t> tokens;
+  for (const auto& order : worker->orders()) {
+    CHECK(tokens.insert(order.token).second);
+  }
+}
+
+TEST_CASE("a new configuration is in force and an older one never returns") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1");
+  TestNode* const node = world.AddNode("n1");
+  world.PutConfiguration(7);
+  REQUIRE(world.Wait([&] { return node->metrics.configuration_version == 7; }));
+  world.PutConfiguration(3);
+  world.AddPlainWorker("w2");
+  world.PutConfiguration(8);
+  REQUIRE(world.Wait([&] { return node->metrics.configuration_version == 8; }));
+}
+
+TEST_CASE("changes arrive after the store forgot its history") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1");
+  TestNode* const node = world.AddNode("n1");
+  world.store.Compact();
+  world.PutConfiguration(2);
+  CHECK(world.Wait([&] { return node->metrics.configuration_version == 2; }));
+}
+
+TEST_CASE("a draining worker gets no new requests") {
+  GatewayWorld world;
+  auto* const leaving = world.AddPlainWorker("w1");
+  world.AddPlainWorker("w2");
+  TestNode* const node = world.AddNode("n1");
+  leaving->SetDraining();
+  world.PutConfiguration(2);
+  REQUIRE(world.Wait([&] { return node->metrics.configuration_version == 2; }));
+  // The worker's row was written before the configuration, on another table: wait for it as well.
+  for (int number = 0; number < 20; ++number) {
+    TestRequest request;
+    request.id = absl::StrCat("r", number);
+    CHECK(world.Ask(node, request)->head.status == 200);
+  }
+  CHECK(leaving->runs().size() <= 1);
+}
+
+TEST_CASE("a node that stops ends what runs and answers what still waits") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1")->SetFault(WorkerFault::kSilent);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request;
+  request.deadline_ms = 30000;
+  const auto running = world.Send(node, request);
+  REQUIRE(world.Wait([&] { return !world.workers[0]->runs().empty(); }));
+  // No worker holds models: it waits.
+  const auto waiting = world.Send(node, StreamRequest("/once/x", "m1"));
+  std::map<int, std::uint64_t> answered;
+  node->gateway.Stop([&] {
+    node->stopped = true;
+    answered = node->metrics.requests_by_status;
+  });
+  REQUIRE(world.Wait([&] { return node->stopped; }));
+  // The process ends now: nothing may be without its answer.
+  CHECK(answered[503] == 1);
+  CHECK(answered[504] == 1);
+  REQUIRE(world.Wait([&] { return running->ended && waiting->ended; }));
+  CHECK(running->result == ExchangeResult::kComplete);
+  CHECK(running->head.status == 504);
+  CHECK(waiting->result == ExchangeResult::kComplete);
+  CHECK(waiting->head.status == 503);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/tests/serving/gateway_world.cc
@@ -0,0 +1,137 @@
+#include "tests/serving/gateway_world.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr absl::Duration kWaitLimit = absl::Seconds(20);
+
+GatewaySettings SettingsOf(const std::string& name, const std::string& store_address) {
+  GatewaySettings settings;
+  settings.node = name;
+  settings.zone = "zone-a";
+  settings.request_listen = "127.0.0.1:0";
+  settings.status_listen = "127.0.0.1:0";
+  settings.peer_listen = "127.0.0.1:0";
+  settings.store_address = store_address;
+  settings.lease = absl::Milliseconds(400);
+  settings.stop_time = absl::Milliseconds(1500);
+  return settings;
+}
+
+Json RouteJson(const std::string& prefix, const std::string& kind, const std::string& service,
+               int timeout_ms, int attempts, bool resumable) {
+  return Json{{"name", prefix},
+              {"host", "h"},
+              {"path_prefix", prefix},
+              {"kind", kind},
+              {"timeout_ms", timeout_ms},
+              {"target_latency_ms", 100},
+              {"priority", 1},
+              {"service", service},
+              {"max_attempts", attempts},
+              {"resumable", resumable},
+              {"gap_target_ms", 50}};
+}
+
+Json ModelJson(const std::string& name) {
+  return Json{{"name", name},
+              {"weights_mb", 100.0},
+              {"load_s", 0.03},
+              {"adapters", 4},
+              {"adapter_mb", 1.0}};
+}
+
+}  // namespace
+
+TestNode::TestNode(EventLoop* loop, const std::string& name, const std::string& store_address)
+    : log(-1, &SystemClock(), DecisionLogLimits{}),
+      client(loop, ClientLimits{}),
+      store(loop, &client, store_address, &metrics),
+      control(loop, &client),
+      gateway(SettingsOf(name, store_address),
+              {loop, &dialect, &reader, &store, &control, &client, &log, &metrics}) {}
+
+GatewayWorld::GatewayWorld() : store(&loop), caller(&loop, ClientLimits{}) { PutConfiguration(1); }
+
+void GatewayWorld::PutConfiguration(int version, int timeout_ms) {
+  const Json engine{
+      {"slots", 8},          {"kv_capacity_tokens", 100000},
+      {"weights_mb", 150.0}, {"adapter_slots", 2},
+      {"loads_per_s", 20.0}, {"models", Json::array({ModelJson("m1"), ModelJson("m2")})}};
+  const Json configuration{
+      {"version", version},
+      {"routes", Json::array({RouteJson("/plain/", "non_idempotent", "plain", timeout_ms, 1, false),
+                              RouteJson("/safe/", "idempotent", "plain", timeout_ms, 2, false),
+                              RouteJson("/stream/", "streaming", "models", timeout_ms, 2, true),
+                              RouteJson("/once/", "streaming", "models", timeout_ms, 1, false)})},
+      {"services",
+       Json::array({Json{{"name", "plain"}, {"max_connections", 50}},
+                    Json{{"name", "models"}, {"max_connections", 50}, {"engine", engine}}})},
+      {"limits", Json{{"max_header_bytes", 4096},
+                      {"max_body_bytes", 10000},
+                      {"header_timeout_ms", 3000},
+                      {"idle_timeout_ms", 15000}}}};
+  store.Put("op", "config", configuration.dump());
+}
+
+emulator::PlatformWorker* GatewayWorld::AddWorker(emulator::PlatformWorkerOptions options) {
+  workers.push_back(std::make_unique<emulator::PlatformWorker>(&loop, &store, std::move(options)));
+  return workers.back().get();
+}
+
+emulator::PlatformWorker* GatewayWorld::AddPlainWorker(const std::string& id) {
+  emulator::PlatformWorkerOptions options;
+  options.id = id;
+  options.service = "plain";
+  return AddWorker(std::move(options));
+}
+
+emulator::PlatformWorker* GatewayWorld::AddModelWorker(const std::string& id,
+                                                       const std::string& model) {
+  emulator::PlatformWorkerOptions options;
+  options.id = id;
+  options.service = "models";
+  if (!model.empty()) {
+    options.models[model];
+  }
+  return AddWorker(std::move(options));
+}
+
+TestNode* GatewayWorld::AddNode(const std::string& name) {
+  nodes.push_back(std::make_unique<TestNode>(&loop, name, store.address()));
+  TestNode* const node = nodes.back().get();
+  REQUIRE(!node->gateway.Start());
+  REQUIRE(Wait([&] { return node->gateway.ready(); }));
+  return node;
+}
+
+std::unique_ptr<TestCall> GatewayWorld::Send(TestNode* node, const TestRequest& request) {
+  auto call = std::make_unique<TestCall>();
+  HeaderFields fields = {{"Attempt-Id", request.id},
+                         {"Deadline-Ms", absl::StrCat(request.deadline_ms)}};
+  fields.insert(fields.end(), request.fields.begin(), request.fields.end());
+  call->exchange = caller.Send(
+      node->gateway.request_address(),
+      RequestText(request.method, request.target, "h", fields, request.body), call.get());
+  return call;
+}
+
+std::unique_ptr<TestCall> GatewayWorld::Ask(TestNode* node, const TestRequest& request) {
+  std::unique_ptr<TestCall> call = Send(node, request);
+  REQUIRE(Wait([&] { return call->ended; }));
+  return call;
+}
+
+bool GatewayWorld::Wait(const std::function<bool()>& done) {
+  return loop.RunUntil(done, kWaitLimit);
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/tests/serving/gateway_world.h
@@ -0,0 +1,95 @@
+// Gateways, a stand-in store and stand-in workers on one event loop, over the loopback interface.
+#ifndef TESTS_SERVING_GATEWAY_WORLD_H_
+#define TESTS_SERVING_GATEWAY_WORLD_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emulator/platform_store.h"
+#include "emulator/platform_worker.h"
+#include "hingespan/common/clock.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/http/http_client.h"
+#include "hingespan/serving/gateway.h"
+#include "platform/deployment_rows.h"
+#include "platform/request_fields.h"
+#include "platform/store_rows.h"
+#include "platform/worker_orders.h"
+
+namespace hingespan::gateway {
+
+// What a caller got.
+class TestCall : public AnswerReceiver {
+ public:
+  bool OnHead(const AnswerHead& answer_head) override {
+    head = answer_head;
+    return true;
+  }
+  void OnBody(absl::string_view piece) override { body.append(piece.data(), piece.size()); }
+  void OnEnd(ExchangeResult end) override {
+    result = end;
+    ended = true;
+  }
+
+  AnswerHead head;
+  std::string body;
+  ExchangeResult result = ExchangeResult::kBroken;
+  bool ended = false;
+  std::unique_ptr<ClientExchange> exchange;
+};
+
+// One node with all its parts.
+struct TestNode {
+  TestNode(EventLoop* loop, const std::string& name, const std::string& store_address);
+
+  GatewayMetrics metrics;
+  DecisionLog log;
+  HttpClient client;
+  platform::RequestFields dialect;
+  platform::DeploymentRows reader;
+  platform::StoreRowsClient store;
+  platform::WorkerOrders control;
+  Gateway gateway;
+  bool stopped = false;
+};
+
+struct TestRequest {
+  std::string method = "POST";
+  std::string target = "/plain/x";
+  std::string id = "r1";
+  std::string body;
+  int deadline_ms = 2000;
+  // Further fields.
+  HeaderFields fields;
+};
+
+class GatewayWorld {
+ public:
+  GatewayWorld();
+
+  emulator::PlatformWorker* AddWorker(emulator::PlatformWorkerOptions options);
+  emulator::PlatformWorker* AddPlainWorker(const std::string& id);
+  emulator::PlatformWorker* AddModelWorker(const std::string& id, const std::string& model);
+  // Started and ready.
+  TestNode* AddNode(const std::string& name);
+  // Routes "/plain/" (not repeatable), "/safe/" (repeatable), "/stream/" (resumable stream) and
+  // "/once/" (stream that is not resumable) of host "h".
+  void PutConfiguration(int version, int timeout_ms = 5000);
+
+  std::unique_ptr<TestCall> Send(TestNode* node, const TestRequest& request);
+  // Sends and waits for the end.
+  std::unique_ptr<TestCall> Ask(TestNode* node, const TestRequest& request);
+  bool Wait(const std::function<bool()>& done);
+
+  EventLoop loop;
+  emulator::PlatformStore store;
+  std::vector<std::unique_ptr<emulator::PlatformWorker>> workers;
+  std::vector<std::unique_ptr<TestNode>> nodes;
+  HttpClient caller;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // TESTS_SERVING_GATEWAY_WORLD_H_
