Tests of http, lease, placer and messages; a new holder's first load waits for no token it has

Cause (found by the placer's tests): the bucket of loads was filled from the first load on, not from the takeover, so each new holder's first load waited half a second more than the rate asks.

--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -175,6 +175,7 @@
   std::vector<ReplicaNews> news_;
   // Load times by model, from the configuration.
   std::map<std::string, absl::Duration> load_times_;
+  absl::Time began_;
   bool demand_waits_ = false;
 };
 
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -39,6 +39,7 @@
 }  // namespace
 
 void FleetPlacer::Begin(absl::Time now) {
+  began_ = now;
   ledgers_.clear();
   news_.clear();
   load_tokens_.clear();
@@ -497,7 +498,7 @@
 
 bool FleetPlacer::TakeLoadToken(const Service& service, absl::Time now) {
   const double rate = service.engine->loads_per_second * settings_.load_rate_part;
-  const auto [entry, fresh] = load_tokens_updated_.try_emplace(service.name, now);
+  const auto [entry, fresh] = load_tokens_updated_.try_emplace(service.name, began_);
   double& tokens = load_tokens_[service.name];
   const double elapsed = absl::ToDoubleSeconds(now - entry->second);
   tokens = std::min(settings_.load_burst, tokens + elapsed * rate);
--- /dev/null
+++ b/tests/fleet/fleet_messages_test.cc
@@ -0,0 +1,51 @@
+#include "hingespan/fleet/fleet_messages.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace hingespan::gateway {
+namespace {
+
+TEST_CASE("a demand report is read as it was written") {
+  const DemandReport report{"n1", 5, 9, {{"s", "m", "a1", 1, 2, 3}}, {{"w1", 4, 500}}};
+  const auto read = DecodeFleetMessage(EncodeFleetMessage(report));
+  REQUIRE(read.has_value());
+  const auto* const same = std::get_if<DemandReport>(&*read);
+  REQUIRE(same != nullptr);
+  CHECK(same->node == "n1");
+  CHECK(same->number == 9);
+  REQUIRE(same->demands.size() == 1);
+  CHECK(same->demands[0].adapter == "a1");
+  CHECK(same->demands[0].arrived == 3);
+  REQUIRE(same->loads.size() == 1);
+  CHECK(same->loads[0].unread_tokens == 500);
+}
+
+TEST_CASE("placement news are read as they were written") {
+  const PlacementNews news{"n1", 7, 2, {{"w1", "m", "", ReplicaState::kLoading, 40}}, {}};
+  const auto read = DecodeFleetMessage(EncodeFleetMessage(news));
+  REQUIRE(read.has_value());
+  const auto* const same = std::get_if<PlacementNews>(&*read);
+  REQUIRE(same != nullptr);
+  CHECK(same->token == 7);
+  REQUIRE(same->replicas.size() == 1);
+  CHECK(same->replicas[0].state == ReplicaState::kLoading);
+  CHECK(same->replicas[0].expected_in_ms == 40);
+}
+
+TEST_CASE("property: no bytes do harm") {
+  CHECK(rc::check("any datagram", [] {
+    std::string bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    if (*rc::gen::arbitrary<bool>()) {
+      bytes = EncodeFleetMessage(DemandReport{"n1", 5, 9, {{"s", "m", "a", 1, 2, 3}}, {}});
+      const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+      bytes[at] = *rc::gen::arbitrary<char>();
+    }
+    (void)DecodeFleetMessage(bytes);
+  }));
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/tests/fleet/fleet_placer_test.cc
@@ -0,0 +1,238 @@
+#include "hingespan/fleet/fleet_placer.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hingespan::gateway {
+namespace {
+
+absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
+
+// Engines that obey orders as the platform's do, without sockets.
+class PlacerWorld {
+ public:
+  explicit PlacerWorld(int workers, double load_seconds = 1.0) : placer(FleetPlacerSettings{}) {
+    Service service;
+    service.name = "s";
+    service.engine.emplace();
+    service.engine->slots = 8;
+    service.engine->memory_mb = 200;
+    service.engine->adapter_slots = 2;
+    service.engine->loads_per_second = 2;
+    for (const char* const name : {"m1", "m2", "m3", "m4"}) {
+      service.engine->models.push_back({name, 90, absl::Seconds(load_seconds), 4, 5});
+    }
+    configuration.services.push_back(service);
+    for (int number = 0; number < workers; ++number) {
+      WorkerState worker;
+      worker.record.id = "w" + std::to_string(number);
+      worker.record.service = "s";
+      worker.record.address = "127.0.0.1:1";
+      worker.record.slots = 8;
+      worker.row_version = 1;
+      this->workers[worker.record.id] = worker;
+    }
+    placer.Begin(At(0));
+  }
+
+  void Hold(const std::string& worker, const std::string& model) {
+    workers[worker].record.models[model];
+  }
+
+  void Demand(double now, const std::string& model, const std::string& adapter, int waiting,
+              int running, int arrived) {
+    DemandReport report;
+    report.node = "n1";
+    report.number = ++number;
+    report.demands.push_back({"s", model, adapter, waiting, running, arrived});
+    placer.OnReport(report, At(now));
+  }
+
+  // Answers the reports that the placer asks for.
+  void Reports(double now) {
+    for (const std::string& id : placer.WorkersToAsk(At(now))) {
+      WorkerReport report;
+      report.models = workers[id].record.models;
+      report.order_sequence = sequences[id];
+      report.busy = busy[id];
+      placer.OnWorkerReport(id, report, At(now));
+    }
+  }
+
+  std::vector<PlannedOrder> Plan(double now) {
+    std::vector<PlannedOrder> orders = placer.Plan(configuration, workers, At(now));
+    Reports(now);
+    for (PlannedOrder& order : placer.Plan(configuration, workers, At(now))) {
+      orders.push_back(std::move(order));
+    }
+    return orders;
+  }
+
+  // The worker takes the order; a model load is done at once.
+  void Accept(const WorkerOrder& order, double now) {
+    auto& models = workers[order.worker_id].record.models;
+    ++sequences[order.worker_id];
+    OrderOutcome outcome = OrderOutcome::kAccepted;
+    if (order.adapter.empty()) {
+      if (order.kind == OrderKind::kLoad) {
+        models[order.model];
+      } else {
+        models.erase(order.model);
+      }
+    } else if (order.kind == OrderKind::kLoad) {
+      models[order.model].insert(order.adapter);
+    } else {
+      models[order.model].erase(order.adapter);
+      outcome = OrderOutcome::kDone;
+    }
+    placer.OnOutcome(order, outcome, At(now));
+  }
+
+  Configuration configuration;
+  std::map<std::string, WorkerState> workers;
+  std::map<std::string, std::uint64_t> sequences;
+  std::map<std::string, bool> busy;
+  FleetPlacer placer;
+  std::uint64_t number = 0;
+};
+
+TEST_CASE("nothing is ordered at a worker before a report shows its sequence") {
+  PlacerWorld world(1);
+  world.Demand(5, "m1", "", 1, 0, 1);
+  CHECK(world.placer.Plan(world.configuration, world.workers, At(5)).empty());
+  world.sequences["w0"] = 4;
+  world.Reports(5);
+  const auto orders = world.placer.Plan(world.configuration, world.workers, At(5));
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].order.expected_sequence == 4);
+  CHECK(orders[0].order.kind == OrderKind::kLoad);
+}
+
+TEST_CASE("a busy worker whose order is not known here gets none until it has ended") {
+  PlacerWorld world(1);
+  world.busy["w0"] = true;
+  world.Demand(5, "m1", "", 1, 0, 1);
+  CHECK(world.Plan(5).empty());
+  world.busy["w0"] = false;
+  world.Demand(6, "m1", "", 1, 0, 1);
+  CHECK(world.Plan(6).size() == 1);
+}
+
+TEST_CASE("one load serves all that wait for a model") {
+  PlacerWorld world(3);
+  world.Demand(5, "m1", "", 6, 0, 6);
+  const auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  world.Demand(5.1, "m1", "", 6, 0, 0);
+  CHECK(world.Plan(5.1).empty());
+}
+
+TEST_CASE("room is made by unloading what is asked for least") {
+  PlacerWorld world(1);
+  world.Hold("w0", "m1");
+  world.Hold("w0", "m2");
+  world.Demand(4, "m1", "", 0, 1, 6);
+  world.Demand(5, "m3", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].order.kind == OrderKind::kUnload);
+  CHECK(orders[0].order.model == "m2");
+}
+
+TEST_CASE("an order without an answer holds the worker until its sequence tells") {
+  PlacerWorld world(1);
+  world.Demand(5, "m1", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  world.placer.OnOutcome(orders[0].order, OrderOutcome::kUnknown, At(5.7));
+  world.Demand(5.8, "m1", "", 1, 0, 0);
+  CHECK(world.placer.Plan(world.configuration, world.workers, At(5.8)).empty());
+  // It was taken after all: the report counts it.
+  world.sequences["w0"] = 1;
+  world.busy["w0"] = true;
+  world.Demand(6.5, "m1", "", 1, 0, 0);
+  CHECK(world.Plan(6.5).empty());
+}
+
+TEST_CASE("adapters take the place of idle ones when the slots are full") {
+  PlacerWorld world(1);
+  world.Hold("w0", "m1");
+  world.workers["w0"].record.models["m1"] = {"a1", "a2"};
+  world.Demand(5, "m1", "a3", 1, 0, 1);
+  auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].order.kind == OrderKind::kUnload);
+  CHECK(!orders[0].order.adapter.empty());
+  world.Accept(orders[0].order, 5.01);
+  orders = world.Plan(5.02);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].order.kind == OrderKind::kLoad);
+  CHECK(orders[0].order.adapter == "a3");
+}
+
+TEST_CASE("a draining worker gets no orders and its replicas do not count") {
+  PlacerWorld world(2);
+  world.Hold("w0", "m1");
+  world.workers["w0"].record.draining = true;
+  world.Demand(5, "m1", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].order.worker_id == "w1");
+}
+
+TEST_CASE("property: room, adapter slots and the store's rate are never exceeded") {
+  CHECK(rc::check("random demand and outcomes", [] {
+    PlacerWorld world(4, 0.3);
+    std::vector<double> loads;
+    double now = 3;
+    const int steps = *rc::gen::inRange(20, 120);
+    for (int step = 0; step < steps; ++step) {
+      now += *rc::gen::element(0.02, 0.1, 0.3, 0.7);
+      const std::string model = *rc::gen::element<std::string>("m1", "m2", "m3", "m4");
+      const std::string adapter = *rc::gen::element<std::string>("", "", "a1", "a2", "a3");
+      world.Demand(now, model, adapter, *rc::gen::inRange(0, 12), *rc::gen::inRange(0, 20),
+                   *rc::gen::inRange(0, 5));
+      for (const PlannedOrder& planned : world.Plan(now)) {
+        const WorkerOrder& order = planned.order;
+        RC_ASSERT(order.expected_sequence == world.sequences[order.worker_id]);
+        if (order.kind == OrderKind::kLoad && order.adapter.empty()) {
+          loads.push_back(now);
+        }
+        switch (*rc::gen::inRange(0, 4)) {
+          case 0:  // Not taken, and no answer.
+            world.placer.OnOutcome(order, OrderOutcome::kUnknown, At(now));
+            break;
+          case 1:  // Taken, and no answer.
+            world.Accept(order, now);
+            world.placer.OnOutcome(order, OrderOutcome::kUnknown, At(now));
+            break;
+          default:
+            world.Accept(order, now);
+        }
+        const auto& models = world.workers[order.worker_id].record.models;
+        double used = 0;
+        std::size_t slots = 0;
+        for (const auto& [held, adapters] : models) {
+          used += 90 + 5.0 * static_cast<double>(adapters.size());
+          slots += adapters.size();
+        }
+        RC_ASSERT(used <= 200);
+        RC_ASSERT(slots <= 2U);
+      }
+    }
+    for (const double begin : loads) {
+      int count = 0;
+      for (const double load : loads) {
+        count += load >= begin && load < begin + 5.0 ? 1 : 0;
+      }
+      RC_ASSERT(count <= 2 * 5 + 3);
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/tests/fleet/lease_manager_test.cc
@@ -0,0 +1,213 @@
+#include "hingespan/fleet/lease_manager.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hingespan::gateway {
+namespace {
+
+LeaseSettings SettingsOf(const std::string& node, std::uint64_t incarnation = 1) {
+  LeaseSettings settings;
+  settings.node = node;
+  settings.incarnation = incarnation;
+  settings.address = node;
+  return settings;
+}
+
+absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(seconds); }
+
+TEST_CASE("a free lease is acquired; its token is the version of the acquisition") {
+  LeaseManager lease(SettingsOf("n1"));
+  CHECK(!lease.NextWrite(At(0)).has_value());
+  lease.OnRead(std::nullopt, 0, At(0));
+  const auto write = lease.NextWrite(At(0));
+  REQUIRE(write.has_value());
+  CHECK(write->condition_version == 0);
+  CHECK(write->record.token == 0);
+  lease.OnCommitted(7, At(0.01));
+  CHECK(lease.MayOrder(At(0.02)));
+  CHECK(lease.token() == 7);
+  const auto renewal = lease.NextWrite(At(1.1));
+  REQUIRE(renewal.has_value());
+  CHECK(renewal->condition_version == 7);
+  CHECK(renewal->record.token == 7);
+  lease.OnCommitted(9, At(1.2));
+  CHECK(lease.token() == 7);
+}
+
+TEST_CASE("another machine's lease is taken over only when its row has long been unchanged") {
+  LeaseManager lease(SettingsOf("n2"));
+  const LeaseRecord other{"n1", 1, "n1", 5};
+  lease.OnRead(other, 5, At(0));
+  CHECK(!lease.NextWrite(At(3.3)).has_value());
+  lease.OnRead(other, 6, At(3.3));  // Renewed.
+  CHECK(!lease.NextWrite(At(6.6)).has_value());
+  const auto write = lease.NextWrite(At(6.8));
+  REQUIRE(write.has_value());
+  CHECK(write->condition_version == 6);
+}
+
+TEST_CASE("time without the store does not count towards a takeover") {
+  LeaseManager lease(SettingsOf("n2"));
+  const LeaseRecord other{"n1", 1, "n1", 5};
+  lease.OnRead(other, 5, At(0));
+  lease.OnReadFailed(At(1));
+  lease.OnRead(other, 5, At(9));
+  CHECK(!lease.NextWrite(At(9)).has_value());
+  CHECK(lease.NextWrite(At(12.5)).has_value());
+}
+
+TEST_CASE("a restarted process takes its machine's lease over at once, with a new token") {
+  LeaseManager lease(SettingsOf("n1", 2));
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 5}, 8, At(0));
+  const auto write = lease.NextWrite(At(0));
+  REQUIRE(write.has_value());
+  lease.OnCommitted(12, At(0.1));
+  CHECK(lease.token() == 12);
+}
+
+TEST_CASE("a write without an answer is settled by the row") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitFailed(At(1));
+  CHECK(lease.needs_read());
+  CHECK(!lease.NextWrite(At(1)).has_value());
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 0}, 4, At(2));
+  CHECK(lease.token() == 4);
+  // Not confirmed by an answer yet: a renewal does that.
+  CHECK(!lease.MayOrder(At(2)));
+  REQUIRE(lease.NextWrite(At(2)).has_value());
+  lease.OnCommitted(5, At(2.1));
+  CHECK(lease.MayOrder(At(2.2)));
+  CHECK(lease.token() == 4);
+}
+
+TEST_CASE("a refused token is never ordered with again") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(3, At(0));
+  lease.OnFenced(At(0.5));
+  CHECK(!lease.MayOrder(At(0.5)));
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 3}, 3, At(0.6));
+  CHECK(!lease.holding());
+}
+
+TEST_CASE("after a pause the lease counts only once it is confirmed anew") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(3, At(0));
+  lease.OnPaused();
+  CHECK(!lease.MayOrder(At(4)));
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 0}, 3, At(4));
+  CHECK(!lease.MayOrder(At(4)));
+  REQUIRE(lease.NextWrite(At(4)).has_value());
+  lease.OnCommitted(4, At(4.1));
+  CHECK(lease.MayOrder(At(4.2)));
+}
+
+TEST_CASE("a holder that resigns writes no more") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(3, At(0));
+  lease.Resign();
+  CHECK(!lease.MayOrder(At(0.1)));
+  CHECK(!lease.NextWrite(At(5)).has_value());
+}
+
+// A store with one row that loses answers, does writes late, and does not answer at times.
+struct ModelStore {
+  std::optional<LeaseRecord> record;
+  std::uint64_t row_version = 0;
+  std::uint64_t version = 0;
+
+  bool Apply(const LeaseManager::Write& write) {
+    if (write.condition_version != row_version) {
+      return false;
+    }
+    record = write.record;
+    row_version = ++version;
+    return true;
+  }
+};
+
+TEST_CASE("property: tokens are never shared, and the one in the store is the newest") {
+  CHECK(rc::check("leases under lost, late and refused calls", [] {
+    ModelStore store;
+    std::vector<LeaseManager> nodes;
+    for (const char* const name : {"n1", "n2", "n3"}) {
+      nodes.emplace_back(SettingsOf(name));
+    }
+    std::deque<LeaseManager::Write> late;
+    std::vector<std::set<std::uint64_t>> tokens(nodes.size());
+    double now = 0;
+    const int steps = *rc::gen::inRange(20, 200);
+    for (int step = 0; step < steps; ++step) {
+      now += *rc::gen::element(0.05, 0.4, 1.0, 2.0);
+      const auto index = *rc::gen::inRange<std::size_t>(0, nodes.size());
+      LeaseManager& node = nodes[index];
+      switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+        case 1:
+          node.OnRead(store.record, store.row_version, At(now));
+          break;
+        case 2:
+          node.OnReadFailed(At(now));
+          break;
+        case 3:
+          node.OnPaused();
+          break;
+        case 4:
+          if (!late.empty()) {
+            store.Apply(late.front());
+            late.pop_front();
+          }
+          break;
+        default: {
+          const auto write = node.NextWrite(At(now));
+          if (!write.has_value()) {
+            break;
+          }
+          switch (*rc::gen::inRange(0, 4)) {
+            case 0:
+              late.push_back(*write);
+              node.OnCommitFailed(At(now));
+              break;
+            case 1:
+              store.Apply(*write);
+              node.OnCommitFailed(At(now));
+              break;
+            default:
+              if (store.Apply(*write)) {
+                node.OnCommitted(store.row_version, At(now));
+              } else {
+                node.OnConflict(At(now));
+              }
+          }
+        }
+      }
+      if (node.holding()) {
+        tokens[index].insert(node.token());
+      }
+    }
+    for (std::size_t left = 0; left < nodes.size(); ++left) {
+      for (std::size_t right = left + 1; right < nodes.size(); ++right) {
+        for (const std::uint64_t token : tokens[left]) {
+          RC_ASSERT(!tokens[right].contains(token));
+        }
+      }
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/tests/http/message_parser_test.cc
@@ -0,0 +1,103 @@
+#include "hingespan/http/message_parser.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr char kChunkedAnswer[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+
+// Feeds `text` cut at `cuts`; returns the number of bytes behind the message.
+template <typename Parser>
+std::size_t FeedInPieces(Parser* parser, const std::string& text, std::size_t piece) {
+  std::size_t behind = 0;
+  for (std::size_t begin = 0; begin < text.size(); begin += piece) {
+    const std::string part = text.substr(begin, piece);
+    const std::size_t taken = parser->Feed(part);
+    behind += part.size() - taken;
+  }
+  return behind;
+}
+
+TEST_CASE("a chunked answer is the same however its bytes are cut") {
+  const std::string text = kChunkedAnswer;
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    CAPTURE(piece);
+    std::string body;
+    AnswerParser parser([&](absl::string_view part) { body.append(part.data(), part.size()); });
+    CHECK(FeedInPieces(&parser, text, piece) == 0);
+    CHECK(parser.fault() == ParseFault::kNone);
+    CHECK(parser.complete());
+    CHECK(body == "hello world");
+  }
+}
+
+TEST_CASE("bytes behind a whole answer are left") {
+  std::string body;
+  AnswerParser parser([&](absl::string_view part) { body.append(part.data(), part.size()); });
+  const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200";
+  CHECK(parser.Feed(text) == text.size() - 12);
+  CHECK(parser.complete());
+  CHECK(body == "ok");
+}
+
+TEST_CASE("an answer without a length is whole only when its connection ends in good order") {
+  std::string body;
+  AnswerParser parser([&](absl::string_view part) { body.append(part.data(), part.size()); });
+  parser.Feed("HTTP/1.1 200 OK\r\n\r\nabc");
+  CHECK(!parser.complete());
+  CHECK(parser.head().ends_with_connection);
+  parser.FeedEnd();
+  CHECK(parser.complete());
+}
+
+TEST_CASE("an answer with a length that ends early is not whole") {
+  AnswerParser parser([](absl::string_view) {});
+  parser.Feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+  parser.FeedEnd();
+  CHECK(!parser.complete());
+}
+
+TEST_CASE("requests: faults by what is wrong") {
+  const MessageLimits limits{200, 10};
+  const auto fault_of = [&](const std::string& text) {
+    RequestParser parser(limits);
+    parser.Feed(text);
+    return parser.fault();
+  };
+  CHECK(fault_of("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n") == ParseFault::kBodyTooLarge);
+  CHECK(fault_of("GET / HTTP/1.1\r\nA: " + std::string(300, 'x') + "\r\n\r\n") ==
+        ParseFault::kHeadTooLarge);
+  CHECK(fault_of("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n") ==
+        ParseFault::kMalformed);
+  CHECK(fault_of("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+        ParseFault::kMalformed);
+  CHECK(fault_of("nonsense\r\n\r\n") == ParseFault::kMalformed);
+}
+
+TEST_CASE("requests: any cut of the bytes gives the same request") {
+  CHECK(rc::check("requests cut anywhere", [] {
+    const auto body = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+    const auto piece = *rc::gen::inRange<std::size_t>(1, 40);
+    const std::string text =
+        "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body + "GET";
+    RequestParser parser(MessageLimits{});
+    std::size_t used = 0;
+    while (used < text.size() && !parser.complete()) {
+      used += parser.Feed(text.substr(used, piece));
+    }
+    RC_ASSERT(parser.complete());
+    RC_ASSERT(parser.body() == body);
+    RC_ASSERT(text.substr(used) == "GET");
+    RC_ASSERT(parser.head().target == "/p");
+  }));
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
