Placer: copies on a worker's disk first, room counted from reports, workers known dead left out

Change: nodes report workers that they can't reach or whose address another one has; placement prefers copies on disk and in memory, which need no token; what ran lately counts as demand. Change: rows fill a ledger only until the first report; a row that differs is a reason to ask.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -41,6 +41,8 @@
   std::uint64_t number = 0;
   std::vector<ModelDemand> demands;
   std::vector<WorkerLoad> loads;
+  // Workers that this node could not reach lately, or whose address another worker has.
+  std::vector<std::string> unreachable;
 };
 
 enum class ReplicaState { kReady, kLoading, kLeaving };
--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -2,8 +2,8 @@
 // the holder of the placement lease runs it.
 //
 // It keeps a ledger for each worker: what its record says, and an order under way. A worker has one
-// unanswered order at a time; after an order without an answer nothing more is ordered there until a
-// report's sequence proves what became of it.
+// unanswered order at a time; after an order without an answer nothing more is ordered there until
+// a report's sequence proves what became of it.
 #ifndef HINGESPAN_FLEET_FLEET_PLACER_H_
 #define HINGESPAN_FLEET_FLEET_PLACER_H_
 
@@ -25,9 +25,11 @@
 
 struct FleetPlacerSettings {
   // Loads that may begin at once, on top of the rate of the weight store.
-  double load_burst = 2;
+  double load_burst = 3.5;
+  // Of them, how many a new holder may begin at once: its predecessor may just have ordered.
+  double first_load_burst = 1;
   // Part of the weight store's rate that is used.
-  double load_rate_part = 0.95;
+  double load_rate_part = 1.0;
   // A model gets one more replica when this many requests run or wait for each replica.
   double requests_for_each_replica = 7;
   // Rates of requests are averaged over about this long.
@@ -81,6 +83,11 @@
     double rate = 0;
     absl::Time updated;
   };
+  // Requests of a model that run or wait at once, remembered when they stop suddenly.
+  struct Concurrency {
+    double value = 0;
+    absl::Time updated;
+  };
   struct NodeReport {
     DemandReport report;
     absl::Time received;
@@ -96,7 +103,9 @@
     // Orders that the worker has taken; only reports tell it.
     std::uint64_t sequence = 0;
     std::map<std::string, std::set<std::string>> models;
-    // Of the record that `models` was last taken from.
+    // Whether a report has told of `models`; before that its record has.
+    bool reported = false;
+    // Of the record that was last looked at.
     std::uint64_t row_version = 0;
     std::optional<WorkerOrder> unanswered;
     // The sequence is not known: nothing is ordered until a report shows it.
@@ -107,7 +116,6 @@
     std::optional<RunningLoad> model_unload;
     std::vector<RunningLoad> adapter_loads;
     std::map<ModelKey, absl::Time> loaded_at;
-    std::map<ModelKey, absl::Time> unloaded_at;
     absl::Time not_before = absl::InfinitePast();
     // An unload there makes room for this model.
     std::string reserved_for;
@@ -144,6 +152,13 @@
                                       double most_cost, PlanContext* context) const;
   std::optional<Placement> PlaceAdapter(const Service& service, const ModelSpecification& model,
                                         const ModelKey& key, PlanContext* context) const;
+  // The greatest of what runs and waits now and of what did so lately.
+  double RecentConcurrency(const Service& service, const std::string& model,
+                           const ModelTotals& totals, absl::Time now);
+  // Whether a node says that it can't reach the worker.
+  bool IsUnreachable(const std::string& worker_id, absl::Time now) const;
+  bool IsUsable(const std::string& worker_id, const PlanContext& context) const;
+  static absl::Duration LoadTime(const ModelSpecification& model, const WorkerRecord& record);
   bool MayTakeOrder(const std::string& worker_id, const Service& service,
                     const PlanContext& context) const;
   double UsedMemory(const Service& service, const Ledger& ledger) const;
@@ -163,6 +178,7 @@
   bool TakeLoadToken(const Service& service, absl::Time now);
   void Accepted(const WorkerOrder& order, Ledger* ledger, absl::Time now);
   void FinishLoads(const std::string& worker_id, Ledger* ledger, absl::Time now);
+  static void FinishUnload(const WorkerReport& report, Ledger* ledger, absl::Time now);
   void FinishAdapters(absl::Time now);
   static void TakePendingAdapters(const WorkerReport& report, Ledger* ledger, absl::Time now);
 
@@ -170,11 +186,12 @@
   std::map<std::string, Ledger> ledgers_;
   std::map<std::string, NodeReport> reports_;
   std::map<std::pair<std::string, ModelKey>, RateCounter> rates_;
+  std::map<std::pair<std::string, std::string>, Concurrency> concurrency_;
   std::map<std::string, double> load_tokens_;
   std::map<std::string, absl::Time> load_tokens_updated_;
   std::vector<ReplicaNews> news_;
-  // Load times by model, from the configuration.
-  std::map<std::string, absl::Duration> load_times_;
+  // Expected load times by worker and model, as of the order.
+  std::map<std::pair<std::string, std::string>, absl::Duration> load_times_;
   absl::Time began_;
   bool demand_waits_ = false;
 };
--- a/include/hingespan/serving/configuration.h
+++ b/include/hingespan/serving/configuration.h
@@ -57,7 +57,10 @@
 struct ModelSpecification {
   std::string name;
   double memory_mb = 0;
+  // From the weight store, and from a worker's own disk or host memory.
   absl::Duration load_time;
+  absl::Duration load_time_from_disk;
+  absl::Duration load_time_from_memory;
   // Adapters are named a1, a2 and onward.
   int adapters = 0;
   double adapter_memory_mb = 0;
--- a/include/hingespan/serving/request_dialect.h
+++ b/include/hingespan/serving/request_dialect.h
@@ -53,6 +53,8 @@
   bool not_executed = false;
   // It is not the worker that was meant, or holds no such model; then `not_executed` is set too.
   bool misdirected = false;
+  // Another worker than the one that was meant answers at its address: that one has ended.
+  bool from_other_worker = false;
   // It carries a worker's signature.
   bool is_signed = false;
 };
@@ -65,7 +67,8 @@
   // The caller's fields that go on to a worker, with those of this attempt.
   virtual HeaderFields AttemptFields(const RequestHead& head,
                                      const AttemptFacts& attempt) const = 0;
-  virtual AnswerFacts ReadAnswer(const AnswerHead& head) const = 0;
+  // `worker_id` is the worker that was asked.
+  virtual AnswerFacts ReadAnswer(const AnswerHead& head, const std::string& worker_id) const = 0;
   // The worker's fields that go on to the caller.
   virtual HeaderFields CallerFields(const AnswerHead& head) const = 0;
 };
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -59,6 +59,10 @@
   double latency_ms = 0;
   // Not chosen before this unless no other worker is left.
   absl::Time avoided_until = absl::InfinitePast();
+  // Connections to it have failed lately.
+  absl::Time unreachable_until = absl::InfinitePast();
+  // Another worker has its address: it has ended, whatever its record says.
+  bool ended = false;
 
   // What was learnt about a replica apart from the record, until the record tells of it.
   struct ReplicaNotice {
@@ -115,6 +119,8 @@
   void NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
                    absl::Time until);
 
+  void MarkEnded(const std::string& worker_id);
+
   WorkerState* Find(const std::string& worker_id);
   const std::map<std::string, WorkerState>& workers() const { return workers_; }
   int CountOfService(const std::string& service) const;
--- a/include/hingespan/serving/worker_record.h
+++ b/include/hingespan/serving/worker_record.h
@@ -25,8 +25,10 @@
   std::optional<absl::Duration> leaves_in;
   // By model held, the adapters held of it.
   std::map<std::string, std::set<std::string>> models;
-  // Models whose weights are on its disk or in its memory: a load doesn't use the weight store.
-  std::set<std::string> local_copies;
+  // Models whose weights it keeps in its host's memory or on its disk: their loads are quick and
+  // don't use the weight store.
+  std::set<std::string> copies_in_memory;
+  std::set<std::string> copies_on_disk;
 };
 
 }  // namespace hingespan::gateway
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -44,7 +44,7 @@
                                    demand.running, demand.arrived}));
   }
   return Json::array({kDemandReport, report.node, report.incarnation, report.number,
-                      std::move(demands), EncodeLoads(report.loads)});
+                      std::move(demands), EncodeLoads(report.loads), report.unreachable});
 }
 
 DemandReport DecodeReport(const Json& json) {
@@ -58,6 +58,7 @@
                               entry.at(4).get<int>(), entry.at(5).get<int>()});
   }
   report.loads = DecodeLoads(json.at(5));
+  report.unreachable = json.at(6).get<std::vector<std::string>>();
   return report;
 }
 
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -20,12 +20,12 @@
 constexpr absl::Duration kReservation = absl::Seconds(6);
 // A load that is this much late is taken for lost.
 constexpr absl::Duration kLoadOverdue = absl::Seconds(12);
-// A worker's record tells of a change this much later at the most.
-constexpr absl::Duration kRecordDelay = absl::Seconds(3);
 constexpr std::size_t kAdapterLoadsAtOnce = 4;
 // Costs of a placement, in requests a second that it takes away elsewhere.
 constexpr double kEvictionCost = 0.02;
-constexpr double kWeightStoreCost = 0.05;
+// For each second that a load takes.
+constexpr double kLoadSecondCost = 0.15;
+constexpr absl::Duration kConcurrencyMemory = absl::Seconds(4);
 constexpr double kBusyWorkerCost = 0.004;
 constexpr double kOnlyReplicaFactor = 3.0;
 constexpr double kFreshReplicaValue = 5.0;
@@ -109,34 +109,21 @@
     return;
   }
   ledger->row_version = worker.row_version;
-  const auto recent = [&](const std::map<ModelKey, absl::Time>& times, const ModelKey& key) {
-    const auto entry = times.find(key);
-    return entry != times.end() && now - entry->second < kRecordDelay;
-  };
-  std::map<std::string, std::set<std::string>> models;
-  for (const auto& [model, adapters] : worker.record.models) {
-    if (recent(ledger->unloaded_at, ModelKey{model, ""})) {
-      continue;
-    }
-    std::set<std::string>& kept = models[model];
-    for (const std::string& adapter : adapters) {
-      if (!recent(ledger->unloaded_at, ModelKey{model, adapter})) {
-        kept.insert(adapter);
-      }
-    }
+  if (!ledger->reported) {
+    ledger->models = worker.record.models;
+    return;
   }
-  // What was loaded a moment ago may be missing in a record written before.
-  for (const auto& [model, adapters] : ledger->models) {
-    if (recent(ledger->loaded_at, ModelKey{model, ""})) {
-      models[model];
-    }
-    for (const std::string& adapter : adapters) {
-      if (models.contains(model) && recent(ledger->loaded_at, ModelKey{model, adapter})) {
-        models[model].insert(adapter);
-      }
-    }
+  // A record may be old, e.g. written before an outage of the store; orders and reports tell more.
+  // But one that differs is a reason to ask.
+  const auto same_model = [](const auto& left, const auto& right) {
+    return left.first == right.first;
+  };
+  const bool same =
+      std::equal(ledger->models.begin(), ledger->models.end(), worker.record.models.begin(),
+                 worker.record.models.end(), same_model);
+  if (!same) {
+    ledger->ask_at = std::min(ledger->ask_at, now);
   }
-  ledger->models = std::move(models);
 }
 
 void FleetPlacer::SyncLedgers(const Configuration& configuration,
@@ -169,15 +156,23 @@
       ledger->model_load.reset();
     }
   }
-  if (ledger->model_unload.has_value()) {
-    const ModelKey key = ledger->model_unload->key;
-    const bool gone = !ledger->models.contains(key.model);
-    if (gone) {
-      ledger->unloaded_at[key] = now;
-    }
-    if (gone || now > ledger->model_unload->expected + kLoadOverdue) {
-      ledger->model_unload.reset();
-    }
+}
+
+void FleetPlacer::FinishUnload(const WorkerReport& report, Ledger* ledger, absl::Time now) {
+  if (!ledger->model_unload.has_value()) {
+    return;
+  }
+  const std::string& model = ledger->model_unload->key.model;
+  // The model is out of the lists as soon as the order is taken; its memory is free only once the
+  // worker isn't busy any more, since its runs are ended first.
+  if (!report.busy && !ledger->models.contains(model)) {
+    ledger->model_unload.reset();
+    return;
+  }
+  if (now > ledger->model_unload->expected + kLoadOverdue) {
+    ledger->model_unload.reset();
+    ledger->uncertain = true;
+    ledger->ask_at = now + kAskAgain;
   }
 }
 
@@ -218,9 +213,6 @@
 }
 
 void FleetPlacer::PlanService(const Service& service, PlanContext* context) {
-  for (const ModelSpecification& model : service.engine->models) {
-    load_times_[model.name] = model.load_time;
-  }
   PlanModels(service, context);
   PlanAdapters(service, context);
 }
@@ -235,8 +227,8 @@
   for (const ModelSpecification& model : service.engine->models) {
     const Wish wish{&model, TotalsOfModel(service, model.name, *context),
                     CountReplicas(service, model.name, *context)};
-    const double wanted =
-        (wish.totals.running + wish.totals.waiting) / settings_.requests_for_each_replica;
+    const double wanted = RecentConcurrency(service, model.name, wish.totals, context->now) /
+                          settings_.requests_for_each_replica;
     const bool first = wish.replicas == 0 && wish.totals.waiting > 0;
     if (first || (wish.replicas > 0 && wanted > wish.replicas)) {
       wishes.push_back(wish);
@@ -274,12 +266,14 @@
           absl::StrCat("room for ", model.name), totals, context);
     return true;
   }
-  const WorkerState& worker = context->workers->at(placement->worker_id);
-  const bool local = worker.record.local_copies.contains(model.name);
+  const WorkerRecord& record = context->workers->at(placement->worker_id).record;
+  const bool local =
+      record.copies_in_memory.contains(model.name) || record.copies_on_disk.contains(model.name);
   if (!local && !TakeLoadToken(service, context->now)) {
     return false;
   }
   ledgers_[placement->worker_id].reserved_for.clear();
+  load_times_[{placement->worker_id, model.name}] = LoadTime(model, record);
   Order(OrderKind::kLoad, placement->worker_id, ModelKey{model.name, ""},
         replicas == 0 ? "first replica" : "further replica", totals, context);
   return true;
@@ -302,9 +296,7 @@
     }
     const WorkerState& worker = context->workers->at(id);
     Placement placement{id, {}, worker.running * kBusyWorkerCost};
-    if (!worker.record.local_copies.contains(model.name)) {
-      placement.cost += kWeightStoreCost;
-    }
+    placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(LoadTime(model, worker.record));
     const double room = service.engine->memory_mb - UsedMemory(service, ledger);
     if (room < model.memory_mb) {
       double least = std::numeric_limits<double>::infinity();
@@ -317,7 +309,8 @@
       }
       placement.cost += least + kEvictionCost;
     }
-    if (placement.cost <= most_cost + kWeightStoreCost &&
+    const double load_cost = kLoadSecondCost * absl::ToDoubleSeconds(model.load_time);
+    if (placement.cost <= most_cost + load_cost &&
         (!best.has_value() || placement.cost < best->cost)) {
       best = placement;
     }
@@ -419,7 +412,45 @@
   const auto worker = context.workers->find(worker_id);
   return ledger.service == service.name && !ledger.unanswered.has_value() && !ledger.uncertain &&
          ledger.not_before <= context.now && worker != context.workers->end() &&
-         !worker->second.record.draining && worker->second.avoided_until <= context.now;
+         worker->second.avoided_until <= context.now && IsUsable(worker_id, context);
+}
+
+bool FleetPlacer::IsUnreachable(const std::string& worker_id, absl::Time now) const {
+  for (const auto& [node, known] : reports_) {
+    if (now - known.received > settings_.report_lifetime) {
+      continue;
+    }
+    const auto& list = known.report.unreachable;
+    if (std::find(list.begin(), list.end(), worker_id) != list.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool FleetPlacer::IsUsable(const std::string& worker_id, const PlanContext& context) const {
+  const auto worker = context.workers->find(worker_id);
+  return worker != context.workers->end() && !worker->second.record.draining &&
+         !worker->second.ended && !IsUnreachable(worker_id, context.now);
+}
+
+absl::Duration FleetPlacer::LoadTime(const ModelSpecification& model, const WorkerRecord& record) {
+  if (record.copies_in_memory.contains(model.name)) {
+    return model.load_time_from_memory;
+  }
+  return record.copies_on_disk.contains(model.name) ? model.load_time_from_disk : model.load_time;
+}
+
+double FleetPlacer::RecentConcurrency(const Service& service, const std::string& model,
+                                      const ModelTotals& totals, absl::Time now) {
+  Concurrency& recent = concurrency_[{service.name, model}];
+  const double current = totals.running + totals.waiting;
+  if (recent.updated != absl::Time()) {
+    recent.value *= std::exp(-absl::FDivDuration(now - recent.updated, kConcurrencyMemory));
+  }
+  recent.value = std::max(recent.value, current);
+  recent.updated = now;
+  return recent.value;
 }
 
 double FleetPlacer::UsedMemory(const Service& service, const Ledger& ledger) const {
@@ -457,9 +488,7 @@
                                const PlanContext& context) const {
   int count = 0;
   for (const auto& [id, ledger] : ledgers_) {
-    const auto worker = context.workers->find(id);
-    if (ledger.service != service.name || worker == context.workers->end() ||
-        worker->second.record.draining) {
+    if (ledger.service != service.name || !IsUsable(id, context)) {
       continue;
     }
     const bool leaving = ledger.model_unload.has_value() && ledger.model_unload->key.model == model;
@@ -479,9 +508,7 @@
                                       const PlanContext& context) const {
   int count = 0;
   for (const auto& [id, ledger] : ledgers_) {
-    const auto worker = context.workers->find(id);
-    if (ledger.service != service.name || worker == context.workers->end() ||
-        worker->second.record.draining) {
+    if (ledger.service != service.name || !IsUsable(id, context)) {
       continue;
     }
     const auto model = ledger.models.find(key.model);
@@ -499,7 +526,7 @@
 bool FleetPlacer::TakeLoadToken(const Service& service, absl::Time now) {
   const double rate = service.engine->loads_per_second * settings_.load_rate_part;
   const auto [entry, fresh] = load_tokens_updated_.try_emplace(service.name, began_);
-  double& tokens = load_tokens_[service.name];
+  double& tokens = load_tokens_.try_emplace(service.name, settings_.first_load_burst).first->second;
   const double elapsed = absl::ToDoubleSeconds(now - entry->second);
   tokens = std::min(settings_.load_burst, tokens + elapsed * rate);
   entry->second = now;
@@ -538,7 +565,6 @@
       ledger->model_unload = RunningLoad{key, now + kUnloadTime, now + kUnloadTime};
     } else {
       ledger->models[order.model].erase(order.adapter);
-      ledger->unloaded_at[key] = now;
     }
     return;
   }
@@ -547,7 +573,7 @@
         RunningLoad{key, now + kAdapterLoadTime, now + kAdapterLoadTime});
     return;
   }
-  const absl::Duration load_time = load_times_[order.model];
+  const absl::Duration load_time = load_times_[{order.worker_id, order.model}];
   ledger->model_load = RunningLoad{key, now + load_time, now + load_time};
   news_.push_back({order.worker_id, order.model, "", ReplicaState::kLoading,
                    static_cast<int>(absl::ToInt64Milliseconds(load_time))});
@@ -620,6 +646,7 @@
     Accepted(*ledger.without_answer, &ledger, now);
   }
   ledger.without_answer.reset();
+  ledger.reported = true;
   ledger.sequence = report.order_sequence;
   ledger.models = report.models;
   TakePendingAdapters(report, &ledger, now);
@@ -634,6 +661,7 @@
     ledger.model_load.reset();
   }
   FinishLoads(worker_id, &ledger, now);
+  FinishUnload(report, &ledger, now);
 }
 
 std::vector<ReplicaNews> FleetPlacer::TakeNews(absl::Time now) {
@@ -645,7 +673,7 @@
   std::vector<std::string> ids;
   for (auto& [id, ledger] : ledgers_) {
     bool ask = false;
-    if (ledger.uncertain && ledger.ask_at <= now) {
+    if (ledger.ask_at <= now) {
       ledger.ask_at = now + kAskAgain;
       ask = true;
     }
@@ -665,9 +693,7 @@
 absl::Time FleetPlacer::NextDue(absl::Time now) const {
   absl::Time due = demand_waits_ ? now + absl::Milliseconds(100) : absl::InfiniteFuture();
   for (const auto& [id, ledger] : ledgers_) {
-    if (ledger.uncertain) {
-      due = std::min(due, ledger.ask_at);
-    }
+    due = std::min(due, ledger.ask_at);
     if (ledger.model_load.has_value()) {
       due = std::min(due, ledger.model_load->ask_again);
     }
--- a/src/serving/decision_log.cc
+++ b/src/serving/decision_log.cc
@@ -54,7 +54,8 @@
   if (!Admit(event, &left_out_before)) {
     return;
   }
-  const LogLineHead head{clock_->WallTime(), level, std::string_view(event.data(), event.size()), program_, node_, zone_};
+  const LogLineHead head{clock_->WallTime(), level, std::string_view(event.data(), event.size()),
+                         program_,           node_, zone_};
   std::string line = FormatJsonLogLine(head, fields);
   if (left_out_before > 0) {
     line.insert(line.size() - 1, absl::StrCat(",\"left_out_before\":", left_out_before));
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -343,6 +343,9 @@
     if (worker.running > 0) {
       report->loads.push_back({id, worker.running, static_cast<int>(worker.unread_tokens)});
     }
+    if (worker.ended || worker.unreachable_until > parts_.loop->Now()) {
+      report->unreachable.push_back(id);
+    }
   }
   budget_.SetNodes(fleet_->nodes());
 }
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -28,7 +28,8 @@
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(200);
 // Bytes that may wait for a slow caller before the worker is not read any more.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
-// A request that still waits this long before its node ends is refused, so that another node may try.
+// A request that still waits this long before its node ends is refused, so that another node may
+// try.
 constexpr absl::Duration kWaitBeforeStop = absl::Seconds(1);
 // How long a replica that a worker denied is taken for absent.
 constexpr absl::Duration kDeniedReplica = absl::Milliseconds(700);
@@ -267,7 +268,7 @@
 }
 
 bool RequestRelay::OnHead(const AnswerHead& head) {
-  answer_facts_ = context_->dialect->ReadAnswer(head);
+  answer_facts_ = context_->dialect->ReadAnswer(head, worker_id_);
   const bool own = answer_facts_.id == facts_.id;
   const bool unnamed_refusal = answer_facts_.id.empty() && answer_facts_.not_executed;
   if (!own && !unnamed_refusal) {
@@ -388,7 +389,9 @@
   const absl::Time now = context_->loop->Now();
   const bool misdirected = answer_facts_.misdirected;
   EndAttempt(AttemptOutcome::kFull);
-  if (misdirected && !model_.model.empty()) {
+  if (answer_facts_.from_other_worker) {
+    context_->workers->MarkEnded(worker_id_);
+  } else if (misdirected && !model_.model.empty()) {
     context_->workers->NoteReplica(worker_id_, model_, false, now + kDeniedReplica);
   }
   last_failure_ = misdirected ? "misdirected" : "worker_full";
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -158,7 +158,7 @@
   double best = std::numeric_limits<double>::infinity();
   bool best_avoided = true;
   for (auto& [id, worker] : workers_) {
-    if (worker.record.service != demand.service || worker.record.draining) {
+    if (worker.record.service != demand.service || worker.record.draining || worker.ended) {
       continue;
     }
     any_worker = true;
@@ -257,10 +257,18 @@
       break;
     case AttemptOutcome::kUnreachable:
       worker->avoided_until = std::max(worker->avoided_until, now + kAvoidUnreachable);
+      worker->unreachable_until = now + kAvoidUnreachable;
       break;
   }
 }
 
+void WorkerDirectory::MarkEnded(const std::string& worker_id) {
+  WorkerState* const worker = Find(worker_id);
+  if (worker != nullptr) {
+    worker->ended = true;
+  }
+}
+
 void WorkerDirectory::NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
                                   absl::Time until) {
   WorkerState* const worker = Find(worker_id);
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -9,7 +9,7 @@
 namespace {
 
 TEST_CASE("a demand report is read as it was written") {
-  const DemandReport report{"n1", 5, 9, {{"s", "m", "a1", 1, 2, 3}}, {{"w1", 4, 500}}};
+  const DemandReport report{"n1", 5, 9, {{"s", "m", "a1", 1, 2, 3}}, {{"w1", 4, 500}}, {"w7"}};
   const auto read = DecodeFleetMessage(EncodeFleetMessage(report));
   REQUIRE(read.has_value());
   const auto* const same = std::get_if<DemandReport>(&*read);
@@ -21,6 +21,7 @@
   CHECK(same->demands[0].arrived == 3);
   REQUIRE(same->loads.size() == 1);
   CHECK(same->loads[0].unread_tokens == 500);
+  CHECK(same->unreachable == std::vector<std::string>{"w7"});
 }
 
 TEST_CASE("placement news are read as they were written") {
@@ -39,7 +40,7 @@
   CHECK(rc::check("any datagram", [] {
     std::string bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
     if (*rc::gen::arbitrary<bool>()) {
-      bytes = EncodeFleetMessage(DemandReport{"n1", 5, 9, {{"s", "m", "a", 1, 2, 3}}, {}});
+      bytes = EncodeFleetMessage(DemandReport{"n1", 5, 9, {{"s", "m", "a", 1, 2, 3}}, {}, {}});
       const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
       bytes[at] = *rc::gen::arbitrary<char>();
     }
--- a/tests/fleet/fleet_placer_test.cc
+++ b/tests/fleet/fleet_placer_test.cc
@@ -24,7 +24,8 @@
     service.engine->adapter_slots = 2;
     service.engine->loads_per_second = 2;
     for (const char* const name : {"m1", "m2", "m3", "m4"}) {
-      service.engine->models.push_back({name, 90, absl::Seconds(load_seconds), 4, 5});
+      const absl::Duration load = absl::Seconds(load_seconds);
+      service.engine->models.push_back({name, 90, load, load, load, 4, 5});
     }
     configuration.services.push_back(service);
     for (int number = 0; number < workers; ++number) {
@@ -143,6 +144,42 @@
   CHECK(orders[0].order.model == "m2");
 }
 
+TEST_CASE("the room of an unloaded model is free only when the worker is not busy any more") {
+  PlacerWorld world(1);
+  world.Hold("w0", "m1");
+  world.Hold("w0", "m2");
+  world.Demand(4, "m1", "", 0, 1, 6);
+  world.Demand(5, "m3", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  world.Accept(orders[0].order, 5.01);
+  world.workers["w0"].row_version = 2;
+  world.busy["w0"] = true;
+  world.Demand(6, "m3", "", 1, 0, 0);
+  CHECK(world.Plan(6).empty());
+  world.busy["w0"] = false;
+  world.Demand(7, "m3", "", 1, 0, 0);
+  CHECK(world.Plan(7).size() == 1);
+}
+
+TEST_CASE("a record from before an outage of the store takes nothing back") {
+  PlacerWorld world(1);
+  world.Hold("w0", "m1");
+  world.Demand(5, "m2", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  world.Accept(orders[0].order, 5.01);
+  world.Demand(7, "m3", "", 1, 0, 1);
+  world.Reports(7);
+  auto stale = world.workers;
+  stale["w0"].record.models.erase("m2");
+  stale["w0"].row_version = 9;
+  // Loading m3 beside both would be beyond its room.
+  for (const PlannedOrder& planned : world.placer.Plan(world.configuration, stale, At(12))) {
+    CHECK(planned.order.kind == OrderKind::kUnload);
+  }
+}
+
 TEST_CASE("an order without an answer holds the worker until its sequence tells") {
   PlacerWorld world(1);
   world.Demand(5, "m1", "", 1, 0, 1);
