--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -70,6 +70,12 @@
   // Sends it to a worker when one has room. Returns whether it left the queue.
   bool TryDispatch(absl::Time now);
 
+  // What is expected of a replica has changed.
+  void OnNews() {
+    if (state_ == State::kWaiting) {
+      SetTimer(context_->loop->Now());
+    }
+  }
   // The node stops: what can't end in time gets its answer before.
   void OnStopping() { SetTimer(context_->loop->Now()); }
 
@@ -94,6 +100,8 @@
   // The caller's, the route's or a stopping node's, whichever is earliest.
   absl::Time Deadline() const;
   absl::Time WaitLimit() const;
+  // How long the caller waits for the first event.
+  absl::Duration Patience() const;
   absl::Time StallLimit() const;
   bool MayTryAnother(absl::Time now) const;
   void EndAttempt(AttemptOutcome outcome);
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -13,7 +13,7 @@
 
 constexpr absl::Duration kAskAgain = absl::Milliseconds(300);
 constexpr absl::Duration kAskAfterConflict = absl::Milliseconds(150);
-constexpr absl::Duration kAskAfterSilence = absl::Milliseconds(600);
+constexpr absl::Duration kAskAfterSilence = absl::Milliseconds(300);
 constexpr absl::Duration kUnloadTime = absl::Milliseconds(250);
 constexpr absl::Duration kAdapterLoadTime = absl::Milliseconds(30);
 constexpr absl::Duration kAfterRefusal = absl::Seconds(1);
@@ -35,6 +35,8 @@
 constexpr double kMostCostOfFirstReplica = 50.0;
 // A further replica must be worth more than what it replaces by this factor.
 constexpr double kGainFactor = 0.5;
+// What a request that waits adds to the worth of a further replica.
+constexpr double kWaitingGain = 0.25;
 
 }  // namespace
 
@@ -252,8 +254,8 @@
 
 bool FleetPlacer::PlanReplica(const Service& service, const ModelSpecification& model,
                               const ModelTotals& totals, int replicas, PlanContext* context) {
-  const double gain = totals.rate / (replicas + 1.0);
-  const double most_cost = replicas == 0 ? kMostCostOfFirstReplica : gain * kGainFactor;
+  const double gain = totals.rate / (replicas + 1.0) * kGainFactor + kWaitingGain * totals.waiting;
+  const double most_cost = replicas == 0 ? kMostCostOfFirstReplica : gain;
   const std::optional<Placement> placement = PlaceModel(service, model, most_cost, context);
   if (!placement.has_value()) {
     return false;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -87,7 +87,12 @@
     peers_.Send(address, bytes);
   };
   fleet_parts.fill_report = [this](DemandReport* report) { FillReport(report); };
-  fleet_parts.on_news = [this] { PumpSoon(); };
+  fleet_parts.on_news = [this] {
+    for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
+      request->OnNews();
+    }
+    PumpSoon();
+  };
   const std::uint64_t seed = fleet.incarnation;
   fleet_ = std::make_unique<FleetCoordinator>(std::move(fleet), std::move(fleet_parts));
   const auto contact = [this](const char* table) {
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -25,7 +25,11 @@
 constexpr absl::Duration kStreamGapLimit = absl::Milliseconds(1200);
 // The answer goes out this much before the deadline.
 constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(10);
+// Callers give a stream without an event up after this, or a multiple of the route's targets.
+constexpr absl::Duration kLeastPatience = absl::Seconds(2);
 constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(200);
+// A replica is certainly usable this much after it was expected.
+constexpr absl::Duration kAfterExpected = absl::Milliseconds(150);
 // Bytes that may wait for a slow caller before the worker is not read any more.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
 // A request that still waits this long before its node ends is refused, so that another node may
@@ -180,10 +184,13 @@
   const absl::Time latest = deadline_ - std::min(stream ? kLeastTimeForStream : kLeastTimeForPlain,
                                                  (deadline_ - arrived_) * 0.25);
   absl::Time limit = arrived_ + (deadline_ - arrived_) * kHeldPart;
+  const absl::Time patience = arrived_ + Patience();
   const absl::Time expected = context_->host->ExpectedReady(model_);
-  if (expected != absl::InfiniteFuture() && expected < latest) {
-    limit = std::max(limit, latest);
+  if (last_problem_ == ChoiceProblem::kModelAbsent && expected != absl::InfiniteFuture()) {
+    // The caller is told at once to come back when its model is there, unless it will wait for it.
+    limit = expected < std::min(latest, patience) ? latest : arrived_;
   }
+  limit = std::min(limit, patience - kDeadlineMargin);
   const absl::Time stop = context_->host->StopLimit();
   if (stop != absl::InfiniteFuture()) {
     limit = std::min(limit, stop - kWaitBeforeStop);
@@ -191,6 +198,13 @@
   return std::min(limit, latest);
 }
 
+absl::Duration RequestRelay::Patience() const {
+  if (route_->kind != RouteKind::kStreaming) {
+    return absl::InfiniteDuration();
+  }
+  return std::max({kLeastPatience, 4 * route_->target_latency, 8 * route_->target_gap});
+}
+
 bool RequestRelay::MayTryAnother(absl::Time now) const {
   return static_cast<int>(tried_.size()) < route_->max_attempts &&
          context_->budget->Available(service_, now) >= 1.0 && now < deadline_;
@@ -442,7 +456,7 @@
   absl::Duration retry_after = kDefaultRetryAfter;
   const absl::Time expected = context_->host->ExpectedReady(model_);
   if (expected != absl::InfiniteFuture()) {
-    retry_after = std::max(retry_after, expected - now);
+    retry_after = std::max(retry_after, expected - now + kAfterExpected);
   }
   ++context_->metrics->refusals[std::string(why)];
   exchange_->Answer(503, ReasonPhrase(503),
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -228,6 +228,28 @@
   }
 }
 
+TEST_CASE("a caller that won't wait for a cold model is told at once when to come back") {
+  GatewayWorld world;
+  world.PutConfiguration(2, 20000, 4.0);
+  emulator::PlatformWorkerOptions options;
+  options.id = "w1";
+  options.service = "models";
+  options.load_time = absl::Seconds(60);
+  world.AddWorker(options);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request = StreamRequest("/stream/x", "m2");
+  request.deadline_ms = 15000;
+  const absl::Time began = world.loop.Now();
+  const auto call = world.Ask(node, request);
+  CHECK(call->head.status == 503);
+  // Held neither for the two seconds that the caller has patience, nor for half of its time.
+  CHECK(world.loop.Now() - began < absl::Seconds(2));
+  double seconds = 0;
+  REQUIRE(absl::SimpleAtod(FieldOf(*call, "Retry-After"), &seconds));
+  CHECK(seconds > 3.0);
+  CHECK(seconds < 5.0);
+}
+
 TEST_CASE("an adapter is loaded on demand") {
   GatewayWorld world;
   world.AddModelWorker("w1", "m1");
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -41,10 +41,10 @@
               {"gap_target_ms", 50}};
 }
 
-Json ModelJson(const std::string& name) {
+Json ModelJson(const std::string& name, double load_seconds) {
   return Json{{"name", name},
               {"weights_mb", 100.0},
-              {"load_s", 0.03},
+              {"load_s", load_seconds},
               {"adapters", 4},
               {"adapter_mb", 1.0}};
 }
@@ -61,11 +61,14 @@
 
 GatewayWorld::GatewayWorld() : store(&loop), caller(&loop, ClientLimits{}) { PutConfiguration(1); }
 
-void GatewayWorld::PutConfiguration(int version, int timeout_ms) {
+void GatewayWorld::PutConfiguration(int version, int timeout_ms, double load_seconds) {
   const Json engine{
-      {"slots", 8},          {"kv_capacity_tokens", 100000},
-      {"weights_mb", 150.0}, {"adapter_slots", 2},
-      {"loads_per_s", 20.0}, {"models", Json::array({ModelJson("m1"), ModelJson("m2")})}};
+      {"slots", 8},
+      {"kv_capacity_tokens", 100000},
+      {"weights_mb", 150.0},
+      {"adapter_slots", 2},
+      {"loads_per_s", 20.0},
+      {"models", Json::array({ModelJson("m1", load_seconds), ModelJson("m2", load_seconds)})}};
   const Json configuration{
       {"version", version},
       {"routes", Json::array({RouteJson("/plain/", "non_idempotent", "plain", timeout_ms, 1, false),
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -76,7 +76,8 @@
   TestNode* AddNode(const std::string& name);
   // Routes "/plain/" (not repeatable), "/safe/" (repeatable), "/stream/" (resumable stream) and
   // "/once/" (stream that is not resumable) of host "h".
-  void PutConfiguration(int version, int timeout_ms = 5000);
+  // `load_seconds` is what the configuration says of a load.
+  void PutConfiguration(int version, int timeout_ms = 5000, double load_seconds = 0.03);
 
   std::unique_ptr<TestCall> Send(TestNode* node, const TestRequest& request);
   // Sends and waits for the end.
