--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -16,6 +16,7 @@
 #include "hingespan/fleet/fleet_messages.h"
 #include "hingespan/fleet/fleet_placer.h"
 #include "hingespan/fleet/lease_manager.h"
+#include "hingespan/fleet/shared_reading.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/serving/configuration.h"
 #include "hingespan/serving/decision_log.h"
@@ -29,6 +30,7 @@
 struct FleetCoordinatorSettings {
   std::string node;
   std::uint64_t incarnation = 0;
+  std::string zone;
   // Of this node's datagrams.
   std::string address;
   LeaseSettings lease;
@@ -36,8 +38,15 @@
   // The table of this product's own rows in the shared store.
   std::string table = "hingespan";
   absl::Duration store_interval = absl::Seconds(1);
+  // In a fleet of more nodes than this, so many watch the lease each interval; the others read the
+  // table only so often, and learn of the holder from its news.
+  std::size_t most_lease_watchers = 10;
+  std::size_t lease_watchers = 3;
+  absl::Duration relaxed_store_interval = absl::Seconds(6);
+  absl::Duration load_news_interval = absl::Milliseconds(300);
   absl::Duration report_interval = absl::Milliseconds(400);
   absl::Duration waiting_report_interval = absl::Milliseconds(150);
+  absl::Duration least_placement_interval = absl::Milliseconds(8);
   // A process that did not run for this long may have lost its lease meanwhile.
   absl::Duration pause_limit = absl::Milliseconds(1200);
 };
@@ -55,6 +64,8 @@
   std::function<void(DemandReport*)> fill_report;
   // Replicas or loads have changed.
   std::function<void()> on_news;
+  // All nodes of the fleet.
+  std::function<void(const std::vector<FleetNode>&)> on_nodes;
 };
 
 // Not thread-safe; lives on its loop.
@@ -79,6 +90,7 @@
 
  private:
   void StoreTick();
+  absl::Duration StoreInterval() const;
   void ReadTable();
   void OnTable(const StoreRows& rows);
   void WriteLease();
@@ -110,10 +122,14 @@
   std::map<std::string, int> own_tokens_reported_;
   absl::Time report_due_ = absl::InfiniteFuture();
   absl::Time placement_due_ = absl::InfiniteFuture();
+  absl::Time last_placement_ = absl::InfinitePast();
   absl::Time last_news_ = absl::InfinitePast();
   absl::Time last_tick_;
   std::uint64_t report_number_ = 0;
   std::uint64_t news_number_ = 0;
+  // Of the holder, as its news tell.
+  std::string holder_address_;
+  int store_ticks_ = 0;
   std::uint64_t news_token_seen_ = 0;
   std::uint64_t news_number_seen_ = 0;
   bool announced_ = false;
--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -60,6 +60,8 @@
 // all nodes together run at the workers.
 struct PlacementNews {
   std::string holder;
+  // Where the holder takes demand reports.
+  std::string address;
   std::uint64_t token = 0;
   std::uint64_t number = 0;
   std::vector<ReplicaNews> replicas;
--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -126,6 +126,11 @@
   struct PlanContext {
     const std::map<std::string, WorkerState>* workers = nullptr;
     TotalsByModel totals;
+    // By service and model: all its adapters together, and replicas that are there or on their way.
+    std::map<std::pair<std::string, std::string>, ModelTotals> model_totals;
+    std::map<std::pair<std::string, std::string>, int> replicas;
+    // Workers that take requests and orders, as far as is known.
+    std::set<std::string> usable;
     absl::Time now;
     std::vector<PlannedOrder> orders;
   };
@@ -155,21 +160,21 @@
   // The greatest of what runs and waits now and of what did so lately.
   double RecentConcurrency(const Service& service, const std::string& model,
                            const ModelTotals& totals, absl::Time now);
-  // Whether a node says that it can't reach the worker.
-  bool IsUnreachable(const std::string& worker_id, absl::Time now) const;
-  bool IsUsable(const std::string& worker_id, const PlanContext& context) const;
   static absl::Duration LoadTime(const ModelSpecification& model, const WorkerRecord& record);
   bool MayTakeOrder(const std::string& worker_id, const Service& service,
                     const PlanContext& context) const;
   double UsedMemory(const Service& service, const Ledger& ledger) const;
   static int UsedAdapterSlots(const Ledger& ledger);
+  void FillContext(PlanContext* context) const;
+  // The models of one worker that are there or on their way.
+  static std::set<std::string> ModelsOf(const Ledger& ledger, absl::Time now);
   // Replicas of a model that are there or on their way.
-  int CountReplicas(const Service& service, const std::string& model,
-                    const PlanContext& context) const;
+  static int CountReplicas(const Service& service, const std::string& model,
+                           const PlanContext& context);
   int CountAdapterReplicas(const Service& service, const ModelKey& key,
                            const PlanContext& context) const;
-  ModelTotals TotalsOfModel(const Service& service, const std::string& model,
-                            const PlanContext& context) const;
+  static ModelTotals TotalsOfModel(const Service& service, const std::string& model,
+                                   const PlanContext& context);
   // What unloading a model from a worker would cost, in requests a second.
   double ReplicaValue(const Service& service, const Ledger& ledger, const std::string& model,
                       const PlanContext& context) const;
--- a/include/hingespan/serving/configuration.h
+++ b/include/hingespan/serving/configuration.h
@@ -4,6 +4,7 @@
 #define HINGESPAN_SERVING_CONFIGURATION_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -75,7 +76,8 @@
   int adapter_slots = 0;
   // Loads from the weight store that may begin a second, over all workers.
   double loads_per_second = 1;
-  std::vector<ModelSpecification> models;
+  // By name.
+  std::map<std::string, ModelSpecification> models;
 };
 
 struct Service {
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -13,6 +13,7 @@
 #include "absl/time/time.h"
 #include "hingespan/fleet/fleet_coordinator.h"
 #include "hingespan/fleet/peer_link.h"
+#include "hingespan/fleet/shared_reading.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/http/http_client.h"
 #include "hingespan/http/http_server.h"
@@ -90,6 +91,7 @@
   HttpServer requests_;
   HttpServer status_;
   PeerLink peers_;
+  SharedReading reading_;
   std::unique_ptr<FleetCoordinator> fleet_;
   std::unique_ptr<TableFollower> configuration_follower_;
   std::unique_ptr<TableFollower> worker_follower_;
--- a/include/hingespan/serving/table_follower.h
+++ b/include/hingespan/serving/table_follower.h
@@ -16,9 +16,12 @@
 struct TableFollowerSettings {
   std::string table;
   // How long one question for changes waits.
-  absl::Duration wait = absl::Seconds(4);
+  absl::Duration wait = absl::Seconds(2.5);
+  // Between an answer with changes and the next question: changes that come close together then
+  // cost one call.
+  absl::Duration pause = absl::ZeroDuration();
   absl::Duration first_retry = absl::Milliseconds(100);
-  absl::Duration longest_retry = absl::Milliseconds(800);
+  absl::Duration longest_retry = absl::Milliseconds(500);
 };
 
 // Not thread-safe; lives on its loop.
--- a/include/hingespan/serving/worker_record.h
+++ b/include/hingespan/serving/worker_record.h
@@ -29,6 +29,8 @@
   // don't use the weight store.
   std::set<std::string> copies_in_memory;
   std::set<std::string> copies_on_disk;
+
+  friend bool operator==(const WorkerRecord&, const WorkerRecord&) = default;
 };
 
 }  // namespace hingespan::gateway
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -16,7 +16,6 @@
 constexpr absl::string_view kNodePrefix = "node/";
 // News holds until the worker's own record should tell the same.
 constexpr absl::Duration kNewsLifetime = absl::Seconds(3);
-constexpr absl::Duration kNewsInterval = absl::Milliseconds(300);
 constexpr absl::Duration kExpectedSlack = absl::Seconds(3);
 constexpr absl::Duration kPauseTick = absl::Milliseconds(400);
 // Replicas named in one datagram.
@@ -108,7 +107,8 @@
 }
 
 void FleetCoordinator::StoreTick() {
-  store_timer_->Set(parts_.loop->Now() + settings_.store_interval, [this] { StoreTick(); });
+  ++store_ticks_;
+  store_timer_->Set(parts_.loop->Now() + StoreInterval(), [this] { StoreTick(); });
   if (!announced_ && !stopped_) {
     AnnounceNode();
   }
@@ -120,10 +120,33 @@
   ReadTable();
 }
 
+absl::Duration FleetCoordinator::StoreInterval() const {
+  // At first the others' rows still come in.
+  constexpr int kFirstTicks = 3;
+  if (peers_.size() <= settings_.most_lease_watchers || store_ticks_ < kFirstTicks ||
+      lease_.holding()) {
+    return settings_.store_interval;
+  }
+  std::size_t before = 0;
+  const std::size_t own = std::hash<std::string>{}(settings_.node);
+  for (const auto& [node, address] : peers_) {
+    before += std::hash<std::string>{}(node) < own ? 1 : 0;
+  }
+  if (before < settings_.lease_watchers) {
+    return settings_.store_interval;
+  }
+  // Spread over the interval by name.
+  const double part = static_cast<double>(own % 1000) / 1000.0;
+  return settings_.relaxed_store_interval * (0.75 + 0.5 * part);
+}
+
 void FleetCoordinator::AnnounceNode() {
   announced_ = true;
-  const std::string value =
-      Json{{"address", settings_.address}, {"incarnation", settings_.incarnation}}.dump();
+  const std::string value = Json{
+      {"address", settings_.address},
+      {"zone", settings_.zone},
+      {"incarnation",
+       settings_.incarnation}}.dump();
   parts_.store->Commit({}, {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), value}},
                        [this](Result<std::uint64_t> result) {
                          if (!result.ok()) {
@@ -153,6 +176,7 @@
   std::optional<LeaseRecord> lease;
   std::uint64_t lease_version = 0;
   std::map<std::string, std::string> peers;
+  std::vector<FleetNode> nodes;
   for (const StoreRow& row : rows.rows) {
     if (row.key == kLeaseKey) {
       lease = DecodeLease(row.value);
@@ -164,14 +188,20 @@
     }
     const Json json = Json::parse(row.value, nullptr, false);
     if (json.is_object() && json.contains("address")) {
-      peers[row.key.substr(kNodePrefix.size())] = json["address"].get<std::string>();
+      const std::string name = row.key.substr(kNodePrefix.size());
+      peers[name] = json["address"].get<std::string>();
+      nodes.push_back({name, json.value("zone", ""), peers[name]});
     }
   }
   peers_ = std::move(peers);
+  parts_.on_nodes(nodes);
   const bool held_before = lease_.holding();
   const std::string holder_before =
       lease_.record().has_value() ? lease_.record()->holder : std::string();
   lease_.OnRead(lease, lease_version, parts_.loop->Now());
+  if (lease.has_value()) {
+    holder_address_ = lease->address;
+  }
   if (lease.has_value() && lease->holder != holder_before) {
     parts_.log->Write(LogLevel::kInfo, "lease_seen",
                       {{"holder", lease->holder}, {"row_version", absl::StrCat(lease_version)}});
@@ -259,8 +289,8 @@
   if (lease_.holding()) {
     placer_.OnReport(report, parts_.loop->Now());
     SchedulePlacement(parts_.loop->Now());
-  } else if (lease_.record().has_value() && lease_.record()->holder != settings_.node) {
-    parts_.send(lease_.record()->address, EncodeFleetMessage(report));
+  } else if (!holder_address_.empty() && holder_address_ != settings_.address) {
+    parts_.send(holder_address_, EncodeFleetMessage(report));
   }
   if (waiting) {
     ScheduleReport(settings_.waiting_report_interval);
@@ -295,6 +325,7 @@
   }
   news_token_seen_ = news.token;
   news_number_seen_ = news.number;
+  holder_address_ = news.address;
   ApplyNews(news);
 }
 
@@ -336,6 +367,8 @@
 }
 
 void FleetCoordinator::SchedulePlacement(absl::Time when) {
+  // Reports of many nodes come close together: one look serves them all.
+  when = std::max(when, last_placement_ + settings_.least_placement_interval);
   if (when >= placement_due_) {
     return;
   }
@@ -347,6 +380,7 @@
 }
 
 void FleetCoordinator::RunPlacement() {
+  last_placement_ = parts_.loop->Now();
   // After a pause this may be called before the tick that looks for it.
   NotePause();
   const absl::Time now = parts_.loop->Now();
@@ -373,7 +407,7 @@
     }
   }
   std::vector<ReplicaNews> news = placer_.TakeNews(now);
-  if (!news.empty() || now - last_news_ >= kNewsInterval) {
+  if (!news.empty() || now - last_news_ >= settings_.load_news_interval) {
     SendNews(std::move(news));
   }
   const absl::Time due = std::min(placer_.NextDue(now), now + absl::Milliseconds(500));
@@ -427,6 +461,7 @@
   do {
     PlacementNews news;
     news.holder = settings_.node;
+    news.address = settings_.address;
     news.token = lease_.token();
     news.number = ++news_number_;
     const std::size_t end = std::min(replicas.size(), begin + kMostReplicasInNews);
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -69,7 +69,7 @@
                                     static_cast<int>(replica.state), replica.expected_in_ms}));
   }
   return Json::array({kPlacementNews, news.holder, news.token, news.number, std::move(replicas),
-                      EncodeLoads(news.loads)});
+                      EncodeLoads(news.loads), news.address});
 }
 
 PlacementNews DecodeNews(const Json& json) {
@@ -87,6 +87,7 @@
                              entry.at(4).get<int>()});
   }
   news.loads = DecodeLoads(json.at(5));
+  news.address = json.at(6).get<std::string>();
   return news;
 }
 
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -20,6 +20,8 @@
 constexpr absl::Duration kReservation = absl::Seconds(6);
 // A load that is this much late is taken for lost.
 constexpr absl::Duration kLoadOverdue = absl::Seconds(12);
+// Models looked at in one run; the others come with the next.
+constexpr std::size_t kMostWishesAtOnce = 12;
 constexpr std::size_t kAdapterLoadsAtOnce = 4;
 // Costs of a placement, in requests a second that it takes away elsewhere.
 constexpr double kEvictionCost = 0.02;
@@ -93,17 +95,58 @@
 
 FleetPlacer::ModelTotals FleetPlacer::TotalsOfModel(const Service& service,
                                                     const std::string& model,
-                                                    const PlanContext& context) const {
-  ModelTotals sum;
-  auto entry = context.totals.lower_bound({service.name, ModelKey{model, ""}});
-  for (; entry != context.totals.end() && entry->first.first == service.name &&
-         entry->first.second.model == model;
-       ++entry) {
-    sum.waiting += entry->second.waiting;
-    sum.running += entry->second.running;
-    sum.rate += entry->second.rate;
+                                                    const PlanContext& context) {
+  const auto entry = context.model_totals.find({service.name, model});
+  return entry == context.model_totals.end() ? ModelTotals{} : entry->second;
+}
+
+std::set<std::string> FleetPlacer::ModelsOf(const Ledger& ledger, absl::Time now) {
+  std::set<std::string> models;
+  for (const auto& [model, adapters] : ledger.models) {
+    if (!ledger.model_unload.has_value() || ledger.model_unload->key.model != model) {
+      models.insert(model);
+    }
+  }
+  if (ledger.model_load.has_value()) {
+    models.insert(ledger.model_load->key.model);
+  }
+  if (ledger.unanswered.has_value() && ledger.unanswered->kind == OrderKind::kLoad &&
+      ledger.unanswered->adapter.empty()) {
+    models.insert(ledger.unanswered->model);
+  }
+  const bool makes_room = ledger.unanswered.has_value() || ledger.model_unload.has_value();
+  if (!ledger.reserved_for.empty() && ledger.reserved_until > now && makes_room) {
+    models.insert(ledger.reserved_for);
+  }
+  return models;
+}
+
+void FleetPlacer::FillContext(PlanContext* context) const {
+  std::set<std::string> unreachable;
+  for (const auto& [node, known] : reports_) {
+    if (context->now - known.received <= settings_.report_lifetime) {
+      unreachable.insert(known.report.unreachable.begin(), known.report.unreachable.end());
+    }
+  }
+  for (const auto& [id, worker] : *context->workers) {
+    if (!worker.record.draining && !worker.ended && !unreachable.contains(id)) {
+      context->usable.insert(id);
+    }
+  }
+  for (const auto& [key, totals] : context->totals) {
+    ModelTotals& sum = context->model_totals[{key.first, key.second.model}];
+    sum.waiting += totals.waiting;
+    sum.running += totals.running;
+    sum.rate += totals.rate;
+  }
+  for (const auto& [id, ledger] : ledgers_) {
+    if (!context->usable.contains(id)) {
+      continue;
+    }
+    for (const std::string& model : ModelsOf(ledger, context->now)) {
+      ++context->replicas[{ledger.service, model}];
+    }
   }
-  return sum;
 }
 
 void FleetPlacer::TakeRecord(const WorkerState& worker, absl::Time now, Ledger* ledger) {
@@ -202,6 +245,7 @@
   context.workers = &workers;
   context.totals = Totals(now);
   context.now = now;
+  FillContext(&context);
   demand_waits_ = false;
   for (const auto& [key, totals] : context.totals) {
     demand_waits_ = demand_waits_ || totals.waiting > 0;
@@ -226,7 +270,10 @@
     int replicas = 0;
   };
   std::vector<Wish> wishes;
-  for (const ModelSpecification& model : service.engine->models) {
+  for (const auto& [name, model] : service.engine->models) {
+    if (!context->model_totals.contains({service.name, model.name})) {
+      continue;
+    }
     const Wish wish{&model, TotalsOfModel(service, model.name, *context),
                     CountReplicas(service, model.name, *context)};
     const double wanted = RecentConcurrency(service, model.name, wish.totals, context->now) /
@@ -247,6 +294,9 @@
     };
     return pressure(left) > pressure(right);
   });
+  if (wishes.size() > kMostWishesAtOnce) {
+    wishes.resize(kMostWishesAtOnce);
+  }
   for (const Wish& wish : wishes) {
     PlanReplica(service, *wish.model, wish.totals, wish.replicas, context);
   }
@@ -414,26 +464,7 @@
   const auto worker = context.workers->find(worker_id);
   return ledger.service == service.name && !ledger.unanswered.has_value() && !ledger.uncertain &&
          ledger.not_before <= context.now && worker != context.workers->end() &&
-         worker->second.avoided_until <= context.now && IsUsable(worker_id, context);
-}
-
-bool FleetPlacer::IsUnreachable(const std::string& worker_id, absl::Time now) const {
-  for (const auto& [node, known] : reports_) {
-    if (now - known.received > settings_.report_lifetime) {
-      continue;
-    }
-    const auto& list = known.report.unreachable;
-    if (std::find(list.begin(), list.end(), worker_id) != list.end()) {
-      return true;
-    }
-  }
-  return false;
-}
-
-bool FleetPlacer::IsUsable(const std::string& worker_id, const PlanContext& context) const {
-  const auto worker = context.workers->find(worker_id);
-  return worker != context.workers->end() && !worker->second.record.draining &&
-         !worker->second.ended && !IsUnreachable(worker_id, context.now);
+         worker->second.avoided_until <= context.now && context.usable.contains(worker_id);
 }
 
 absl::Duration FleetPlacer::LoadTime(const ModelSpecification& model, const WorkerRecord& record) {
@@ -487,30 +518,16 @@
 }
 
 int FleetPlacer::CountReplicas(const Service& service, const std::string& model,
-                               const PlanContext& context) const {
-  int count = 0;
-  for (const auto& [id, ledger] : ledgers_) {
-    if (ledger.service != service.name || !IsUsable(id, context)) {
-      continue;
-    }
-    const bool leaving = ledger.model_unload.has_value() && ledger.model_unload->key.model == model;
-    const bool held = ledger.models.contains(model) && !leaving;
-    const bool loading = ledger.model_load.has_value() && ledger.model_load->key.model == model;
-    const bool ordered = ledger.unanswered.has_value() &&
-                         ledger.unanswered->kind == OrderKind::kLoad &&
-                         ledger.unanswered->adapter.empty() && ledger.unanswered->model == model;
-    const bool reserved = ledger.reserved_for == model && ledger.reserved_until > context.now &&
-                          (ledger.unanswered.has_value() || ledger.model_unload.has_value());
-    count += held || loading || ordered || reserved ? 1 : 0;
-  }
-  return count;
+                               const PlanContext& context) {
+  const auto entry = context.replicas.find({service.name, model});
+  return entry == context.replicas.end() ? 0 : entry->second;
 }
 
 int FleetPlacer::CountAdapterReplicas(const Service& service, const ModelKey& key,
                                       const PlanContext& context) const {
   int count = 0;
   for (const auto& [id, ledger] : ledgers_) {
-    if (ledger.service != service.name || !IsUsable(id, context)) {
+    if (ledger.service != service.name || !context.usable.contains(id)) {
       continue;
     }
     const auto model = ledger.models.find(key.model);
@@ -542,6 +559,10 @@
 void FleetPlacer::Order(OrderKind kind, const std::string& worker_id, const ModelKey& key,
                         std::string reason, const ModelTotals& totals, PlanContext* context) {
   Ledger& ledger = ledgers_[worker_id];
+  if (key.adapter.empty()) {
+    // What is planned next sees this order.
+    context->replicas[{ledger.service, key.model}] += kind == OrderKind::kLoad ? 1 : -1;
+  }
   PlannedOrder planned;
   planned.order.worker_id = worker_id;
   planned.order.address = context->workers->at(worker_id).record.address;
--- /dev/null
+++ b/src/fleet/shared_reading.cc
@@ -0,0 +1,354 @@
+#include "hingespan/fleet/shared_reading.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr char kTablePath[] = "/tables/";
+constexpr int kGone = 410;
+constexpr int kNoCopy = 503;
+
+// A copy's answer: [version, milliseconds since the store confirmed it, rows], each row
+// [key, value, version, removed]. CBOR.
+std::string EncodeRows(const StoreRows& rows, absl::Duration age) {
+  Json list = Json::array();
+  for (const StoreRow& row : rows.rows) {
+    list.push_back(Json::array({row.key, row.value, row.version, row.removed}));
+  }
+  std::string bytes;
+  Json::to_cbor(Json::array({rows.version, absl::ToInt64Milliseconds(age), std::move(list)}),
+                bytes);
+  return bytes;
+}
+
+struct CopyAnswer {
+  StoreRows rows;
+  absl::Duration age;
+};
+
+std::optional<CopyAnswer> DecodeRows(const std::string& table, const std::string& bytes) {
+  const Json json = Json::from_cbor(bytes, true, false);
+  if (!json.is_array() || json.size() != 3) {
+    return std::nullopt;
+  }
+  try {
+    CopyAnswer answer;
+    answer.rows.version = json.at(0).get<std::uint64_t>();
+    answer.age = absl::Milliseconds(json.at(1).get<std::int64_t>());
+    for (const Json& row : json.at(2)) {
+      answer.rows.rows.push_back({table, row.at(0).get<std::string>(), row.at(1).get<std::string>(),
+                                  row.at(2).get<std::uint64_t>(), row.at(3).get<bool>()});
+    }
+    return answer;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::uint64_t Rank(const std::string& node) { return XXH3_64bits(node.data(), node.size()); }
+
+}  // namespace
+
+// Another node's question for changes that waits for one.
+struct SharedReading::Question {
+  std::shared_ptr<ServerExchange> exchange;
+  std::string table;
+  std::uint64_t after = 0;
+  std::shared_ptr<LoopTimer> timer;
+};
+
+// One question to a reader; keeps itself alive until its end.
+class SharedReading::PeerCall : public AnswerReceiver,
+                                public std::enable_shared_from_this<PeerCall> {
+ public:
+  using Callback = std::function<void(int status, const std::string& body)>;
+
+  PeerCall(EventLoop* loop, Callback callback)
+      : callback_(std::move(callback)), timer_(loop->MakeTimer()), loop_(loop) {}
+
+  void Start(HttpClient* client, const std::string& address, const std::string& target,
+             absl::Duration timeout) {
+    self_ = shared_from_this();
+    timer_->Set(loop_->Now() + timeout, [this] { End(0); });
+    exchange_ = client->Send(address, RequestText("GET", target, address, {}, ""), this);
+  }
+  bool OnHead(const AnswerHead& head) override {
+    status_ = head.status;
+    return true;
+  }
+  void OnBody(absl::string_view piece) override { body_.append(piece.data(), piece.size()); }
+  void OnEnd(ExchangeResult result) override {
+    End(result == ExchangeResult::kComplete ? status_ : 0);
+  }
+
+ private:
+  void End(int status) {
+    const std::shared_ptr<PeerCall> self = std::move(self_);
+    if (self == nullptr) {
+      return;
+    }
+    timer_->Cancel();
+    exchange_.reset();
+    callback_(status, body_);
+  }
+
+  Callback callback_;
+  std::unique_ptr<LoopTimer> timer_;
+  EventLoop* loop_;
+  std::unique_ptr<ClientExchange> exchange_;
+  int status_ = 0;
+  std::string body_;
+  std::shared_ptr<PeerCall> self_;
+};
+
+SharedReading::SharedReading(EventLoop* loop, SharedStore* store, HttpClient* client,
+                             DecisionLog* log, SharedReadingSettings settings)
+    : loop_(loop),
+      store_(store),
+      client_(client),
+      log_(log),
+      settings_(std::move(settings)),
+      server_(loop,
+              [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }) {}
+
+SharedReading::~SharedReading() { *alive_ = false; }
+
+void SharedReading::Share(const std::string& table, TableCopy::SameMeaning same_meaning) {
+  copies_.emplace(table, TableCopy(table, std::move(same_meaning)));
+}
+
+std::error_code SharedReading::Listen(const std::string& address) {
+  return server_.Listen(address);
+}
+
+void SharedReading::SetNodes(const std::vector<FleetNode>& nodes) {
+  std::vector<FleetNode> zone;
+  for (const FleetNode& node : nodes) {
+    if (node.zone == settings_.zone) {
+      zone.push_back(node);
+    }
+  }
+  const bool read_itself_before = reads_itself_;
+  if (zone.size() <= settings_.most_nodes_without_readers) {
+    readers_.clear();
+    reads_itself_ = true;
+  } else {
+    std::sort(zone.begin(), zone.end(), [](const FleetNode& left, const FleetNode& right) {
+      return Rank(left.name) < Rank(right.name);
+    });
+    zone.resize(settings_.readers_each_zone);
+    readers_ = std::move(zone);
+    reads_itself_ = std::any_of(readers_.begin(), readers_.end(), [&](const FleetNode& reader) {
+      return reader.name == settings_.node;
+    });
+  }
+  if (read_itself_before != reads_itself_) {
+    log_->Write(LogLevel::kInfo, reads_itself_ ? "store_reader" : "store_reader_no_more",
+                {{"nodes", absl::StrCat(nodes.size())}});
+  }
+}
+
+const FleetNode* SharedReading::ChooseReader() const {
+  const absl::Time now = loop_->Now();
+  const FleetNode* chosen = nullptr;
+  std::uint64_t best = 0;
+  for (const FleetNode& reader : readers_) {
+    const auto avoided = avoided_until_.find(reader.name);
+    if (avoided != avoided_until_.end() && avoided->second > now) {
+      continue;
+    }
+    const std::uint64_t rank = Rank(absl::StrCat(reader.name, "/", settings_.node));
+    if (chosen == nullptr || rank > best) {
+      chosen = &reader;
+      best = rank;
+    }
+  }
+  return chosen;
+}
+
+void SharedReading::Avoid(const std::string& node, const std::string& why) {
+  avoided_until_[node] = loop_->Now() + settings_.avoid_reader;
+  log_->Write(LogLevel::kInfo, "store_reader_failed", {{"reader", node}, {"why", why}});
+}
+
+void SharedReading::ReadDirectly(const std::string& table, RowsCallback callback) {
+  store_->Read(table, [this, alive = alive_, table, callback](Result<StoreRows> result) {
+    if (!*alive) {
+      return;
+    }
+    const auto copy = copies_.find(table);
+    if (result.ok() && copy != copies_.end()) {
+      copy->second.TakeSnapshot(*result, loop_->Now());
+      ScheduleAnswers(table);
+    }
+    callback(std::move(result));
+  });
+}
+
+void SharedReading::WatchDirectly(const std::string& table, std::uint64_t after,
+                                  absl::Duration wait, RowsCallback callback) {
+  store_->Watch(table, after, wait,
+                [this, alive = alive_, table, callback](Result<StoreRows> result) {
+                  if (!*alive) {
+                    return;
+                  }
+                  const auto copy = copies_.find(table);
+                  if (result.ok() && copy != copies_.end()) {
+                    copy->second.TakeChanges(*result, loop_->Now());
+                    ScheduleAnswers(table);
+                  }
+                  callback(std::move(result));
+                });
+}
+
+void SharedReading::Read(const std::string& table, RowsCallback callback) {
+  const FleetNode* const reader = ChooseReader();
+  if (reads_itself_ || reader == nullptr || !copies_.contains(table)) {
+    ReadDirectly(table, std::move(callback));
+    return;
+  }
+  const std::string name = reader->name;
+  std::make_shared<PeerCall>(loop_, [this, alive = alive_, table, name, callback](
+                                        int status, const std::string& body) {
+    if (!*alive) {
+      return;
+    }
+    const std::optional<CopyAnswer> answer = status == 200 ? DecodeRows(table, body) : std::nullopt;
+    if (!answer.has_value() || answer->age > settings_.freshness) {
+      Avoid(name, absl::StrCat("status ", status));
+      ReadDirectly(table, callback);
+      return;
+    }
+    callback(answer->rows);
+  })->Start(client_, reader->address, absl::StrCat(kTablePath, table), settings_.peer_wait);
+}
+
+void SharedReading::Watch(const std::string& table, std::uint64_t after, absl::Duration wait,
+                          RowsCallback callback) {
+  const FleetNode* const reader = ChooseReader();
+  if (reads_itself_ || reader == nullptr || !copies_.contains(table)) {
+    const absl::Duration direct = readers_.empty() ? wait : std::min(wait, settings_.reader_wait);
+    WatchDirectly(table, after, direct, std::move(callback));
+    return;
+  }
+  const std::string name = reader->name;
+  const absl::Duration asked = std::min(wait, settings_.peer_wait);
+  std::make_shared<PeerCall>(
+      loop_,
+      [this, alive = alive_, table, name, after, asked, callback](int status,
+                                                                  const std::string& body) {
+        if (!*alive) {
+          return;
+        }
+        if (status == kGone) {
+          callback(Error::kNotFound);
+          return;
+        }
+        const std::optional<CopyAnswer> answer =
+            status == 200 ? DecodeRows(table, body) : std::nullopt;
+        if (!answer.has_value() || answer->age > settings_.freshness) {
+          Avoid(name, answer.has_value() ? "stale" : absl::StrCat("status ", status));
+          WatchDirectly(table, after, asked, callback);
+          return;
+        }
+        callback(answer->rows);
+      })
+      ->Start(client_, reader->address,
+              absl::StrCat(kTablePath, table, "/", after, "/", absl::ToInt64Milliseconds(asked)),
+              asked + settings_.peer_slack);
+}
+
+void SharedReading::Commit(std::vector<RowCondition> conditions, std::vector<RowWrite> writes,
+                           CommitCallback callback) {
+  store_->Commit(std::move(conditions), std::move(writes), std::move(callback));
+}
+
+void SharedReading::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  const std::vector<std::string> parts = absl::StrSplit(exchange->head().target, '/');
+  // "", "tables", table, and for changes: after, milliseconds.
+  const auto copy = parts.size() > 2 ? copies_.find(parts[2]) : copies_.end();
+  const absl::Time now = loop_->Now();
+  if (copy == copies_.end() || !copy->second.known() || !reads_itself_ ||
+      now - copy->second.confirmed() > settings_.freshness) {
+    exchange->Answer(kNoCopy, ReasonPhrase(kNoCopy), {}, {});
+    return;
+  }
+  if (parts.size() < 5) {
+    exchange->Answer(200, ReasonPhrase(200), {},
+                     EncodeRows(copy->second.Snapshot(), now - copy->second.confirmed()));
+    return;
+  }
+  Question question{exchange, parts[2], 0, nullptr};
+  std::int64_t wait = 0;
+  if (!absl::SimpleAtoi(parts[3], &question.after) || !absl::SimpleAtoi(parts[4], &wait)) {
+    exchange->Answer(400, ReasonPhrase(400), {}, {});
+    return;
+  }
+  if (copy->second.HasChangesAfter(question.after)) {
+    Answer(question);
+    return;
+  }
+  question.timer = loop_->MakeTimer();
+  questions_.push_back(question);
+  const auto entry = std::prev(questions_.end());
+  const absl::Duration held = std::min(absl::Milliseconds(wait), settings_.peer_wait);
+  question.timer->Set(now + held, [this, entry] {
+    const Question due = *entry;
+    questions_.erase(entry);
+    Answer(due);
+  });
+}
+
+void SharedReading::Answer(const Question& question) {
+  const TableCopy& copy = copies_.at(question.table);
+  const std::optional<StoreRows> changes = copy.ChangesAfter(question.after);
+  if (!changes.has_value()) {
+    question.exchange->Answer(kGone, "Gone", {}, {});
+    return;
+  }
+  question.exchange->Answer(200, ReasonPhrase(200), {},
+                            EncodeRows(*changes, loop_->Now() - copy.confirmed()));
+}
+
+void SharedReading::ScheduleAnswers(const std::string& table) {
+  if (gathering_[table] || questions_.empty()) {
+    return;
+  }
+  gathering_[table] = true;
+  std::unique_ptr<LoopTimer>& timer = gather_timers_[table];
+  if (timer == nullptr) {
+    timer = loop_->MakeTimer();
+  }
+  timer->Set(loop_->Now() + settings_.gather, [this, table] {
+    gathering_[table] = false;
+    AnswerWaiting(table);
+  });
+}
+
+void SharedReading::AnswerWaiting(const std::string& table) {
+  const TableCopy& copy = copies_.at(table);
+  for (auto entry = questions_.begin(); entry != questions_.end();) {
+    if (entry->table != table || !copy.HasChangesAfter(entry->after)) {
+      ++entry;
+      continue;
+    }
+    const Question question = *entry;
+    entry = questions_.erase(entry);
+    Answer(question);
+  }
+}
+
+}  // namespace hingespan::gateway
--- a/src/http/event_loop.cc
+++ b/src/http/event_loop.cc
@@ -91,6 +91,8 @@
 
 bool EventLoop::RunUntil(const std::function<bool()>& done, absl::Duration limit) {
   const absl::Time end = Now() + limit;
+  // A loop that once ran out of work counts as stopped.
+  implementation_->context.restart();
   auto work = boost::asio::make_work_guard(implementation_->context);
   while (!done()) {
     const absl::Time now = Now();
--- a/src/serving/configuration.cc
+++ b/src/serving/configuration.cc
@@ -6,12 +6,8 @@
   if (!engine.has_value()) {
     return nullptr;
   }
-  for (const ModelSpecification& specification : engine->models) {
-    if (specification.name == model) {
-      return &specification;
-    }
-  }
-  return nullptr;
+  const auto entry = engine->models.find(model);
+  return entry == engine->models.end() ? nullptr : &entry->second;
 }
 
 const Service* Configuration::FindService(const std::string& name) const {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -22,6 +22,9 @@
 // A waiting request is looked at again this often even if nothing is known to have changed.
 constexpr absl::Duration kPumpAgain = absl::Milliseconds(60);
 
+// Workers write often: their changes are asked for together.
+constexpr absl::Duration kWorkerChangesPause = absl::Milliseconds(120);
+
 std::uint64_t NewIncarnation() {
   return static_cast<std::uint64_t>(absl::ToUnixMicros(SystemClock().WallTime()));
 }
@@ -30,6 +33,7 @@
   FleetCoordinatorSettings fleet;
   fleet.node = settings.node;
   fleet.incarnation = NewIncarnation();
+  fleet.zone = settings.zone;
   fleet.address = settings.peer_listen;
   fleet.lease.node = settings.node;
   fleet.lease.incarnation = fleet.incarnation;
@@ -38,6 +42,13 @@
   return fleet;
 }
 
+SharedReadingSettings ReadingSettings(const GatewaySettings& settings) {
+  SharedReadingSettings reading;
+  reading.node = settings.node;
+  reading.zone = settings.zone;
+  return reading;
+}
+
 HeaderFields RetryAfter(std::string seconds) { return {{"Retry-After", std::move(seconds)}}; }
 
 }  // namespace
@@ -53,6 +64,7 @@
           parts_.loop,
           [this](const std::shared_ptr<ServerExchange>& exchange) { OnStatusRequest(exchange); }),
       peers_(parts_.loop, [this](absl::string_view bytes) { fleet_->OnDatagram(bytes); }),
+      reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
       pump_timer_(parts_.loop->MakeTimer()) {
   context_ = {parts_.loop, parts_.dialect, parts_.client,  &workers_,
@@ -75,6 +87,16 @@
     return error;
   }
   settings_.peer_listen = peers_.address();
+  if (const std::error_code error = reading_.Listen(settings_.peer_listen)) {
+    return error;
+  }
+  reading_.Share(parts_.reader->configuration_table(), nullptr);
+  reading_.Share(parts_.reader->worker_table(),
+                 [this](const StoreRow& left, const StoreRow& right) {
+                   const Result<WorkerRecord> before = parts_.reader->ReadWorker(left);
+                   const Result<WorkerRecord> after = parts_.reader->ReadWorker(right);
+                   return before.ok() && after.ok() && *before == *after;
+                 });
   FleetCoordinatorSettings fleet = FleetSettings(settings_);
   FleetCoordinatorParts fleet_parts;
   fleet_parts.loop = parts_.loop;
@@ -93,6 +115,7 @@
     }
     PumpSoon();
   };
+  fleet_parts.on_nodes = [this](const std::vector<FleetNode>& nodes) { reading_.SetNodes(nodes); };
   const std::uint64_t seed = fleet.incarnation;
   fleet_ = std::make_unique<FleetCoordinator>(std::move(fleet), std::move(fleet_parts));
   const auto contact = [this](const char* table) {
@@ -110,8 +133,10 @@
   configuration.on_changes = configuration.on_snapshot;
   configuration.on_contact = contact("configuration");
   configuration_follower_ = std::make_unique<TableFollower>(
-      parts_.loop, parts_.store, TableFollowerSettings{parts_.reader->configuration_table()}, seed,
+      parts_.loop, &reading_, TableFollowerSettings{parts_.reader->configuration_table()}, seed,
       std::move(configuration));
+  TableFollowerSettings worker_settings{parts_.reader->worker_table()};
+  worker_settings.pause = kWorkerChangesPause;
   TableFollower::Callbacks workers;
   workers.on_snapshot = [this](const StoreRows& rows) { TakeWorkerSnapshot(rows); };
   workers.on_changes = [this](const StoreRows& rows) {
@@ -122,9 +147,8 @@
     PumpSoon();
   };
   workers.on_contact = contact("workers");
-  worker_follower_ = std::make_unique<TableFollower>(
-      parts_.loop, parts_.store, TableFollowerSettings{parts_.reader->worker_table()}, seed + 1,
-      std::move(workers));
+  worker_follower_ = std::make_unique<TableFollower>(parts_.loop, &reading_, worker_settings,
+                                                     seed + 1, std::move(workers));
   configuration_follower_->Start();
   worker_follower_->Start();
   fleet_->Start();
--- a/src/serving/table_follower.cc
+++ b/src/serving/table_follower.cc
@@ -57,28 +57,31 @@
 }
 
 void TableFollower::WatchOn() {
-  store_->Watch(settings_.table, version_, settings_.wait,
-                [this, alive = alive_](Result<StoreRows> result) {
-                  if (!*alive) {
-                    return;
-                  }
-                  if (!result.ok()) {
-                    if (result.error() == make_error_code(Error::kNotFound)) {
-                      version_known_ = false;
-                      Next();
-                      return;
-                    }
-                    Retry();
-                    return;
-                  }
-                  failures_ = 0;
-                  Contact(true);
-                  version_ = std::max(version_, result->version);
-                  if (!result->rows.empty()) {
-                    callbacks_.on_changes(*result);
-                  }
-                  Next();
-                });
+  // A question that waits is lost with an outage; short ones show the store's return.
+  const absl::Duration wait = in_touch_ ? settings_.wait : absl::ZeroDuration();
+  store_->Watch(settings_.table, version_, wait, [this, alive = alive_](Result<StoreRows> result) {
+    if (!*alive) {
+      return;
+    }
+    if (!result.ok()) {
+      if (result.error() == make_error_code(Error::kNotFound)) {
+        version_known_ = false;
+        Next();
+        return;
+      }
+      Retry();
+      return;
+    }
+    failures_ = 0;
+    Contact(true);
+    version_ = std::max(version_, result->version);
+    if (result->rows.empty()) {
+      Next();
+      return;
+    }
+    callbacks_.on_changes(*result);
+    timer_->Set(loop_->Now() + settings_.pause, [this] { Next(); });
+  });
 }
 
 void TableFollower::Retry() {
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -25,12 +25,13 @@
 }
 
 TEST_CASE("placement news are read as they were written") {
-  const PlacementNews news{"n1", 7, 2, {{"w1", "m", "", ReplicaState::kLoading, 40}}, {}};
+  const PlacementNews news{"n1", "1.2.3.4:5", 7, 2, {{"w1", "m", "", ReplicaState::kLoading, 40}}, {}};
   const auto read = DecodeFleetMessage(EncodeFleetMessage(news));
   REQUIRE(read.has_value());
   const auto* const same = std::get_if<PlacementNews>(&*read);
   REQUIRE(same != nullptr);
   CHECK(same->token == 7);
+  CHECK(same->address == "1.2.3.4:5");
   REQUIRE(same->replicas.size() == 1);
   CHECK(same->replicas[0].state == ReplicaState::kLoading);
   CHECK(same->replicas[0].expected_in_ms == 40);
--- a/tests/fleet/fleet_placer_test.cc
+++ b/tests/fleet/fleet_placer_test.cc
@@ -25,7 +25,7 @@
     service.engine->loads_per_second = 2;
     for (const char* const name : {"m1", "m2", "m3", "m4"}) {
       const absl::Duration load = absl::Seconds(load_seconds);
-      service.engine->models.push_back({name, 90, load, load, load, 4, 5});
+      service.engine->models[name] = {name, 90, load, load, load, 4, 5};
     }
     configuration.services.push_back(service);
     for (int number = 0; number < workers; ++number) {
--- /dev/null
+++ b/tests/serving/table_follower_test.cc
@@ -0,0 +1,107 @@
+#include "hingespan/serving/table_follower.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hingespan::gateway {
+namespace {
+
+// Holds each call until the test answers it.
+class HeldStore : public SharedStore {
+ public:
+  struct Held {
+    bool watch = false;
+    std::uint64_t after = 0;
+    absl::Duration wait;
+    RowsCallback callback;
+  };
+  void Read(const std::string&, RowsCallback callback) override {
+    held.push_back({false, 0, absl::ZeroDuration(), std::move(callback)});
+  }
+  void Watch(const std::string&, std::uint64_t after, absl::Duration wait,
+             RowsCallback callback) override {
+    held.push_back({true, after, wait, std::move(callback)});
+  }
+  void Commit(std::vector<RowCondition>, std::vector<RowWrite>, CommitCallback) override {}
+
+  void Answer(Result<StoreRows> result) {
+    const RowsCallback callback = std::move(held.back().callback);
+    held.pop_back();
+    callback(std::move(result));
+  }
+  std::vector<Held> held;
+};
+
+struct Fixture {
+  EventLoop loop;
+  HeldStore store;
+  int snapshots = 0;
+  int changes = 0;
+  TableFollowerSettings settings{"t"};
+  TableFollower follower{&loop,
+                         &store,
+                         settings,
+                         1,
+                         {[this](const StoreRows&) { ++snapshots; },
+                          [this](const StoreRows&) { ++changes; }, nullptr}};
+
+  bool WaitForCall() {
+    return loop.RunUntil([this] { return !store.held.empty(); }, absl::Seconds(10));
+  }
+};
+
+StoreRows RowsAt(std::uint64_t version) { return {{{"t", "k", "v", version, false}}, version}; }
+
+TEST_CASE("a snapshot, then changes after its version") {
+  Fixture fixture;
+  fixture.follower.Start();
+  REQUIRE(fixture.WaitForCall());
+  CHECK(!fixture.store.held.back().watch);
+  fixture.store.Answer(RowsAt(5));
+  REQUIRE(fixture.WaitForCall());
+  CHECK(fixture.store.held.back().watch);
+  CHECK(fixture.store.held.back().after == 5);
+  fixture.store.Answer(RowsAt(6));
+  REQUIRE(fixture.WaitForCall());
+  CHECK(fixture.store.held.back().after == 6);
+  CHECK(fixture.snapshots == 1);
+  CHECK(fixture.changes == 1);
+}
+
+TEST_CASE("while the store does not answer, questions are short, so that its return is seen") {
+  Fixture fixture;
+  fixture.follower.Start();
+  REQUIRE(fixture.WaitForCall());
+  fixture.store.Answer(RowsAt(5));
+  REQUIRE(fixture.WaitForCall());
+  CHECK(fixture.store.held.back().wait == fixture.settings.wait);
+  fixture.store.Answer(Error::kTimeout);
+  REQUIRE(fixture.WaitForCall());
+  CHECK(fixture.store.held.back().after == 5);
+  CHECK(fixture.store.held.back().wait == absl::ZeroDuration());
+  fixture.store.Answer(StoreRows{{}, 5});
+  REQUIRE(fixture.WaitForCall());
+  CHECK(fixture.store.held.back().wait == fixture.settings.wait);
+}
+
+TEST_CASE("when the history is gone, a snapshot is taken, and an older one is not") {
+  Fixture fixture;
+  fixture.follower.Start();
+  REQUIRE(fixture.WaitForCall());
+  fixture.store.Answer(RowsAt(5));
+  REQUIRE(fixture.WaitForCall());
+  fixture.store.Answer(Error::kNotFound);
+  REQUIRE(fixture.WaitForCall());
+  CHECK(!fixture.store.held.back().watch);
+  fixture.store.Answer(RowsAt(4));
+  CHECK(fixture.snapshots == 1);
+  REQUIRE(fixture.WaitForCall());
+  fixture.store.Answer(RowsAt(9));
+  CHECK(fixture.snapshots == 2);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
