--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -28,7 +28,7 @@
     if(sources)
       add_library(hingespan_${library} STATIC ${sources})
       target_include_directories(hingespan_${library} PUBLIC ${CMAKE_SOURCE_DIR})
-      target_link_libraries(hingespan_${library} PUBLIC hingespan_settings hingespan_platform
+      target_link_libraries(hingespan_${library} PUBLIC hingespan_settings hingespan_backing
                             hingespan_engine hingespan_http)
     endif()
   endforeach()
--- a/emulator/json_forms.cc
+++ b/emulator/json_forms.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "hingespan/engine/replica_state_name.h"
-#include "hingespan/platform/machine_state_name.h"
+#include "hingespan/backing/machine_state_name.h"
 
 namespace hingespan::emulator {
 namespace {
--- a/emulator/json_forms.h
+++ b/emulator/json_forms.h
@@ -12,8 +12,8 @@
 #include "emulator/prefix_cache.h"
 #include "hingespan/common/result.h"
 #include "hingespan/engine/engine_client.h"
-#include "hingespan/platform/machine_list.h"
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/machine_list.h"
+#include "hingespan/backing/table_service.h"
 
 namespace hingespan::emulator {
 
--- a/emulator/machine_directory.h
+++ b/emulator/machine_directory.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 
 namespace hingespan::emulator {
 
--- a/emulator/table_service_store.h
+++ b/emulator/table_service_store.h
@@ -10,7 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/table_service.h"
 
 namespace hingespan::emulator {
 
--- a/emulator/zone_links.h
+++ b/emulator/zone_links.h
@@ -12,7 +12,7 @@
 #include "emulator/relay_loop.h"
 #include "emulator/tcp_relay.h"
 #include "emulator/udp_relay.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 
 namespace hingespan::emulator {
 
--- a/include/hingespan/platform/http_machine_list.h
+++ b/include/hingespan/backing/http_machine_list.h
@@ -1,13 +1,13 @@
 // The platform's machine list over HTTP with JSON, as docs/EMULATOR.md describes it.
-#ifndef HINGESPAN_PLATFORM_HTTP_MACHINE_LIST_H_
-#define HINGESPAN_PLATFORM_HTTP_MACHINE_LIST_H_
+#ifndef HINGESPAN_BACKING_HTTP_MACHINE_LIST_H_
+#define HINGESPAN_BACKING_HTTP_MACHINE_LIST_H_
 
 #include <memory>
 #include <string>
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 
 namespace hingespan {
 
@@ -48,4 +48,4 @@
 
 }  // namespace hingespan
 
-#endif  // HINGESPAN_PLATFORM_HTTP_MACHINE_LIST_H_
+#endif  // HINGESPAN_BACKING_HTTP_MACHINE_LIST_H_
--- a/include/hingespan/platform/http_table_service.h
+++ b/include/hingespan/backing/http_table_service.h
@@ -1,13 +1,13 @@
 // The table service over HTTP with JSON, as docs/EMULATOR.md describes it.
-#ifndef HINGESPAN_PLATFORM_HTTP_TABLE_SERVICE_H_
-#define HINGESPAN_PLATFORM_HTTP_TABLE_SERVICE_H_
+#ifndef HINGESPAN_BACKING_HTTP_TABLE_SERVICE_H_
+#define HINGESPAN_BACKING_HTTP_TABLE_SERVICE_H_
 
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/time/time.h"
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/table_service.h"
 
 namespace hingespan {
 
@@ -35,4 +35,4 @@
 
 }  // namespace hingespan
 
-#endif  // HINGESPAN_PLATFORM_HTTP_TABLE_SERVICE_H_
+#endif  // HINGESPAN_BACKING_HTTP_TABLE_SERVICE_H_
--- a/include/hingespan/platform/json_http_client.h
+++ b/include/hingespan/backing/json_http_client.h
@@ -1,7 +1,7 @@
 // A JSON-over-HTTP client with pooled keep-alive connections and typed errors, shared by the
 // platform's services and the operators' command.
-#ifndef HINGESPAN_PLATFORM_JSON_HTTP_CLIENT_H_
-#define HINGESPAN_PLATFORM_JSON_HTTP_CLIENT_H_
+#ifndef HINGESPAN_BACKING_JSON_HTTP_CLIENT_H_
+#define HINGESPAN_BACKING_JSON_HTTP_CLIENT_H_
 
 #include <map>
 #include <memory>
@@ -72,4 +72,4 @@
 
 }  // namespace hingespan
 
-#endif  // HINGESPAN_PLATFORM_JSON_HTTP_CLIENT_H_
+#endif  // HINGESPAN_BACKING_JSON_HTTP_CLIENT_H_
--- a/include/hingespan/platform/machine_list.h
+++ b/include/hingespan/backing/machine_list.h
@@ -1,6 +1,6 @@
 // The platform's list of machines, which lags behind reality. A hint, except for "gone".
-#ifndef HINGESPAN_PLATFORM_MACHINE_LIST_H_
-#define HINGESPAN_PLATFORM_MACHINE_LIST_H_
+#ifndef HINGESPAN_BACKING_MACHINE_LIST_H_
+#define HINGESPAN_BACKING_MACHINE_LIST_H_
 
 #include <string>
 #include <vector>
@@ -56,4 +56,4 @@
 
 }  // namespace hingespan
 
-#endif  // HINGESPAN_PLATFORM_MACHINE_LIST_H_
+#endif  // HINGESPAN_BACKING_MACHINE_LIST_H_
--- a/include/hingespan/platform/table_service.h
+++ b/include/hingespan/backing/table_service.h
@@ -1,6 +1,6 @@
 // The platform's transactional table service, behind typed calls.
-#ifndef HINGESPAN_PLATFORM_TABLE_SERVICE_H_
-#define HINGESPAN_PLATFORM_TABLE_SERVICE_H_
+#ifndef HINGESPAN_BACKING_TABLE_SERVICE_H_
+#define HINGESPAN_BACKING_TABLE_SERVICE_H_
 
 #include <cstdint>
 #include <optional>
@@ -76,4 +76,4 @@
 
 }  // namespace hingespan
 
-#endif  // HINGESPAN_PLATFORM_TABLE_SERVICE_H_
+#endif  // HINGESPAN_BACKING_TABLE_SERVICE_H_
--- a/include/hingespan/node/admin_front_end.h
+++ b/include/hingespan/node/admin_front_end.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "hingespan/node/core_driver.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 
 namespace httplib {
 class Server;
--- a/include/hingespan/node/core_driver.h
+++ b/include/hingespan/node/core_driver.h
@@ -18,8 +18,8 @@
 #include "hingespan/node/call_lanes.h"
 #include "hingespan/node/node_core.h"
 #include "hingespan/node/pending_request.h"
-#include "hingespan/platform/machine_list.h"
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/machine_list.h"
+#include "hingespan/backing/table_service.h"
 #include "hingespan/transport/outbox.h"
 #include "hingespan/transport/udp_transport.h"
 
--- a/include/hingespan/node/leave_gossip.h
+++ b/include/hingespan/node/leave_gossip.h
@@ -10,7 +10,7 @@
 #include "absl/time/time.h"
 #include "hingespan/common/ids.h"
 #include "hingespan/common/random.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 #include "hingespan/transport/outbox.h"
 
 namespace hingespan {
--- a/include/hingespan/node/machine_announcer.h
+++ b/include/hingespan/node/machine_announcer.h
@@ -7,7 +7,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 
 namespace hingespan {
 
--- a/include/hingespan/operator/node_commands.h
+++ b/include/hingespan/operator/node_commands.h
@@ -8,7 +8,7 @@
 #include "absl/time/time.h"
 #include "hingespan/operator/exit_code.h"
 #include "hingespan/operator/output.h"
-#include "hingespan/platform/json_http_client.h"
+#include "hingespan/backing/json_http_client.h"
 
 namespace hingespan {
 
--- a/include/hingespan/operator/table_editor.h
+++ b/include/hingespan/operator/table_editor.h
@@ -11,7 +11,7 @@
 #include "absl/time/time.h"
 #include "hingespan/common/result.h"
 #include "hingespan/operator/row_fields.h"
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/table_service.h"
 
 namespace hingespan {
 
--- a/include/hingespan/placement/worker_keeper.h
+++ b/include/hingespan/placement/worker_keeper.h
@@ -21,7 +21,7 @@
 #include "hingespan/placement/keep_warm_policy.h"
 #include "hingespan/placement/load_estimator.h"
 #include "hingespan/placement/memory_ledger.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 #include "hingespan/table/record_store.h"
 #include "hingespan/transport/message.h"
 #include "hingespan/transport/outbox.h"
--- a/include/hingespan/transport/message.h
+++ b/include/hingespan/transport/message.h
@@ -11,7 +11,7 @@
 
 #include "hingespan/common/ids.h"
 #include "hingespan/engine/engine_client.h"
-#include "hingespan/platform/machine_list.h"
+#include "hingespan/backing/machine_list.h"
 #include "hingespan/table/records.h"
 
 namespace hingespan {
--- a/include/hingespan/transport/outbox.h
+++ b/include/hingespan/transport/outbox.h
@@ -9,7 +9,7 @@
 
 #include "hingespan/common/ids.h"
 #include "hingespan/engine/engine_client.h"
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/table_service.h"
 #include "hingespan/transport/message.h"
 
 namespace hingespan {
--- a/src/platform/http_machine_list.cc
+++ b/src/backing/http_machine_list.cc
@@ -1,11 +1,11 @@
-#include "hingespan/platform/http_machine_list.h"
+#include "hingespan/backing/http_machine_list.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "hingespan/platform/json_http_client.h"
-#include "hingespan/platform/machine_state_name.h"
+#include "hingespan/backing/json_http_client.h"
+#include "hingespan/backing/machine_state_name.h"
 
 namespace hingespan {
 namespace {
--- a/src/platform/http_table_service.cc
+++ b/src/backing/http_table_service.cc
@@ -1,10 +1,10 @@
-#include "hingespan/platform/http_table_service.h"
+#include "hingespan/backing/http_table_service.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "hingespan/platform/json_http_client.h"
+#include "hingespan/backing/json_http_client.h"
 
 namespace hingespan {
 namespace {
--- a/src/platform/json_http_client.cc
+++ b/src/backing/json_http_client.cc
@@ -1,4 +1,4 @@
-#include "hingespan/platform/json_http_client.h"
+#include "hingespan/backing/json_http_client.h"
 
 #include <httplib.h>
 
--- a/src/platform/machine_state_name.cc
+++ b/src/backing/machine_state_name.cc
@@ -1,4 +1,4 @@
-#include "hingespan/platform/machine_state_name.h"
+#include "hingespan/backing/machine_state_name.h"
 
 namespace hingespan {
 
--- a/src/node/daemon.cc
+++ b/src/node/daemon.cc
@@ -15,8 +15,8 @@
 #include "hingespan/node/machine_announcer.h"
 #include "hingespan/node/node_metrics.h"
 #include "hingespan/node/request_forwarder.h"
-#include "hingespan/platform/http_machine_list.h"
-#include "hingespan/platform/http_table_service.h"
+#include "hingespan/backing/http_machine_list.h"
+#include "hingespan/backing/http_table_service.h"
 #include "hingespan/transport/udp_transport.h"
 
 namespace hingespan {
--- a/src/operator/command_line.cc
+++ b/src/operator/command_line.cc
@@ -13,7 +13,7 @@
 #include "hingespan/operator/node_commands.h"
 #include "hingespan/operator/settings_command.h"
 #include "hingespan/operator/table_commands.h"
-#include "hingespan/platform/http_table_service.h"
+#include "hingespan/backing/http_table_service.h"
 #include "hingespan/settings/toml_document.h"
 
 namespace hingespan {
--- a/tests/platform/http_table_service_test.cc
+++ b/tests/backing/http_table_service_test.cc
@@ -1,4 +1,4 @@
-#include "hingespan/platform/http_table_service.h"
+#include "hingespan/backing/http_table_service.h"
 
 #include <doctest/doctest.h>
 #include <httplib.h>
@@ -9,9 +9,9 @@
 #include <thread>
 
 #include "absl/synchronization/mutex.h"
-#include "hingespan/platform/http_machine_list.h"
-#include "hingespan/platform/json_http_client.h"
-#include "tests/platform/scripted_server.h"
+#include "hingespan/backing/http_machine_list.h"
+#include "hingespan/backing/json_http_client.h"
+#include "tests/backing/scripted_server.h"
 
 namespace hingespan {
 namespace {
--- a/tests/platform/scripted_server.h
+++ b/tests/backing/scripted_server.h
@@ -1,6 +1,6 @@
 // A TCP server on loopback that plays the failures which an HTTP library's server can't.
-#ifndef HINGESPAN_TESTS_PLATFORM_SCRIPTED_SERVER_H_
-#define HINGESPAN_TESTS_PLATFORM_SCRIPTED_SERVER_H_
+#ifndef HINGESPAN_TESTS_BACKING_SCRIPTED_SERVER_H_
+#define HINGESPAN_TESTS_BACKING_SCRIPTED_SERVER_H_
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -108,4 +108,4 @@
 
 }  // namespace hingespan
 
-#endif  // HINGESPAN_TESTS_PLATFORM_SCRIPTED_SERVER_H_
+#endif  // HINGESPAN_TESTS_BACKING_SCRIPTED_SERVER_H_
--- a/tests/emulator/emulator_test.cc
+++ b/tests/emulator/emulator_test.cc
@@ -15,7 +15,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "emulator/socket_address.h"
-#include "hingespan/platform/http_machine_list.h"
+#include "hingespan/backing/http_machine_list.h"
 #include "tests/emulator/test_settings.h"
 
 namespace hingespan::emulator {
--- a/tests/node/one_node.h
+++ b/tests/node/one_node.h
@@ -19,8 +19,8 @@
 #include "hingespan/node/core_driver.h"
 #include "hingespan/node/node_metrics.h"
 #include "hingespan/node/request_forwarder.h"
-#include "hingespan/platform/machine_list.h"
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/machine_list.h"
+#include "hingespan/backing/table_service.h"
 #include "hingespan/table/records.h"
 #include "hingespan/transport/udp_transport.h"
 
--- a/tests/operator/fake_table_service.h
+++ b/tests/operator/fake_table_service.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "hingespan/platform/table_service.h"
+#include "hingespan/backing/table_service.h"
 #include "hingespan/table/records.h"
 
 namespace hingespan {
--- /dev/null
+++ b/tests/serving/parts_test.cc
@@ -0,0 +1,259 @@
+// Routes, budget, events, settings, log: the small parts of the gateway.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <rapidcheck.h>
+#include <unistd.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "hingespan/serving/decision_log.h"
+#include "hingespan/serving/event_splitter.h"
+#include "hingespan/serving/gateway_metrics.h"
+#include "hingespan/serving/gateway_settings.h"
+#include "hingespan/serving/retry_budget.h"
+#include "hingespan/serving/route_table.h"
+#include "hingespan/serving/worker_directory.h"
+
+namespace hingespan::gateway {
+namespace {
+
+absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
+
+Route RouteOf(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.services = {{"s", 1.0}};
+  return route;
+}
+
+TEST_CASE("the longest prefix of the host wins; a port of the host does not matter") {
+  auto configuration = std::make_shared<Configuration>();
+  configuration->routes = {RouteOf("h", "/a/"), RouteOf("h", "/a/b/"), RouteOf("other", "/")};
+  const RouteTable routes(configuration);
+  CHECK(routes.Find("h", "/a/b/c?q=/")->path_prefix == "/a/b/");
+  CHECK(routes.Find("H:8080", "/a/x")->path_prefix == "/a/");
+  CHECK(routes.Find("h", "/a") == nullptr);
+  CHECK(routes.Find("h", "/c/") == nullptr);
+  CHECK(routes.Find("nobody", "/a/") == nullptr);
+}
+
+TEST_CASE("the parts of a split take their weights' shares, and one id always the same part") {
+  Route route = RouteOf("h", "/");
+  route.services = {{"s1", 90}, {"s2", 10}};
+  std::map<std::string, int> counts;
+  for (int number = 0; number < 5000; ++number) {
+    const std::string id = absl::StrCat("id", number);
+    ++counts[ChooseService(route, id)];
+    CHECK(ChooseService(route, id) == ChooseService(route, id));
+  }
+  CHECK(counts["s2"] > 400);
+  CHECK(counts["s2"] < 600);
+}
+
+TEST_CASE("property: all nodes together stay within the budget in any window") {
+  CHECK(rc::check("repeats of several nodes", [] {
+    const RetryBudgetLimits limits{0.2, 12, absl::Seconds(10)};
+    const int nodes = *rc::gen::inRange(1, 5);
+    std::vector<RetryBudget> budgets(nodes, RetryBudget(limits));
+    for (RetryBudget& budget : budgets) {
+      budget.SetNodes(nodes);
+    }
+    std::vector<double> requests;
+    std::vector<double> repeats;
+    double now = 0;
+    for (int step = 0; step < 400; ++step) {
+      now += 0.05;
+      RetryBudget& budget = budgets[*rc::gen::inRange(0, nodes)];
+      if (*rc::gen::inRange(0, 3) == 0) {
+        budget.RecordRequest("s", At(now));
+        requests.push_back(now);
+      } else if (budget.TryTake("s", At(now))) {
+        repeats.push_back(now);
+      }
+    }
+    const auto count = [](const std::vector<double>& times, double begin, double end) {
+      int sum = 0;
+      for (const double time : times) {
+        sum += time > begin && time <= end ? 1 : 0;
+      }
+      return sum;
+    };
+    for (const double end : repeats) {
+      // The users count a window's requests, or those of one half a window or a window earlier.
+      const int most = std::max({count(requests, end - 10, end), count(requests, end - 15, end - 5),
+                                 count(requests, end - 20, end - 10)});
+      RC_ASSERT(count(repeats, end - 10, end) <= 0.2 * most + 12);
+    }
+  }));
+}
+
+TEST_CASE("only whole events leave the splitter, whatever the cut") {
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata";
+  for (std::size_t piece = 1; piece < stream.size(); ++piece) {
+    EventSplitter splitter;
+    std::string out;
+    for (std::size_t begin = 0; begin < stream.size(); begin += piece) {
+      out += splitter.Feed(stream.substr(begin, piece));
+    }
+    CHECK(out == stream.substr(0, stream.size() - 10));
+    CHECK(splitter.last_event_id() == "2");
+    CHECK(splitter.TakeRest() == "id: 3\ndata");
+  }
+}
+
+constexpr char kSettings[] = R"(
+[node]
+name = "n1"
+zone = "z"
+[listen]
+requests = "127.0.0.1:1"
+status = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+[store]
+address = "127.0.0.1:4"
+[placement]
+lease_ms = 2500
+[later]
+unknown = true
+)";
+
+TEST_CASE("settings: unknown keys pass, findings come together with their places") {
+  Findings findings;
+  const GatewaySettings settings = ReadGatewaySettings(kSettings, "f", &findings);
+  CHECK(findings.empty());
+  CHECK(settings.lease == absl::Milliseconds(2500));
+  ReadGatewaySettings("[node]\nname = 3\nzone = \"z\"\n[listen]\nrequests = \"x\"\n", "f",
+                      &findings);
+  // Two values that are not allowed, with their lines, and three that are missing.
+  REQUIRE(findings.size() == 5);
+  CHECK(findings[0].key == "node.name");
+  CHECK(findings[0].place.line == 2);
+  CHECK(findings[1].key == "listen.requests");
+  CHECK(findings[1].place.line == 5);
+}
+
+class FixedClock : public Clock {
+ public:
+  absl::Time Now() override { return now; }
+  absl::Time WallTime() override { return now; }
+  absl::Time now = At(0);
+};
+
+TEST_CASE(
+    "the log never blocks on its reader and bounds each event's rate, counting what it left out") {
+  int ends[2];
+  REQUIRE(pipe(ends) == 0);
+  FixedClock clock;
+  DecisionLog log(ends[1], &clock, {10, 20, 4096});
+  log.SetSource("p", "n", "z");
+  for (int line = 0; line < 100; ++line) {
+    log.Write(LogLevel::kInfo, "e", {{"line", absl::StrCat(line)}});
+  }
+  CHECK(log.left_out() == 80);
+  clock.now += absl::Seconds(1);
+  log.Write(LogLevel::kInfo, "e", {});
+  std::string text(64 * 1024, ' ');
+  text.resize(static_cast<std::size_t>(read(ends[0], text.data(), text.size())));
+  CHECK(text.find("\"left_out_before\":80") != std::string::npos);
+  // Nobody reads: the pipe fills, then the buffer, and each further line returns at once.
+  for (int line = 0; line < 20000; ++line) {
+    clock.now += absl::Seconds(1);
+    log.Write(LogLevel::kInfo, "e", {{"line", absl::StrCat(line)}});
+  }
+  CHECK(log.left_out() > 80);
+  close(ends[0]);
+  close(ends[1]);
+}
+
+TEST_CASE("metrics are Prometheus text") {
+  GatewayMetrics metrics;
+  metrics.requests_by_status[200] = 3;
+  metrics.first_byte.Record(absl::Milliseconds(30));
+  const std::string text = MetricsText(metrics);
+  CHECK(text.find("hingespan_requests_total{status=\"200\"} 3") != std::string::npos);
+  CHECK(text.find("hingespan_first_byte_seconds_bucket{le=\"0.05\"} 1") != std::string::npos);
+  CHECK(text.find("hingespan_first_byte_seconds_count 1") != std::string::npos);
+}
+
+WorkerRecord RecordOf(const std::string& id, const std::string& model) {
+  WorkerRecord record;
+  record.id = id;
+  record.service = "s";
+  record.address = "1.1.1.1:1";
+  record.zone = "z";
+  record.slots = 2;
+  if (!model.empty()) {
+    record.models[model];
+  }
+  return record;
+}
+
+Configuration PlainConfiguration() {
+  Configuration configuration;
+  configuration.services.push_back({"s", 10, std::nullopt});
+  return configuration;
+}
+
+TEST_CASE("workers: an older row takes nothing back, a gone one is forgotten") {
+  WorkerDirectory workers("z");
+  workers.Update(RecordOf("w1", "m1"), 5, At(0));
+  CHECK(!workers.Update(RecordOf("w1", "m2"), 4, At(0)));
+  CHECK(workers.Find("w1")->record.models.contains("m1"));
+  CHECK(!workers.Remove("w1", 5));
+  CHECK(workers.Remove("w1", 6));
+  CHECK(workers.Find("w1") == nullptr);
+}
+
+TEST_CASE("workers: a choice says what is missing") {
+  const Configuration configuration = PlainConfiguration();
+  WorkerDirectory workers("z");
+  WorkerDemand demand;
+  demand.service = "s";
+  demand.model = {"m1", "a1"};
+  CHECK(workers.Choose(demand, configuration, At(0)).problem == ChoiceProblem::kNoWorkers);
+  workers.Update(RecordOf("w1", "m2"), 1, At(0));
+  CHECK(workers.Choose(demand, configuration, At(0)).problem == ChoiceProblem::kModelAbsent);
+  workers.Update(RecordOf("w1", "m1"), 2, At(0));
+  CHECK(workers.Choose(demand, configuration, At(0)).problem == ChoiceProblem::kAdapterAbsent);
+  workers.NoteReplica("w1", {"m1", "a1"}, true, At(3));
+  REQUIRE(workers.Choose(demand, configuration, At(1)).worker != nullptr);
+  CHECK(workers.Choose(demand, configuration, At(4)).problem == ChoiceProblem::kAdapterAbsent);
+  workers.MarkEnded("w1");
+  CHECK(workers.Choose(demand, configuration, At(1)).problem == ChoiceProblem::kNoWorkers);
+}
+
+TEST_CASE("workers: one that fails is chosen less, and again after a while") {
+  const Configuration configuration = PlainConfiguration();
+  WorkerDirectory workers("z");
+  workers.Update(RecordOf("w1", ""), 1, At(0));
+  workers.Update(RecordOf("w2", ""), 2, At(0));
+  WorkerDemand demand;
+  demand.service = "s";
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    WorkerState* const worker = workers.Find("w1");
+    workers.AttemptStarted(worker, demand, At(0));
+    workers.AttemptEnded("w1", 0, AttemptOutcome::kFailed, At(0));
+  }
+  workers.AttemptStarted(workers.Find("w2"), demand, At(0));
+  // w2 has a request and yet is preferred.
+  CHECK(workers.Choose(demand, configuration, At(1)).worker->record.id == "w2");
+  CHECK(workers.Choose(demand, configuration, At(60)).worker->record.id == "w1");
+}
+
+TEST_CASE("workers: places taken by the other nodes count") {
+  const Configuration configuration = PlainConfiguration();
+  WorkerDirectory workers("z");
+  workers.Update(RecordOf("w1", ""), 1, At(0));
+  workers.Find("w1")->peers_running = 2;
+  WorkerDemand demand;
+  demand.service = "s";
+  CHECK(workers.Choose(demand, configuration, At(0)).problem == ChoiceProblem::kAllBusy);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
