--- a/emulator/json_forms.cc
+++ b/emulator/json_forms.cc
@@ -4,8 +4,8 @@
 #include <string_view>
 #include <utility>
 
-#include "hingespan/engine/replica_state_name.h"
 #include "hingespan/backing/machine_state_name.h"
+#include "hingespan/engine/replica_state_name.h"
 
 namespace hingespan::emulator {
 namespace {
--- a/emulator/json_forms.h
+++ b/emulator/json_forms.h
@@ -10,10 +10,10 @@
 #include "emulator/engine_fleet.h"
 #include "emulator/event_log.h"
 #include "emulator/prefix_cache.h"
-#include "hingespan/common/result.h"
-#include "hingespan/engine/engine_client.h"
 #include "hingespan/backing/machine_list.h"
 #include "hingespan/backing/table_service.h"
+#include "hingespan/common/result.h"
+#include "hingespan/engine/engine_client.h"
 
 namespace hingespan::emulator {
 
--- a/include/hingespan/node/admin_front_end.h
+++ b/include/hingespan/node/admin_front_end.h
@@ -5,8 +5,8 @@
 #include <functional>
 #include <string>
 
-#include "hingespan/node/core_driver.h"
 #include "hingespan/backing/machine_list.h"
+#include "hingespan/node/core_driver.h"
 
 namespace httplib {
 class Server;
--- a/include/hingespan/node/leave_gossip.h
+++ b/include/hingespan/node/leave_gossip.h
@@ -8,9 +8,9 @@
 
 #include "absl/container/btree_map.h"
 #include "absl/time/time.h"
+#include "hingespan/backing/machine_list.h"
 #include "hingespan/common/ids.h"
 #include "hingespan/common/random.h"
-#include "hingespan/backing/machine_list.h"
 #include "hingespan/transport/outbox.h"
 
 namespace hingespan {
--- a/include/hingespan/operator/node_commands.h
+++ b/include/hingespan/operator/node_commands.h
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "hingespan/backing/json_http_client.h"
 #include "hingespan/operator/exit_code.h"
 #include "hingespan/operator/output.h"
-#include "hingespan/backing/json_http_client.h"
 
 namespace hingespan {
 
--- a/include/hingespan/operator/table_editor.h
+++ b/include/hingespan/operator/table_editor.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "hingespan/backing/table_service.h"
 #include "hingespan/common/result.h"
 #include "hingespan/operator/row_fields.h"
-#include "hingespan/backing/table_service.h"
 
 namespace hingespan {
 
--- a/include/hingespan/transport/message.h
+++ b/include/hingespan/transport/message.h
@@ -9,9 +9,9 @@
 #include <variant>
 #include <vector>
 
+#include "hingespan/backing/machine_list.h"
 #include "hingespan/common/ids.h"
 #include "hingespan/engine/engine_client.h"
-#include "hingespan/backing/machine_list.h"
 #include "hingespan/table/records.h"
 
 namespace hingespan {
--- a/include/hingespan/transport/outbox.h
+++ b/include/hingespan/transport/outbox.h
@@ -7,9 +7,9 @@
 #include <variant>
 #include <vector>
 
+#include "hingespan/backing/table_service.h"
 #include "hingespan/common/ids.h"
 #include "hingespan/engine/engine_client.h"
-#include "hingespan/backing/table_service.h"
 #include "hingespan/transport/message.h"
 
 namespace hingespan {
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -31,7 +31,8 @@
  public:
   using Base = http::basic_parser<kIsRequest>;
 
-  // Beast leaves bytes that it can't use yet, e.g. half a chunk's head; they are kept for the next call.
+  // Beast leaves bytes that it can't use yet, e.g. half a chunk's head; they are kept for the next
+  // call.
   std::size_t FeedAll(absl::string_view bytes) {
     pending_.append(bytes.data(), bytes.size());
     std::size_t taken = 0;
--- a/src/node/daemon.cc
+++ b/src/node/daemon.cc
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "absl/synchronization/mutex.h"
+#include "hingespan/backing/http_machine_list.h"
+#include "hingespan/backing/http_table_service.h"
 #include "hingespan/common/clock.h"
 #include "hingespan/common/log.h"
 #include "hingespan/engine/http_engine_client.h"
@@ -15,8 +17,6 @@
 #include "hingespan/node/machine_announcer.h"
 #include "hingespan/node/node_metrics.h"
 #include "hingespan/node/request_forwarder.h"
-#include "hingespan/backing/http_machine_list.h"
-#include "hingespan/backing/http_table_service.h"
 #include "hingespan/transport/udp_transport.h"
 
 namespace hingespan {
--- a/src/operator/command_line.cc
+++ b/src/operator/command_line.cc
@@ -9,11 +9,13 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "hingespan/backing/http_table_service.h"
 #include "hingespan/operator/completion.h"
 #include "hingespan/operator/node_commands.h"
+#include "hingespan/operator/request_explanation.h"
 #include "hingespan/operator/settings_command.h"
 #include "hingespan/operator/table_commands.h"
-#include "hingespan/backing/http_table_service.h"
 #include "hingespan/settings/toml_document.h"
 
 namespace hingespan {
@@ -75,6 +77,7 @@
   OutputFormat output = OutputFormat::kTable;
 
   std::string name;
+  std::vector<std::string> logs;
   std::vector<std::string> assignments;
   std::optional<std::uint64_t> if_revision;
   std::string prefix;
@@ -301,9 +304,20 @@
     AddNodeCommand("status", "What a node knows: members, workers, duties (needs --node)",
                    [](NodeCommands* commands) { return commands->Status(); });
     CLI::App* explain = AddNodeCommand(
-        "explain", "Why a model is where it is, and why requests wait or are refused",
+        "explain", "Why a model is where it is; with --logs, what became of a request and why",
         [this](NodeCommands* commands) { return commands->Explain(flags_.name); });
-    explain->add_option("MODEL", flags_.name, "Name of the row")->required();
+    explain->add_option("NAME", flags_.name, "Name of the row; with --logs, id of the request")
+        ->required();
+    explain->add_option("--logs", flags_.logs, "Files of gateways' log lines, of any nodes");
+    explain->callback([this] {
+      selected_ = [this] {
+        if (!flags_.logs.empty()) {
+          return ExplainFromLogs();
+        }
+        return RunNode([this](NodeCommands* commands) { return commands->Explain(flags_.name); });
+      };
+    });
+    explain->footer("Example:\n  hingespan explain 9c41d07be2a35f68 --logs n1.log n2.log");
     CLI::App* drain =
         AddNodeCommand("drain", "Give a worker or a node no new work, before it is stopped",
                        [this](NodeCommands* commands) {
@@ -319,6 +333,25 @@
     drain->footer("Examples:\n  hingespan drain worker w-3\n  hingespan drain node n-1");
   }
 
+  ExitCode ExplainFromLogs() {
+    std::vector<std::string> lines;
+    for (const std::string& file : flags_.logs) {
+      const Result<std::string> text = ReadTextFile(file);
+      if (!text.ok()) {
+        *terminal_.err << "can't read " << file << "\n";
+        return ExitCode::kUsage;
+      }
+      std::vector<std::string> of_file = absl::StrSplit(*text, '\n', absl::SkipEmpty());
+      lines.insert(lines.end(), of_file.begin(), of_file.end());
+    }
+    const RequestExplanation explanation = ExplainRequest(lines, flags_.name);
+    *terminal_.out << flags_.name << ": " << explanation.cause << "\n";
+    for (const std::string& line : explanation.lines) {
+      *terminal_.out << "  " << line << "\n";
+    }
+    return explanation.found ? ExitCode::kOk : ExitCode::kFailure;
+  }
+
   ExitCode RunNode(const NodeAction& action) {
     if (flags_.node.empty()) {
       *terminal_.err << "--node ADDRESS is required (or HINGESPAN_NODE)\n";
--- a/tests/failure/test_cluster.h
+++ b/tests/failure/test_cluster.h
@@ -14,8 +14,8 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
-#include "hingespan/common/ids.h"
 #include "hingespan/backing/http_table_service.h"
+#include "hingespan/common/ids.h"
 #include "hingespan/table/records.h"
 #include "load/admin_client.h"
 #include "load/caller_client.h"
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -25,7 +25,8 @@
 }
 
 TEST_CASE("placement news are read as they were written") {
-  const PlacementNews news{"n1", "1.2.3.4:5", 7, 2, {{"w1", "m", "", ReplicaState::kLoading, 40}}, {}};
+  const PlacementNews news{"n1", "1.2.3.4:5", 7, 2, {{"w1", "m", "", ReplicaState::kLoading, 40}},
+                           {}};
   const auto read = DecodeFleetMessage(EncodeFleetMessage(news));
   REQUIRE(read.has_value());
   const auto* const same = std::get_if<PlacementNews>(&*read);
--- a/tests/node/one_node.h
+++ b/tests/node/one_node.h
@@ -12,6 +12,8 @@
 #include "absl/container/btree_map.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "hingespan/backing/machine_list.h"
+#include "hingespan/backing/table_service.h"
 #include "hingespan/engine/engine_client.h"
 #include "hingespan/net/http_server.h"
 #include "hingespan/node/admin_front_end.h"
@@ -19,8 +21,6 @@
 #include "hingespan/node/core_driver.h"
 #include "hingespan/node/node_metrics.h"
 #include "hingespan/node/request_forwarder.h"
-#include "hingespan/backing/machine_list.h"
-#include "hingespan/backing/table_service.h"
 #include "hingespan/table/records.h"
 #include "hingespan/transport/udp_transport.h"
 
