Large fleets: wide links read and order, load news rarer; silence alone ends no stream; copies without gaps

Change: a node with a narrower link than another lets that one acquire first; loads go out each 300 ms and 10 ms for each node; wide links read for others. What a node read from a reader goes into its own copy, so that it has no gap when it becomes a reader (test). Change: silence gives a worker up only when another is free. Cause 3 (busiest worker 5.5 times the mean): 80 nodes chose the same worker from the same news; each node now has preferences of its own.

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -31,6 +31,7 @@
   std::string node;
   std::uint64_t incarnation = 0;
   std::string zone;
+  double link_mbps = 0;
   // Of this node's datagrams.
   std::string address;
   LeaseSettings lease;
@@ -44,6 +45,10 @@
   std::size_t lease_watchers = 3;
   absl::Duration relaxed_store_interval = absl::Seconds(6);
   absl::Duration load_news_interval = absl::Milliseconds(300);
+  // Added to it for each node: what the holder sends grows no faster than with the fleet.
+  absl::Duration load_news_each_node = absl::Milliseconds(10);
+  // How long a node with a narrower link than another lets that one acquire the lease first.
+  absl::Duration narrow_link_wait = absl::Seconds(2);
   absl::Duration report_interval = absl::Milliseconds(400);
   absl::Duration waiting_report_interval = absl::Milliseconds(150);
   absl::Duration least_placement_interval = absl::Milliseconds(8);
@@ -91,6 +96,7 @@
  private:
   void StoreTick();
   absl::Duration StoreInterval() const;
+  absl::Duration LoadNewsInterval() const;
   void ReadTable();
   void OnTable(const StoreRows& rows);
   void WriteLease();
@@ -123,7 +129,7 @@
   absl::Time report_due_ = absl::InfiniteFuture();
   absl::Time placement_due_ = absl::InfiniteFuture();
   absl::Time last_placement_ = absl::InfinitePast();
-  absl::Time last_news_ = absl::InfinitePast();
+  absl::Time last_load_news_ = absl::InfinitePast();
   absl::Time last_tick_;
   std::uint64_t report_number_ = 0;
   std::uint64_t news_number_ = 0;
--- a/include/hingespan/fleet/lease_manager.h
+++ b/include/hingespan/fleet/lease_manager.h
@@ -65,6 +65,8 @@
   void OnFenced(absl::Time now);
   // The process was not running for a while: the lease counts again once it is confirmed anew.
   void OnPaused();
+  // Other nodes are better suited: this one lets them come first by so much when it could acquire.
+  void SetExtraWait(absl::Duration wait) { extra_wait_ = wait; }
   // The node stops: it neither acquires nor renews any more.
   void Resign() { resigned_ = true; }
 
@@ -93,6 +95,7 @@
   bool holding_ = false;
   bool confirmed_since_pause_ = true;
   bool resigned_ = false;
+  absl::Duration extra_wait_ = absl::ZeroDuration();
   std::uint64_t token_ = 0;
   // Highest token with which a worker refused this node.
   std::uint64_t fenced_token_ = 0;
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -45,6 +45,8 @@
   std::string zone;
   // "ip:port" of its datagrams and of its copies.
   std::string address;
+  // Of its link. A configuration goes from a reader to many nodes at once: wide links first.
+  double link_mbps = 0;
 };
 
 // Not thread-safe; lives on its loop.
@@ -80,6 +82,10 @@
   void ReadDirectly(const std::string& table, RowsCallback callback);
   void WatchDirectly(const std::string& table, std::uint64_t after, absl::Duration wait,
                      RowsCallback callback);
+  // What another node's copy told goes into this node's as well, so that it has no gaps when this
+  // node becomes a reader.
+  void TakePeerAnswer(const std::string& table, const StoreRows& rows, absl::Duration age,
+                      bool snapshot);
   // Null: none that may be asked.
   const FleetNode* ChooseReader() const;
   void Avoid(const std::string& node, const std::string& why);
--- a/include/hingespan/serving/gateway_settings.h
+++ b/include/hingespan/serving/gateway_settings.h
@@ -14,6 +14,8 @@
 struct GatewaySettings {
   std::string node;
   std::string zone;
+  // Of this machine's link; 0: not known.
+  double link_mbps = 0;
   // Callers' requests.
   std::string request_listen;
   // Readiness and metrics.
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -102,7 +102,10 @@
   absl::Time WaitLimit() const;
   // How long the caller waits for the first event.
   absl::Duration Patience() const;
+  // When a silent worker is given up, and when that is looked at first.
   absl::Time StallLimit() const;
+  absl::Time FirstStallLimit() const;
+  bool AnotherWorkerIsFree(absl::Time now) const;
   bool MayTryAnother(absl::Time now) const;
   void EndAttempt(AttemptOutcome outcome);
   void OnNotExecuted();
@@ -143,6 +146,7 @@
   std::string worker_id_;
   absl::Time attempt_started_;
   absl::Time last_progress_;
+  absl::Time stall_checked_ = absl::InfinitePast();
   bool attempt_began_ = false;
   AnswerHead answer_head_;
   AnswerFacts answer_facts_;
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -57,6 +57,8 @@
   absl::Time success_updated = absl::InfinitePast();
   // Milliseconds to the first byte of an answer, weighted towards the latest; 0: not known.
   double latency_ms = 0;
+  // From 0, this node's own workers, to 1.
+  double preference = 0;
   // Not chosen before this unless no other worker is left.
   absl::Time avoided_until = absl::InfinitePast();
   // Connections to it have failed lately.
@@ -100,7 +102,12 @@
 // Pure; not thread-safe.
 class WorkerDirectory {
  public:
-  explicit WorkerDirectory(std::string zone) : zone_(std::move(zone)) {}
+  WorkerDirectory(std::string node, std::string zone)
+      : node_(std::move(node)), zone_(std::move(zone)) {}
+
+  // The more nodes choose at once from what they knew a moment ago, the more each prefers workers
+  // of its own, so that not all choose the same one.
+  void SetNodes(int nodes);
 
   // Takes a row unless a newer one is known. Returns whether anything but the sequence changed.
   bool Update(WorkerRecord record, std::uint64_t row_version, absl::Time now);
@@ -130,7 +137,10 @@
   double Cost(const WorkerState& worker, const WorkerDemand& demand, absl::Time now) const;
   static bool IsFull(const WorkerState& worker, const WorkerDemand& demand, const Service* service);
 
+  std::string node_;
   std::string zone_;
+  // The most that this node's preference adds to a worker's cost, in milliseconds.
+  double preference_ms_ = 0;
   // By id. Ordered, so that equal costs are resolved alike in every run.
   std::map<std::string, WorkerState> workers_;
 };
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -120,6 +120,11 @@
   ReadTable();
 }
 
+absl::Duration FleetCoordinator::LoadNewsInterval() const {
+  return settings_.load_news_interval +
+         settings_.load_news_each_node * static_cast<double>(peers_.size());
+}
+
 absl::Duration FleetCoordinator::StoreInterval() const {
   // At first the others' rows still come in.
   constexpr int kFirstTicks = 3;
@@ -145,6 +150,7 @@
   const std::string value = Json{
       {"address", settings_.address},
       {"zone", settings_.zone},
+      {"link_mbps", settings_.link_mbps},
       {"incarnation",
        settings_.incarnation}}.dump();
   parts_.store->Commit({}, {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), value}},
@@ -168,7 +174,10 @@
       return;
     }
     OnTable(*result);
-    WriteLease();
+    // At the first look the others' rows are not there yet.
+    if (store_ticks_ > 1 || lease_.record().has_value()) {
+      WriteLease();
+    }
   });
 }
 
@@ -190,11 +199,15 @@
     if (json.is_object() && json.contains("address")) {
       const std::string name = row.key.substr(kNodePrefix.size());
       peers[name] = json["address"].get<std::string>();
-      nodes.push_back({name, json.value("zone", ""), peers[name]});
+      nodes.push_back({name, json.value("zone", ""), peers[name], json.value("link_mbps", 0.0)});
     }
   }
   peers_ = std::move(peers);
   parts_.on_nodes(nodes);
+  const bool wider = std::any_of(nodes.begin(), nodes.end(), [this](const FleetNode& node) {
+    return node.link_mbps > settings_.link_mbps;
+  });
+  lease_.SetExtraWait(wider ? settings_.narrow_link_wait : absl::ZeroDuration());
   const bool held_before = lease_.holding();
   const std::string holder_before =
       lease_.record().has_value() ? lease_.record()->holder : std::string();
@@ -407,7 +420,7 @@
     }
   }
   std::vector<ReplicaNews> news = placer_.TakeNews(now);
-  if (!news.empty() || now - last_news_ >= settings_.load_news_interval) {
+  if (!news.empty() || now - last_load_news_ >= LoadNewsInterval()) {
     SendNews(std::move(news));
   }
   const absl::Time due = std::min(placer_.NextDue(now), now + absl::Milliseconds(500));
@@ -456,7 +469,11 @@
 }
 
 void FleetCoordinator::SendNews(std::vector<ReplicaNews> replicas) {
-  last_news_ = parts_.loop->Now();
+  const absl::Time now = parts_.loop->Now();
+  const bool with_loads = now - last_load_news_ >= LoadNewsInterval();
+  if (with_loads) {
+    last_load_news_ = now;
+  }
   std::size_t begin = 0;
   do {
     PlacementNews news;
@@ -468,8 +485,8 @@
     news.replicas.assign(replicas.begin() + static_cast<std::ptrdiff_t>(begin),
                          replicas.begin() + static_cast<std::ptrdiff_t>(end));
     begin = end;
-    if (begin >= replicas.size()) {
-      news.loads = placer_.TotalLoads(last_news_);
+    if (with_loads && begin >= replicas.size()) {
+      news.loads = placer_.TotalLoads(now);
     }
     const std::string bytes = EncodeFleetMessage(news);
     for (const auto& [node, address] : peers_) {
--- a/src/fleet/lease_manager.cc
+++ b/src/fleet/lease_manager.cc
@@ -60,11 +60,13 @@
     // Another process on this machine is gone for certain; another machine may only be silent.
     const bool same_machine =
         record_->holder == settings_.node && record_->incarnation != settings_.incarnation;
-    const absl::Duration wait = settings_.duration + settings_.slack;
+    const absl::Duration wait = settings_.duration + settings_.slack + extra_wait_;
     if (!same_machine &&
         (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < wait)) {
       return std::nullopt;
     }
+  } else if (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < extra_wait_) {
+    return std::nullopt;
   }
   write_under_way_ = true;
   write_sent_ = now;
--- a/src/fleet/shared_reading.cc
+++ b/src/fleet/shared_reading.cc
@@ -147,6 +147,9 @@
     reads_itself_ = true;
   } else {
     std::sort(zone.begin(), zone.end(), [](const FleetNode& left, const FleetNode& right) {
+      if (left.link_mbps != right.link_mbps) {
+        return left.link_mbps > right.link_mbps;
+      }
       return Rank(left.name) < Rank(right.name);
     });
     zone.resize(settings_.readers_each_zone);
@@ -232,6 +235,7 @@
       ReadDirectly(table, callback);
       return;
     }
+    TakePeerAnswer(table, answer->rows, answer->age, true);
     callback(answer->rows);
   })->Start(client_, reader->address, absl::StrCat(kTablePath, table), settings_.peer_wait);
 }
@@ -264,6 +268,7 @@
           WatchDirectly(table, after, asked, callback);
           return;
         }
+        TakePeerAnswer(table, answer->rows, answer->age, false);
         callback(answer->rows);
       })
       ->Start(client_, reader->address,
@@ -271,6 +276,17 @@
               asked + settings_.peer_slack);
 }
 
+void SharedReading::TakePeerAnswer(const std::string& table, const StoreRows& rows,
+                                   absl::Duration age, bool snapshot) {
+  TableCopy& copy = copies_.at(table);
+  const absl::Time confirmed = loop_->Now() - age;
+  if (snapshot) {
+    copy.TakeSnapshot(rows, confirmed);
+  } else {
+    copy.TakeChanges(rows, confirmed);
+  }
+}
+
 void SharedReading::Commit(std::vector<RowCondition> conditions, std::vector<RowWrite> writes,
                            CommitCallback callback) {
   store_->Commit(std::move(conditions), std::move(writes), std::move(callback));
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -34,6 +34,7 @@
   fleet.node = settings.node;
   fleet.incarnation = NewIncarnation();
   fleet.zone = settings.zone;
+  fleet.link_mbps = settings.link_mbps;
   fleet.address = settings.peer_listen;
   fleet.lease.node = settings.node;
   fleet.lease.incarnation = fleet.incarnation;
@@ -56,7 +57,7 @@
 Gateway::Gateway(GatewaySettings settings, GatewayParts parts)
     : settings_(std::move(settings)),
       parts_(parts),
-      workers_(settings_.zone),
+      workers_(settings_.node, settings_.zone),
       budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window}),
       requests_(parts_.loop,
                 [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
@@ -377,6 +378,7 @@
     }
   }
   budget_.SetNodes(fleet_->nodes());
+  workers_.SetNodes(fleet_->nodes());
 }
 
 void Gateway::Stop(std::function<void()> done) {
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -82,6 +82,7 @@
   return {
       {"node.name", Text(&settings->node)},
       {"node.zone", Text(&settings->zone)},
+      {"node.link_mbps", Number(0, 1e7, [settings](double value) { settings->link_mbps = value; })},
       {"listen.requests", Address(&settings->request_listen)},
       {"listen.status", Address(&settings->status_listen)},
       {"listen.readiness_path", Text(&settings->readiness_path)},
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -22,6 +22,7 @@
 constexpr double kSilentPart = 0.4;
 constexpr absl::Duration kLeastSilence = absl::Milliseconds(300);
 constexpr absl::Duration kLeastStreamSilence = absl::Milliseconds(1300);
+constexpr absl::Duration kStallCheck = absl::Milliseconds(250);
 constexpr absl::Duration kStreamGapLimit = absl::Milliseconds(1200);
 // The answer goes out this much before the deadline.
 constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(10);
@@ -210,7 +211,15 @@
          context_->budget->Available(service_, now) >= 1.0 && now < deadline_;
 }
 
+bool RequestRelay::AnotherWorkerIsFree(absl::Time now) const {
+  return context_->workers->Choose(Demand(), routes_->configuration(), now).worker != nullptr;
+}
+
 absl::Time RequestRelay::StallLimit() const {
+  return std::max(FirstStallLimit(), stall_checked_ + kStallCheck);
+}
+
+absl::Time RequestRelay::FirstStallLimit() const {
   if (!route_->MayRunAgain() || !MayTryAnother(attempt_started_)) {
     return absl::InfiniteFuture();
   }
@@ -265,6 +274,12 @@
     }
     return;
   }
+  if (now >= StallLimit() && !AnotherWorkerIsFree(now)) {
+    // Silence alone is no reason to end an answer: it may still come.
+    stall_checked_ = now;
+    SetTimer(now);
+    return;
+  }
   if (now >= StallLimit()) {
     EndAttempt(AttemptOutcome::kFailed);
     OnFailedAttempt("silent");
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -1,5 +1,7 @@
 #include "hingespan/serving/worker_directory.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -17,6 +19,8 @@
 constexpr double kRunningCostMs = 4.0;
 // What a worker in another zone costs more, in the way and in priced bytes.
 constexpr double kOtherZoneCostMs = 12.0;
+constexpr double kPreferenceMsEachNode = 1.0;
+constexpr double kMostPreferenceMs = 60.0;
 constexpr double kPlainServiceMs = 30.0;
 constexpr double kSuccessWeight = 0.12;
 constexpr double kLatencyWeight = 0.15;
@@ -63,6 +67,10 @@
   return holds(key, model_recorded && model->second.contains(key.adapter));
 }
 
+void WorkerDirectory::SetNodes(int nodes) {
+  preference_ms_ = std::min(kMostPreferenceMs, kPreferenceMsEachNode * (nodes - 1));
+}
+
 bool WorkerDirectory::Update(WorkerRecord record, std::uint64_t row_version, absl::Time now) {
   WorkerState& worker = workers_[record.id];
   if (worker.row_version >= row_version) {
@@ -74,6 +82,11 @@
   if (record.leaves_in.has_value()) {
     worker.leaves_at = std::min(worker.leaves_at, now + *record.leaves_in);
   }
+  if (worker.row_version == 0) {
+    const std::string pair = absl::StrCat(node_, "/", record.id);
+    worker.preference =
+        static_cast<double>(XXH3_64bits(pair.data(), pair.size()) >> 11) * 0x1.0p-53;
+  }
   worker.row_version = row_version;
   worker.record = std::move(record);
   return changed;
@@ -127,12 +140,13 @@
                              absl::Time now) const {
   const double success = std::max(kLeastSuccess, RecoveredSuccess(worker, now));
   const double running = worker.running + worker.peers_running;
-  const double other_zone = worker.record.zone == zone_ ? 0.0 : kOtherZoneCostMs;
+  const double preference =
+      (worker.record.zone == zone_ ? 0.0 : kOtherZoneCostMs) + worker.preference * preference_ms_;
   if (demand.model.model.empty()) {
     const double latency = worker.latency_ms > 0 ? worker.latency_ms : kPlainServiceMs;
     const double waiting = std::max(0.0, running + 1 - worker.record.slots);
     const double spread = running / std::max(1, worker.record.slots);
-    return (latency * (1.0 + spread + waiting) + other_zone) / success;
+    return (latency * (1.0 + spread + waiting) + preference) / success;
   }
   double unread = demand.prompt_tokens;
   if (demand.prompt_parts != nullptr) {
@@ -145,7 +159,7 @@
     }
   }
   const double queue = worker.unread_tokens + worker.peers_unread_tokens + std::max(0.0, unread);
-  return (queue / kPromptTokensPerMs + running * kRunningCostMs + other_zone) / success;
+  return (queue / kPromptTokensPerMs + running * kRunningCostMs + preference) / success;
 }
 
 WorkerChoice WorkerDirectory::Choose(const WorkerDemand& demand, const Configuration& configuration,
--- a/tests/fleet/lease_manager_test.cc
+++ b/tests/fleet/lease_manager_test.cc
@@ -53,6 +53,20 @@
   CHECK(write->condition_version == 6);
 }
 
+TEST_CASE("a node that is less suited lets others come first") {
+  LeaseManager lease(SettingsOf("n2"));
+  lease.SetExtraWait(absl::Seconds(2));
+  lease.OnRead(std::nullopt, 0, At(0));
+  CHECK(!lease.NextWrite(At(1.9)).has_value());
+  lease.OnRead(std::nullopt, 0, At(2));
+  CHECK(lease.NextWrite(At(2)).has_value());
+  LeaseManager other(SettingsOf("n3"));
+  other.SetExtraWait(absl::Seconds(2));
+  other.OnRead(LeaseRecord{"n1", 1, "n1", 5}, 5, At(0));
+  CHECK(!other.NextWrite(At(5.3)).has_value());
+  CHECK(other.NextWrite(At(5.5)).has_value());
+}
+
 TEST_CASE("time without the store does not count towards a takeover") {
   LeaseManager lease(SettingsOf("n2"));
   const LeaseRecord other{"n1", 1, "n1", 5};
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -184,6 +184,24 @@
   CHECK(world.workers[1]->runs().front().last_event_id == "3");
 }
 
+TEST_CASE("a worker's silence does not end a stream that could go on nowhere else") {
+  GatewayWorld world;
+  emulator::PlatformWorkerOptions options;
+  options.id = "w1";
+  options.service = "models";
+  options.models["m1"];
+  options.events = 2;
+  options.event_interval = absl::Milliseconds(1600);
+  world.AddWorker(options);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request = StreamRequest("/stream/x", "m1");
+  request.deadline_ms = 10000;
+  const auto call = world.Ask(node, request);
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, 2));
+  CHECK(world.workers[0]->runs().size() == 1);
+}
+
 TEST_CASE("a stream that breaks off and may not go on does not look complete") {
   GatewayWorld world;
   world.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kBreaksStream);
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -1,10 +1,14 @@
 #include "tests/serving/gateway_world.h"
 
 #include <doctest/doctest.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -52,13 +56,23 @@
 }  // namespace
 
 TestNode::TestNode(EventLoop* loop, const std::string& name, const std::string& store_address)
-    : log(-1, &SystemClock(), DecisionLogLimits{}),
+    : log_descriptor(memfd_create("log", 0)),
+      log(log_descriptor, &SystemClock(), DecisionLogLimits{}),
       client(loop, ClientLimits{}),
       store(loop, &client, store_address, &metrics),
       control(loop, &client),
       gateway(SettingsOf(name, store_address),
               {loop, &dialect, &reader, &store, &control, &client, &log, &metrics}) {}
 
+TestNode::~TestNode() { close(log_descriptor); }
+
+std::vector<std::string> TestNode::LogLines() const {
+  std::string text(static_cast<std::size_t>(lseek(log_descriptor, 0, SEEK_END)), ' ');
+  const ssize_t count = pread(log_descriptor, text.data(), text.size(), 0);
+  text.resize(static_cast<std::size_t>(std::max<ssize_t>(0, count)));
+  return absl::StrSplit(text, '\n', absl::SkipEmpty());
+}
+
 GatewayWorld::GatewayWorld() : store(&loop), caller(&loop, ClientLimits{}) { PutConfiguration(1); }
 
 void GatewayWorld::PutConfiguration(int version, int timeout_ms, double load_seconds) {
@@ -113,6 +127,8 @@
   TestNode* const node = nodes.back().get();
   REQUIRE(!node->gateway.Start());
   REQUIRE(Wait([&] { return node->gateway.ready(); }));
+  // Some node orders loads from now on.
+  REQUIRE(Wait([&] { return !store.Value("hingespan", "lease/placement").empty(); }));
   return node;
 }
 
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -44,7 +44,12 @@
 struct TestNode {
   TestNode(EventLoop* loop, const std::string& name, const std::string& store_address);
 
+  ~TestNode();
+  // The lines logged so far.
+  std::vector<std::string> LogLines() const;
+
   GatewayMetrics metrics;
+  int log_descriptor;
   DecisionLog log;
   HttpClient client;
   platform::RequestFields dialect;
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -200,7 +200,7 @@
 }
 
 TEST_CASE("workers: an older row takes nothing back, a gone one is forgotten") {
-  WorkerDirectory workers("z");
+  WorkerDirectory workers("n", "z");
   workers.Update(RecordOf("w1", "m1"), 5, At(0));
   CHECK(!workers.Update(RecordOf("w1", "m2"), 4, At(0)));
   CHECK(workers.Find("w1")->record.models.contains("m1"));
@@ -211,7 +211,7 @@
 
 TEST_CASE("workers: a choice says what is missing") {
   const Configuration configuration = PlainConfiguration();
-  WorkerDirectory workers("z");
+  WorkerDirectory workers("n", "z");
   WorkerDemand demand;
   demand.service = "s";
   demand.model = {"m1", "a1"};
@@ -229,7 +229,7 @@
 
 TEST_CASE("workers: one that fails is chosen less, and again after a while") {
   const Configuration configuration = PlainConfiguration();
-  WorkerDirectory workers("z");
+  WorkerDirectory workers("n", "z");
   workers.Update(RecordOf("w1", ""), 1, At(0));
   workers.Update(RecordOf("w2", ""), 2, At(0));
   WorkerDemand demand;
@@ -245,9 +245,28 @@
   CHECK(workers.Choose(demand, configuration, At(60)).worker->record.id == "w1");
 }
 
+TEST_CASE("workers: many nodes that know the same do not all choose the same") {
+  const Configuration configuration = PlainConfiguration();
+  std::map<std::string, int> chosen;
+  for (int node = 0; node < 60; ++node) {
+    WorkerDirectory workers(absl::StrCat("n", node), "z");
+    workers.SetNodes(60);
+    for (int worker = 0; worker < 6; ++worker) {
+      workers.Update(RecordOf(absl::StrCat("w", worker), ""), worker + 1, At(0));
+    }
+    WorkerDemand demand;
+    demand.service = "s";
+    ++chosen[workers.Choose(demand, configuration, At(0)).worker->record.id];
+  }
+  CHECK(chosen.size() == 6);
+  for (const auto& [worker, count] : chosen) {
+    CHECK(count <= 20);
+  }
+}
+
 TEST_CASE("workers: places taken by the other nodes count") {
   const Configuration configuration = PlainConfiguration();
-  WorkerDirectory workers("z");
+  WorkerDirectory workers("n", "z");
   workers.Update(RecordOf("w1", ""), 1, At(0));
   workers.Find("w1")->peers_running = 2;
   WorkerDemand demand;
--- /dev/null
+++ b/tests/serving/request_explanation_test.cc
@@ -0,0 +1,91 @@
+// One failure of each kind is played, and its cause is found from the nodes' logs alone.
+#include "hingespan/operator/request_explanation.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "tests/serving/gateway_world.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using emulator::WorkerFault;
+
+TestRequest StreamRequest(const std::string& target, const std::string& id,
+                          const std::string& model) {
+  TestRequest request;
+  request.target = target;
+  request.id = id;
+  request.fields = {{"Model", model}, {"Token-Count", "10,6"}};
+  return request;
+}
+
+RequestExplanation Explain(const GatewayWorld& world, const std::string& id) {
+  std::vector<std::string> lines;
+  for (const auto& node : world.nodes) {
+    const std::vector<std::string> of_node = node->LogLines();
+    lines.insert(lines.end(), of_node.begin(), of_node.end());
+  }
+  return ExplainRequest(lines, id);
+}
+
+TEST_CASE("refused though workers were free: no worker held the model, and what was ordered") {
+  GatewayWorld world;
+  world.PutConfiguration(2, 20000, 4.0);
+  emulator::PlatformWorkerOptions options;
+  options.id = "w1";
+  options.service = "models";
+  options.load_time = absl::Seconds(60);
+  world.AddWorker(options);
+  // The node that refuses is not the one that orders.
+  world.AddNode("n1");
+  TestNode* const other = world.AddNode("n2");
+  TestRequest request = StreamRequest("/stream/x", "refused-1", "m2");
+  request.deadline_ms = 15000;
+  REQUIRE(world.Ask(other, request)->head.status == 503);
+  const RequestExplanation explanation = Explain(world, "refused-1");
+  CHECK(explanation.found);
+  CAPTURE(explanation.cause);
+  CHECK(absl::StrContains(explanation.cause, "no worker held model m2"));
+  CHECK(absl::StrContains(explanation.cause, "at worker w1 was ordered"));
+}
+
+TEST_CASE("broken off midway: the worker, and that the route allowed no further one") {
+  GatewayWorld world;
+  world.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kBreaksStream);
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, StreamRequest("/once/x", "broken-1", "m1"));
+  REQUIRE(call->result == ExchangeResult::kBroken);
+  const RequestExplanation explanation = Explain(world, "broken-1");
+  CAPTURE(explanation.cause);
+  CHECK(absl::StrContains(explanation.cause, "broken off: worker w1 (broken_off)"));
+  CHECK(explanation.lines.size() >= 2);
+}
+
+TEST_CASE("late by a cold model: how long it waited, and the load that it waited for") {
+  GatewayWorld world;
+  emulator::PlatformWorkerOptions options;
+  options.id = "w1";
+  options.service = "models";
+  options.load_time = absl::Milliseconds(800);
+  world.AddWorker(options);
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, StreamRequest("/stream/x", "late-1", "m2"));
+  REQUIRE(call->head.status == 200);
+  const RequestExplanation explanation = Explain(world, "late-1");
+  CAPTURE(explanation.cause);
+  CHECK(absl::StrContains(explanation.cause, "served late: it waited"));
+  CHECK(absl::StrContains(explanation.cause, "for a replica of m2"));
+  CHECK(absl::StrContains(explanation.cause, "first replica"));
+}
+
+TEST_CASE("a request that no line names is said so") {
+  const RequestExplanation explanation = ExplainRequest({"noise", "{}", "{\"event\":1}"}, "x");
+  CHECK(!explanation.found);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
