Gateway: datagrams and copies have an address each

Cause: a test's node did not start: the port that the kernel chose for datagrams was taken for connections (seen in 2 of 45 cases of one run). Change: each is announced by its own address.

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -32,8 +32,9 @@
   std::uint64_t incarnation = 0;
   std::string zone;
   double link_mbps = 0;
-  // Of this node's datagrams.
+  // Of this node's datagrams, and where it serves copies of the store's tables.
   std::string address;
+  std::string copies_address;
   LeaseSettings lease;
   FleetPlacerSettings placer;
   // The table of this product's own rows in the shared store.
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -43,7 +43,7 @@
 struct FleetNode {
   std::string name;
   std::string zone;
-  // "ip:port" of its datagrams and of its copies.
+  // "ip:port" where it serves its copies.
   std::string address;
   // Of its link. A configuration goes from a reader to many nodes at once: wide links first.
   double link_mbps = 0;
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -149,6 +149,7 @@
   announced_ = true;
   const std::string value = Json{
       {"address", settings_.address},
+      {"copies", settings_.copies_address},
       {"zone", settings_.zone},
       {"link_mbps", settings_.link_mbps},
       {"incarnation",
@@ -199,7 +200,8 @@
     if (json.is_object() && json.contains("address")) {
       const std::string name = row.key.substr(kNodePrefix.size());
       peers[name] = json["address"].get<std::string>();
-      nodes.push_back({name, json.value("zone", ""), peers[name], json.value("link_mbps", 0.0)});
+      nodes.push_back(
+          {name, json.value("zone", ""), json.value("copies", ""), json.value("link_mbps", 0.0)});
     }
   }
   peers_ = std::move(peers);
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -87,10 +87,11 @@
   if (const std::error_code error = requests_.Listen(settings_.request_listen)) {
     return error;
   }
-  settings_.peer_listen = peers_.address();
+  // The same port for both, or, where the kernel chooses, one for each.
   if (const std::error_code error = reading_.Listen(settings_.peer_listen)) {
     return error;
   }
+  settings_.peer_listen = peers_.address();
   reading_.Share(parts_.reader->configuration_table(), nullptr);
   reading_.Share(parts_.reader->worker_table(),
                  [this](const StoreRow& left, const StoreRow& right) {
@@ -99,6 +100,7 @@
                    return before.ok() && after.ok() && *before == *after;
                  });
   FleetCoordinatorSettings fleet = FleetSettings(settings_);
+  fleet.copies_address = reading_.address();
   FleetCoordinatorParts fleet_parts;
   fleet_parts.loop = parts_.loop;
   fleet_parts.store = parts_.store;
