--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -744,6 +744,7 @@
     }
   }
   std::vector<WorkerLoad> loads;
+  loads.reserve(totals.size());
   for (const auto& [id, load] : totals) {
     loads.push_back(load);
   }
