--- a/include/hingespan/serving/worker_control.h
+++ b/include/hingespan/serving/worker_control.h
@@ -24,9 +24,9 @@
   std::string adapter;
   // The worker refuses the order when it has taken another number of orders by then.
   std::uint64_t expected_sequence = 0;
-  // Name of the node that orders, and the fencing token of its lease.
+  // Name of the node that orders, and the fencing token that its lease gave it.
   std::string holder;
-  std::uint64_t fencing_token = 0;
+  std::uint64_t token = 0;
 };
 
 enum class OrderOutcome {
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -432,7 +432,7 @@
 void FleetCoordinator::SendOrder(const PlannedOrder& planned) {
   WorkerOrder order = planned.order;
   order.holder = settings_.node;
-  order.fencing_token = lease_.token();
+  order.token = lease_.token();
   ++parts_.metrics->orders;
   parts_.log->Write(LogLevel::kInfo, "order",
                     {{"worker", order.worker_id},
@@ -443,7 +443,7 @@
                      {"waiting", absl::StrCat(planned.waiting)},
                      {"rate", absl::StrCat(planned.rate)},
                      {"expected_sequence", absl::StrCat(order.expected_sequence)},
-                     {"token", absl::StrCat(order.fencing_token)}});
+                     {"token", absl::StrCat(order.token)}});
   parts_.control->SendOrder(order, [this, order](OrderOutcome outcome) {
     const absl::Time now = parts_.loop->Now();
     if (outcome == OrderOutcome::kUnknown) {
@@ -458,7 +458,7 @@
                        {"adapter", order.adapter},
                        {"outcome", std::string(OutcomeName(outcome))},
                        {"expected_sequence", absl::StrCat(order.expected_sequence)}});
-    if (outcome == OrderOutcome::kFenced && order.fencing_token == lease_.token()) {
+    if (outcome == OrderOutcome::kFenced && order.token == lease_.token()) {
       const bool held_before = lease_.holding();
       lease_.OnFenced(now);
       NoteLeaseChange(held_before);
