--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -11,28 +11,10 @@
 namespace hingespan::gateway {
 namespace {
 
-constexpr absl::Duration kAskAgain = absl::Milliseconds(300);
-constexpr absl::Duration kAskAfterConflict = absl::Milliseconds(150);
-constexpr absl::Duration kAskAfterSilence = absl::Milliseconds(300);
-constexpr absl::Duration kUnloadTime = absl::Milliseconds(250);
-constexpr absl::Duration kAdapterLoadTime = absl::Milliseconds(30);
-constexpr absl::Duration kAfterRefusal = absl::Seconds(1);
 constexpr absl::Duration kReservation = absl::Seconds(6);
-// A load that is this much late is taken for lost.
-constexpr absl::Duration kLoadOverdue = absl::Seconds(12);
 // Models looked at in one run; the others come with the next.
 constexpr std::size_t kMostWishesAtOnce = 12;
-constexpr std::size_t kAdapterLoadsAtOnce = 4;
-// Costs of a placement, in requests a second that it takes away elsewhere.
-constexpr double kEvictionCost = 0.02;
-// For each second that a load takes.
-constexpr double kLoadSecondCost = 0.15;
 constexpr absl::Duration kConcurrencyMemory = absl::Seconds(4);
-constexpr double kBusyWorkerCost = 0.004;
-constexpr double kOnlyReplicaFactor = 3.0;
-constexpr double kFreshReplicaValue = 5.0;
-constexpr double kWaitingValue = 20.0;
-constexpr double kRunningValue = 0.3;
 // The first replica of a model that is asked for may take the place of nearly everything.
 constexpr double kMostCostOfFirstReplica = 50.0;
 // A further replica must be worth more than what it replaces by this factor.
@@ -149,93 +131,6 @@
   }
 }
 
-void FleetPlacer::TakeRecord(const WorkerState& worker, absl::Time now, Ledger* ledger) {
-  if (worker.row_version == ledger->row_version) {
-    return;
-  }
-  ledger->row_version = worker.row_version;
-  if (!ledger->reported) {
-    ledger->models = worker.record.models;
-    return;
-  }
-  // A record may be old, e.g. written before an outage of the store; orders and reports tell more.
-  // But one that differs is a reason to ask.
-  const auto same_model = [](const auto& left, const auto& right) {
-    return left.first == right.first;
-  };
-  const bool same =
-      std::equal(ledger->models.begin(), ledger->models.end(), worker.record.models.begin(),
-                 worker.record.models.end(), same_model);
-  if (!same) {
-    ledger->ask_at = std::min(ledger->ask_at, now);
-  }
-}
-
-void FleetPlacer::SyncLedgers(const Configuration& configuration,
-                              const std::map<std::string, WorkerState>& workers, absl::Time now) {
-  for (auto entry = ledgers_.begin(); entry != ledgers_.end();) {
-    entry = workers.contains(entry->first) ? std::next(entry) : ledgers_.erase(entry);
-  }
-  for (const auto& [id, worker] : workers) {
-    const Service* const service = configuration.FindService(worker.record.service);
-    if (service == nullptr || !service->engine.has_value()) {
-      continue;
-    }
-    Ledger& ledger = ledgers_[id];
-    ledger.service = worker.record.service;
-    if (!ledger.unanswered.has_value()) {
-      TakeRecord(worker, now, &ledger);
-      FinishLoads(id, &ledger, now);
-    }
-  }
-}
-
-void FleetPlacer::FinishLoads(const std::string& worker_id, Ledger* ledger, absl::Time now) {
-  if (ledger->model_load.has_value()) {
-    const ModelKey key = ledger->model_load->key;
-    if (ledger->models.contains(key.model)) {
-      ledger->model_load.reset();
-      ledger->loaded_at[key] = now;
-      news_.push_back({worker_id, key.model, "", ReplicaState::kReady, 0});
-    } else if (now > ledger->model_load->expected + kLoadOverdue) {
-      ledger->model_load.reset();
-    }
-  }
-}
-
-void FleetPlacer::FinishUnload(const WorkerReport& report, Ledger* ledger, absl::Time now) {
-  if (!ledger->model_unload.has_value()) {
-    return;
-  }
-  const std::string& model = ledger->model_unload->key.model;
-  // The model is out of the lists as soon as the order is taken; its memory is free only once the
-  // worker isn't busy any more, since its runs are ended first.
-  if (!report.busy && !ledger->models.contains(model)) {
-    ledger->model_unload.reset();
-    return;
-  }
-  if (now > ledger->model_unload->expected + kLoadOverdue) {
-    ledger->model_unload.reset();
-    ledger->uncertain = true;
-    ledger->ask_at = now + kAskAgain;
-  }
-}
-
-void FleetPlacer::FinishAdapters(absl::Time now) {
-  for (auto& [id, ledger] : ledgers_) {
-    for (auto load = ledger.adapter_loads.begin(); load != ledger.adapter_loads.end();) {
-      if (load->expected > now) {
-        ++load;
-        continue;
-      }
-      ledger.models[load->key.model].insert(load->key.adapter);
-      ledger.loaded_at[load->key] = now;
-      news_.push_back({id, load->key.model, load->key.adapter, ReplicaState::kReady, 0});
-      load = ledger.adapter_loads.erase(load);
-    }
-  }
-}
-
 std::vector<PlannedOrder> FleetPlacer::Plan(const Configuration& configuration,
                                             const std::map<std::string, WorkerState>& workers,
                                             absl::Time now) {
@@ -331,61 +226,6 @@
   return true;
 }
 
-std::optional<FleetPlacer::Placement> FleetPlacer::PlaceModel(const Service& service,
-                                                              const ModelSpecification& model,
-                                                              double most_cost,
-                                                              PlanContext* context) const {
-  std::optional<Placement> best;
-  for (const auto& [id, ledger] : ledgers_) {
-    if (ledger.service != service.name || ledger.models.contains(model.name) ||
-        ledger.model_load.has_value() || ledger.model_unload.has_value() ||
-        !ledger.adapter_loads.empty() || !MayTakeOrder(id, service, *context)) {
-      continue;
-    }
-    if (!ledger.reserved_for.empty() && ledger.reserved_for != model.name &&
-        ledger.reserved_until > context->now) {
-      continue;
-    }
-    const WorkerState& worker = context->workers->at(id);
-    Placement placement{id, {}, worker.running * kBusyWorkerCost};
-    placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(LoadTime(model, worker.record));
-    const double room = service.engine->memory_mb - UsedMemory(service, ledger);
-    if (room < model.memory_mb) {
-      double least = std::numeric_limits<double>::infinity();
-      for (const auto& [held, adapters] : ledger.models) {
-        const double value = ReplicaValue(service, ledger, held, *context);
-        if (value < least) {
-          least = value;
-          placement.victim = ModelKey{held, ""};
-        }
-      }
-      placement.cost += least + kEvictionCost;
-    }
-    const double load_cost = kLoadSecondCost * absl::ToDoubleSeconds(model.load_time);
-    if (placement.cost <= most_cost + load_cost &&
-        (!best.has_value() || placement.cost < best->cost)) {
-      best = placement;
-    }
-  }
-  return best;
-}
-
-double FleetPlacer::ReplicaValue(const Service& service, const Ledger& ledger,
-                                 const std::string& model, const PlanContext& context) const {
-  const ModelTotals totals = TotalsOfModel(service, model, context);
-  const int replicas = std::max(1, CountReplicas(service, model, context));
-  double value = totals.rate / replicas + kRunningValue * totals.running / replicas;
-  if (replicas == 1) {
-    value = value * kOnlyReplicaFactor + kWaitingValue * totals.waiting;
-  }
-  const auto loaded = ledger.loaded_at.find(ModelKey{model, ""});
-  if (loaded != ledger.loaded_at.end() &&
-      context.now - loaded->second < settings_.least_residence) {
-    value += kFreshReplicaValue;
-  }
-  return value;
-}
-
 void FleetPlacer::PlanAdapters(const Service& service, PlanContext* context) {
   for (const auto& [key, totals] : context->totals) {
     const auto& [service_name, model_key] = key;
@@ -415,65 +255,6 @@
   Order(OrderKind::kLoad, placement->worker_id, key, "adapter is waited for", totals, context);
 }
 
-std::optional<FleetPlacer::Placement> FleetPlacer::PlaceAdapter(const Service& service,
-                                                                const ModelSpecification& model,
-                                                                const ModelKey& key,
-                                                                PlanContext* context) const {
-  std::optional<Placement> best;
-  for (const auto& [id, ledger] : ledgers_) {
-    if (ledger.service != service.name || !ledger.models.contains(key.model) ||
-        ledger.model_load.has_value() || ledger.model_unload.has_value() ||
-        ledger.adapter_loads.size() >= kAdapterLoadsAtOnce ||
-        !MayTakeOrder(id, service, *context)) {
-      continue;
-    }
-    const WorkerState& worker = context->workers->at(id);
-    Placement placement{id, {}, worker.running * kBusyWorkerCost};
-    const bool slot_free = UsedAdapterSlots(ledger) < service.engine->adapter_slots;
-    const double room = service.engine->memory_mb - UsedMemory(service, ledger);
-    if (!slot_free || room < model.adapter_memory_mb) {
-      double least = std::numeric_limits<double>::infinity();
-      for (const auto& [held, adapters] : ledger.models) {
-        for (const std::string& adapter : adapters) {
-          const ModelKey held_key{held, adapter};
-          const auto totals = context->totals.find({service.name, held_key});
-          const double value = totals == context->totals.end()
-                                   ? 0
-                                   : totals->second.rate + kRunningValue * totals->second.running;
-          if (value < least) {
-            least = value;
-            placement.victim = held_key;
-          }
-        }
-      }
-      if (placement.victim.model.empty()) {
-        continue;
-      }
-      placement.cost += least + kEvictionCost;
-    }
-    if (!best.has_value() || placement.cost < best->cost) {
-      best = placement;
-    }
-  }
-  return best;
-}
-
-bool FleetPlacer::MayTakeOrder(const std::string& worker_id, const Service& service,
-                               const PlanContext& context) const {
-  const Ledger& ledger = ledgers_.at(worker_id);
-  const auto worker = context.workers->find(worker_id);
-  return ledger.service == service.name && !ledger.unanswered.has_value() && !ledger.uncertain &&
-         ledger.not_before <= context.now && worker != context.workers->end() &&
-         worker->second.avoided_until <= context.now && context.usable.contains(worker_id);
-}
-
-absl::Duration FleetPlacer::LoadTime(const ModelSpecification& model, const WorkerRecord& record) {
-  if (record.copies_in_memory.contains(model.name)) {
-    return model.load_time_from_memory;
-  }
-  return record.copies_on_disk.contains(model.name) ? model.load_time_from_disk : model.load_time;
-}
-
 double FleetPlacer::RecentConcurrency(const Service& service, const std::string& model,
                                       const ModelTotals& totals, absl::Time now) {
   Concurrency& recent = concurrency_[{service.name, model}];
@@ -486,37 +267,6 @@
   return recent.value;
 }
 
-double FleetPlacer::UsedMemory(const Service& service, const Ledger& ledger) const {
-  double used = 0;
-  const auto add = [&](const ModelKey& key) {
-    const ModelSpecification* const model = service.FindModel(key.model);
-    if (model != nullptr) {
-      used += key.adapter.empty() ? model->memory_mb : model->adapter_memory_mb;
-    }
-  };
-  for (const auto& [model, adapters] : ledger.models) {
-    add(ModelKey{model, ""});
-    for (const std::string& adapter : adapters) {
-      add(ModelKey{model, adapter});
-    }
-  }
-  if (ledger.model_load.has_value()) {
-    add(ledger.model_load->key);
-  }
-  for (const RunningLoad& load : ledger.adapter_loads) {
-    add(load.key);
-  }
-  return used;
-}
-
-int FleetPlacer::UsedAdapterSlots(const Ledger& ledger) {
-  std::size_t used = ledger.adapter_loads.size();
-  for (const auto& [model, adapters] : ledger.models) {
-    used += adapters.size();
-  }
-  return static_cast<int>(used);
-}
-
 int FleetPlacer::CountReplicas(const Service& service, const std::string& model,
                                const PlanContext& context) {
   const auto entry = context.replicas.find({service.name, model});
@@ -580,139 +330,11 @@
   context->orders.push_back(std::move(planned));
 }
 
-void FleetPlacer::Accepted(const WorkerOrder& order, Ledger* ledger, absl::Time now) {
-  const ModelKey key{order.model, order.adapter};
-  ledger->sequence = order.expected_sequence + 1;
-  if (order.kind == OrderKind::kUnload) {
-    if (order.adapter.empty()) {
-      ledger->model_unload = RunningLoad{key, now + kUnloadTime, now + kUnloadTime};
-    } else {
-      ledger->models[order.model].erase(order.adapter);
-    }
-    return;
-  }
-  if (!order.adapter.empty()) {
-    ledger->adapter_loads.push_back(
-        RunningLoad{key, now + kAdapterLoadTime, now + kAdapterLoadTime});
-    return;
-  }
-  const absl::Duration load_time = load_times_[{order.worker_id, order.model}];
-  ledger->model_load = RunningLoad{key, now + load_time, now + load_time};
-  news_.push_back({order.worker_id, order.model, "", ReplicaState::kLoading,
-                   static_cast<int>(absl::ToInt64Milliseconds(load_time))});
-}
-
-void FleetPlacer::OnOutcome(const WorkerOrder& order, OrderOutcome outcome, absl::Time now) {
-  const auto entry = ledgers_.find(order.worker_id);
-  if (entry == ledgers_.end()) {
-    return;
-  }
-  Ledger& ledger = entry->second;
-  ledger.unanswered.reset();
-  switch (outcome) {
-    case OrderOutcome::kAccepted:
-      Accepted(order, &ledger, now);
-      return;
-    case OrderOutcome::kDone:
-      if (order.kind == OrderKind::kUnload && !order.adapter.empty()) {
-        Accepted(order, &ledger, now);
-        return;
-      }
-      ledger.uncertain = true;
-      ledger.ask_at = now + kAskAfterConflict;
-      return;
-    case OrderOutcome::kConflict:
-      ledger.uncertain = true;
-      ledger.ask_at = now + kAskAfterConflict;
-      return;
-    case OrderOutcome::kRefused:
-      ledger.not_before = now + kAfterRefusal;
-      ledger.uncertain = true;
-      ledger.ask_at = now + kAfterRefusal;
-      return;
-    case OrderOutcome::kFenced:
-      return;
-    case OrderOutcome::kUnknown:
-      ledger.uncertain = true;
-      ledger.without_answer = order;
-      ledger.ask_at = now + kAskAfterSilence;
-      return;
-  }
-}
-
-void FleetPlacer::TakePendingAdapters(const WorkerReport& report, Ledger* ledger, absl::Time now) {
-  for (const std::string& pending : report.pending_adapters) {
-    const std::pair<std::string, std::string> parts =
-        absl::StrSplit(pending, absl::MaxSplits('/', 1));
-    const ModelKey key{parts.first, parts.second};
-    const bool known = std::any_of(ledger->adapter_loads.begin(), ledger->adapter_loads.end(),
-                                   [&](const RunningLoad& load) { return load.key == key; });
-    if (!known) {
-      const absl::Time expected = now + kAdapterLoadTime;
-      ledger->adapter_loads.push_back(RunningLoad{key, expected, expected});
-    }
-  }
-}
-
-void FleetPlacer::OnWorkerReport(const std::string& worker_id, const WorkerReport& report,
-                                 absl::Time now) {
-  const auto entry = ledgers_.find(worker_id);
-  if (entry == ledgers_.end() || entry->second.unanswered.has_value()) {
-    return;
-  }
-  Ledger& ledger = entry->second;
-  if (report.order_sequence < ledger.sequence) {
-    return;  // As of before the latest order; asked again.
-  }
-  if (ledger.without_answer.has_value() &&
-      report.order_sequence == ledger.without_answer->expected_sequence + 1) {
-    Accepted(*ledger.without_answer, &ledger, now);
-  }
-  ledger.without_answer.reset();
-  ledger.reported = true;
-  ledger.sequence = report.order_sequence;
-  ledger.models = report.models;
-  TakePendingAdapters(report, &ledger, now);
-  // An order that this holder knows nothing of, e.g. its predecessor's: what it will take up is not
-  // known before it has ended.
-  const bool known = ledger.model_load.has_value() || ledger.model_unload.has_value();
-  ledger.uncertain = report.busy && !known;
-  ledger.ask_at = ledger.uncertain ? now + kAskAgain : absl::InfiniteFuture();
-  if (!report.busy && ledger.model_load.has_value() &&
-      !ledger.models.contains(ledger.model_load->key.model) &&
-      now > ledger.model_load->expected + absl::Seconds(2)) {
-    ledger.model_load.reset();
-  }
-  FinishLoads(worker_id, &ledger, now);
-  FinishUnload(report, &ledger, now);
-}
-
 std::vector<ReplicaNews> FleetPlacer::TakeNews(absl::Time now) {
   FinishAdapters(now);
   return std::exchange(news_, {});
 }
 
-std::vector<std::string> FleetPlacer::WorkersToAsk(absl::Time now) {
-  std::vector<std::string> ids;
-  for (auto& [id, ledger] : ledgers_) {
-    bool ask = false;
-    if (ledger.ask_at <= now) {
-      ledger.ask_at = now + kAskAgain;
-      ask = true;
-    }
-    for (std::optional<RunningLoad>* const load : {&ledger.model_load, &ledger.model_unload}) {
-      if (load->has_value() && (*load)->ask_again <= now) {
-        (*load)->ask_again = now + kAskAgain;
-        ask = true;
-      }
-    }
-    if (ask) {
-      ids.push_back(id);
-    }
-  }
-  return ids;
-}
-
 absl::Time FleetPlacer::NextDue(absl::Time now) const {
   absl::Time due = demand_waits_ ? now + absl::Milliseconds(100) : absl::InfiniteFuture();
   for (const auto& [id, ledger] : ledgers_) {
--- /dev/null
+++ b/src/fleet/fleet_placer_choice.cc
@@ -0,0 +1,172 @@
+// Where the placer puts a model or adapter, and what makes room for it.
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "hingespan/fleet/fleet_placer.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr std::size_t kAdapterLoadsAtOnce = 4;
+// Costs of a placement, in requests a second that it takes away elsewhere.
+constexpr double kEvictionCost = 0.02;
+// For each second that a load takes.
+constexpr double kLoadSecondCost = 0.15;
+constexpr double kBusyWorkerCost = 0.004;
+constexpr double kOnlyReplicaFactor = 3.0;
+constexpr double kFreshReplicaValue = 5.0;
+constexpr double kWaitingValue = 20.0;
+constexpr double kRunningValue = 0.3;
+
+}  // namespace
+
+std::optional<FleetPlacer::Placement> FleetPlacer::PlaceModel(const Service& service,
+                                                              const ModelSpecification& model,
+                                                              double most_cost,
+                                                              PlanContext* context) const {
+  std::optional<Placement> best;
+  for (const auto& [id, ledger] : ledgers_) {
+    if (ledger.service != service.name || ledger.models.contains(model.name) ||
+        ledger.model_load.has_value() || ledger.model_unload.has_value() ||
+        !ledger.adapter_loads.empty() || !MayTakeOrder(id, service, *context)) {
+      continue;
+    }
+    if (!ledger.reserved_for.empty() && ledger.reserved_for != model.name &&
+        ledger.reserved_until > context->now) {
+      continue;
+    }
+    const WorkerState& worker = context->workers->at(id);
+    Placement placement{id, {}, worker.running * kBusyWorkerCost};
+    placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(LoadTime(model, worker.record));
+    const double room = service.engine->memory_mb - UsedMemory(service, ledger);
+    if (room < model.memory_mb) {
+      double least = std::numeric_limits<double>::infinity();
+      for (const auto& [held, adapters] : ledger.models) {
+        const double value = ReplicaValue(service, ledger, held, *context);
+        if (value < least) {
+          least = value;
+          placement.victim = ModelKey{held, ""};
+        }
+      }
+      placement.cost += least + kEvictionCost;
+    }
+    const double load_cost = kLoadSecondCost * absl::ToDoubleSeconds(model.load_time);
+    if (placement.cost <= most_cost + load_cost &&
+        (!best.has_value() || placement.cost < best->cost)) {
+      best = placement;
+    }
+  }
+  return best;
+}
+
+double FleetPlacer::ReplicaValue(const Service& service, const Ledger& ledger,
+                                 const std::string& model, const PlanContext& context) const {
+  const ModelTotals totals = TotalsOfModel(service, model, context);
+  const int replicas = std::max(1, CountReplicas(service, model, context));
+  double value = totals.rate / replicas + kRunningValue * totals.running / replicas;
+  if (replicas == 1) {
+    value = value * kOnlyReplicaFactor + kWaitingValue * totals.waiting;
+  }
+  const auto loaded = ledger.loaded_at.find(ModelKey{model, ""});
+  if (loaded != ledger.loaded_at.end() &&
+      context.now - loaded->second < settings_.least_residence) {
+    value += kFreshReplicaValue;
+  }
+  return value;
+}
+
+std::optional<FleetPlacer::Placement> FleetPlacer::PlaceAdapter(const Service& service,
+                                                                const ModelSpecification& model,
+                                                                const ModelKey& key,
+                                                                PlanContext* context) const {
+  std::optional<Placement> best;
+  for (const auto& [id, ledger] : ledgers_) {
+    if (ledger.service != service.name || !ledger.models.contains(key.model) ||
+        ledger.model_load.has_value() || ledger.model_unload.has_value() ||
+        ledger.adapter_loads.size() >= kAdapterLoadsAtOnce ||
+        !MayTakeOrder(id, service, *context)) {
+      continue;
+    }
+    const WorkerState& worker = context->workers->at(id);
+    Placement placement{id, {}, worker.running * kBusyWorkerCost};
+    const bool slot_free = UsedAdapterSlots(ledger) < service.engine->adapter_slots;
+    const double room = service.engine->memory_mb - UsedMemory(service, ledger);
+    if (!slot_free || room < model.adapter_memory_mb) {
+      double least = std::numeric_limits<double>::infinity();
+      for (const auto& [held, adapters] : ledger.models) {
+        for (const std::string& adapter : adapters) {
+          const ModelKey held_key{held, adapter};
+          const auto totals = context->totals.find({service.name, held_key});
+          const double value = totals == context->totals.end()
+                                   ? 0
+                                   : totals->second.rate + kRunningValue * totals->second.running;
+          if (value < least) {
+            least = value;
+            placement.victim = held_key;
+          }
+        }
+      }
+      if (placement.victim.model.empty()) {
+        continue;
+      }
+      placement.cost += least + kEvictionCost;
+    }
+    if (!best.has_value() || placement.cost < best->cost) {
+      best = placement;
+    }
+  }
+  return best;
+}
+
+bool FleetPlacer::MayTakeOrder(const std::string& worker_id, const Service& service,
+                               const PlanContext& context) const {
+  const Ledger& ledger = ledgers_.at(worker_id);
+  const auto worker = context.workers->find(worker_id);
+  return ledger.service == service.name && !ledger.unanswered.has_value() && !ledger.uncertain &&
+         ledger.not_before <= context.now && worker != context.workers->end() &&
+         worker->second.avoided_until <= context.now && context.usable.contains(worker_id);
+}
+
+absl::Duration FleetPlacer::LoadTime(const ModelSpecification& model, const WorkerRecord& record) {
+  if (record.copies_in_memory.contains(model.name)) {
+    return model.load_time_from_memory;
+  }
+  return record.copies_on_disk.contains(model.name) ? model.load_time_from_disk : model.load_time;
+}
+
+double FleetPlacer::UsedMemory(const Service& service, const Ledger& ledger) const {
+  double used = 0;
+  const auto add = [&](const ModelKey& key) {
+    const ModelSpecification* const model = service.FindModel(key.model);
+    if (model != nullptr) {
+      used += key.adapter.empty() ? model->memory_mb : model->adapter_memory_mb;
+    }
+  };
+  for (const auto& [model, adapters] : ledger.models) {
+    add(ModelKey{model, ""});
+    for (const std::string& adapter : adapters) {
+      add(ModelKey{model, adapter});
+    }
+  }
+  if (ledger.model_load.has_value()) {
+    add(ledger.model_load->key);
+  }
+  for (const RunningLoad& load : ledger.adapter_loads) {
+    add(load.key);
+  }
+  return used;
+}
+
+int FleetPlacer::UsedAdapterSlots(const Ledger& ledger) {
+  std::size_t used = ledger.adapter_loads.size();
+  for (const auto& [model, adapters] : ledger.models) {
+    used += adapters.size();
+  }
+  return static_cast<int>(used);
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/serving/request_relay_answers.cc
@@ -0,0 +1,264 @@
+// A request's answers: what a worker's answer means, and how the request ends.
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "hingespan/serving/gateway_metrics.h"
+#include "hingespan/serving/request_relay.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr absl::Duration kDefaultRetryAfter = absl::Milliseconds(200);
+// A replica is certainly usable this much after it was expected.
+constexpr absl::Duration kAfterExpected = absl::Milliseconds(150);
+// Bytes that may wait for a slow caller before the worker is not read any more.
+constexpr std::size_t kMaxPendingBytes = 256 * 1024;
+// How long a replica that a worker denied is taken for absent.
+constexpr absl::Duration kDeniedReplica = absl::Milliseconds(700);
+std::string Milliseconds(absl::Duration duration) {
+  return absl::StrCat(absl::ToInt64Milliseconds(duration));
+}
+
+}  // namespace
+
+bool RequestRelay::OnHead(const AnswerHead& head) {
+  answer_facts_ = context_->dialect->ReadAnswer(head, worker_id_);
+  const bool own = answer_facts_.id == facts_.id;
+  const bool unnamed_refusal = answer_facts_.id.empty() && answer_facts_.not_executed;
+  if (!own && !unnamed_refusal) {
+    return false;  // The answer to another request.
+  }
+  const bool success = head.status / 100 == 2;
+  if (success && !answer_facts_.is_signed) {
+    return false;
+  }
+  answer_head_ = head;
+  passing_events_ = success && route_->kind == RouteKind::kStreaming;
+  return true;
+}
+
+void RequestRelay::OnBody(absl::string_view piece) {
+  const absl::Time now = context_->loop->Now();
+  last_progress_ = now;
+  if (!passing_events_) {
+    answer_body_.append(piece.data(), piece.size());
+    return;
+  }
+  ForwardEvents(events_.Feed(piece));
+}
+
+void RequestRelay::ForwardEvents(const std::string& events) {
+  if (events.empty()) {
+    return;
+  }
+  const absl::Time now = context_->loop->Now();
+  if (!attempt_began_) {
+    attempt_began_ = true;
+    context_->workers->AttemptBegan(worker_id_, facts_.prompt_tokens, now - attempt_started_, now);
+    SetTimer(now);
+  }
+  if (!stream_started_) {
+    stream_started_ = true;
+    first_byte_at_ = now;
+    context_->metrics->first_byte.Record(now - arrived_);
+    exchange_->StartChunked(answer_head_.status, answer_head_.reason,
+                            context_->dialect->CallerFields(answer_head_));
+  }
+  exchange_->WriteChunk(events);
+  if (upstream_ != nullptr && exchange_->pending_bytes() > kMaxPendingBytes) {
+    upstream_->PauseReading();
+  }
+}
+
+void RequestRelay::OnEnd(ExchangeResult result) {
+  const std::shared_ptr<RequestRelay> self = shared_from_this();
+  if (state_ != State::kRunning) {
+    return;
+  }
+  switch (result) {
+    case ExchangeResult::kComplete:
+      OnWholeAnswer();
+      return;
+    case ExchangeResult::kNotSent:
+      EndAttempt(AttemptOutcome::kUnreachable);
+      // The worker has not seen it: another one may, within the budget, without counting this one.
+      tried_.erase(worker_id_);
+      last_failure_ = "unreachable";
+      BeginWaiting();
+      return;
+    case ExchangeResult::kBroken:
+      EndAttempt(AttemptOutcome::kFailed);
+      OnFailedAttempt("broken_off");
+      return;
+    case ExchangeResult::kMalformed:
+      EndAttempt(AttemptOutcome::kFailed);
+      OnFailedAttempt("malformed");
+      return;
+  }
+}
+
+void RequestRelay::OnWholeAnswer() {
+  if (answer_facts_.not_executed) {
+    OnNotExecuted();
+    return;
+  }
+  const absl::Time now = context_->loop->Now();
+  if (passing_events_) {
+    ForwardEvents(events_.TakeRest());
+    EndAttempt(AttemptOutcome::kServed);
+    if (!stream_started_) {
+      stream_started_ = true;
+      exchange_->StartChunked(answer_head_.status, answer_head_.reason,
+                              context_->dialect->CallerFields(answer_head_));
+    }
+    exchange_->FinishChunked();
+    Finish(answer_head_.status, "served");
+    return;
+  }
+  if (!attempt_began_) {
+    attempt_began_ = true;
+    context_->workers->AttemptBegan(worker_id_, facts_.prompt_tokens, now - attempt_started_, now);
+  }
+  const bool failed = answer_head_.status >= 500;
+  EndAttempt(failed ? AttemptOutcome::kFailed : AttemptOutcome::kServed);
+  if (stream_started_) {
+    OnFailedAttempt("refused_to_resume");
+    return;
+  }
+  if (failed && route_->MayRunAgain() && MayTryAnother(now)) {
+    OnFailedAttempt(absl::StrCat("status_", answer_head_.status));
+    return;
+  }
+  SendWholeAnswer();
+}
+
+void RequestRelay::SendWholeAnswer() {
+  context_->metrics->first_byte.Record(context_->loop->Now() - arrived_);
+  exchange_->Answer(answer_head_.status, answer_head_.reason,
+                    context_->dialect->CallerFields(answer_head_), answer_body_);
+  Finish(answer_head_.status, answer_head_.status < 400 ? "served" : "worker_failure");
+}
+
+void RequestRelay::OnNotExecuted() {
+  const absl::Time now = context_->loop->Now();
+  const bool misdirected = answer_facts_.misdirected;
+  EndAttempt(AttemptOutcome::kFull);
+  if (answer_facts_.from_other_worker) {
+    context_->workers->MarkEnded(worker_id_);
+  } else if (misdirected && !model_.model.empty()) {
+    context_->workers->NoteReplica(worker_id_, model_, false, now + kDeniedReplica);
+  }
+  last_failure_ = misdirected ? "misdirected" : "worker_full";
+  if (stream_started_ || may_have_run_ || MayTryAnother(now)) {
+    OnFailedAttempt(last_failure_);
+    return;
+  }
+  Refuse(last_failure_);
+}
+
+void RequestRelay::OnFailedAttempt(absl::string_view how) {
+  const absl::Time now = context_->loop->Now();
+  last_failure_ = std::string(how);
+  const bool not_executed =
+      answer_facts_.not_executed && (how == "worker_full" || how == "misdirected");
+  answer_facts_ = {};
+  if (!not_executed) {
+    may_have_run_ = true;
+  }
+  context_->log->Write(LogLevel::kInfo, "attempt_failed",
+                       {{"request", facts_.id},
+                        {"worker", worker_id_},
+                        {"how", last_failure_},
+                        {"attempt", absl::StrCat(attempts_)},
+                        {"after_ms", Milliseconds(now - attempt_started_)}});
+  const bool may_repeat = !may_have_run_ || route_->MayRunAgain();
+  if (may_repeat && MayTryAnother(now)) {
+    if (stream_started_) {
+      ++context_->metrics->streams_resumed;
+    }
+    BeginWaiting();
+    return;
+  }
+  if (stream_started_) {
+    AbortStream(last_failure_);
+    return;
+  }
+  if (may_have_run_) {
+    FailUnknown(502, last_failure_);
+    return;
+  }
+  Refuse(last_failure_);
+}
+
+void RequestRelay::Refuse(absl::string_view why) {
+  context_->host->Dequeue(place_);
+  const absl::Time now = context_->loop->Now();
+  absl::Duration retry_after = kDefaultRetryAfter;
+  const absl::Time expected = context_->host->ExpectedReady(model_);
+  if (expected != absl::InfiniteFuture()) {
+    retry_after = std::max(retry_after, expected - now + kAfterExpected);
+  }
+  ++context_->metrics->refusals[std::string(why)];
+  exchange_->Answer(503, ReasonPhrase(503),
+                    {{"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))}},
+                    {});
+  Finish(503, why);
+}
+
+void RequestRelay::FailUnknown(int status, absl::string_view why) {
+  context_->host->Dequeue(place_);
+  exchange_->Answer(status, ReasonPhrase(status), {}, {});
+  Finish(status, why);
+}
+
+void RequestRelay::AbortStream(absl::string_view why) {
+  context_->host->Dequeue(place_);
+  ++context_->metrics->streams_broken;
+  exchange_->Abort();
+  Finish(0, why);
+}
+
+void RequestRelay::OnCallerGone() {
+  if (state_ == State::kEnded) {
+    return;
+  }
+  ++context_->metrics->callers_gone;
+  context_->host->Dequeue(place_);
+  if (state_ == State::kRunning) {
+    EndAttempt(AttemptOutcome::kCancelled);
+  }
+  Finish(0, "caller_gone");
+}
+
+void RequestRelay::Finish(int status, absl::string_view why) {
+  const std::shared_ptr<RequestRelay> self = shared_from_this();
+  context_->host->Ended(place_.number);
+  state_ = State::kEnded;
+  timer_->Cancel();
+  const absl::Time now = context_->loop->Now();
+  ++context_->metrics->requests_by_status[status];
+  context_->metrics->whole_request.Record(now - arrived_);
+  const WorkerState* const worker = context_->workers->Find(worker_id_);
+  context_->log->Write(
+      LogLevel::kInfo, "request",
+      {{"request", facts_.id},
+       {"route", route_->name},
+       {"service", service_},
+       {"model",
+        model_.adapter.empty() ? model_.model : absl::StrCat(model_.model, "/", model_.adapter)},
+       {"status", absl::StrCat(status)},
+       {"outcome", std::string(why)},
+       {"attempts", absl::StrCat(attempts_)},
+       {"worker", worker_id_},
+       {"worker_row", absl::StrCat(worker == nullptr ? 0 : worker->row_version)},
+       {"configuration", absl::StrCat(routes_->configuration().version)},
+       {"sent_after_ms",
+        attempts_ == 0 ? std::string("never") : Milliseconds(attempt_started_ - arrived_)},
+       {"first_byte_ms",
+        stream_started_ ? Milliseconds(first_byte_at_ - arrived_) : std::string("-")},
+       {"total_ms", Milliseconds(now - arrived_)}});
+}
+
+}  // namespace hingespan::gateway
