--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -21,8 +21,15 @@
   int waiting = 0;
   // Requests running at workers.
   int running = 0;
-  // Requests that came since the node's last report.
+  // Requests that came since the node's last report, and the tokens of their prompts.
   int arrived = 0;
+  int arrived_tokens = 0;
+};
+
+// Requests for one model, its adapters included, that run at a worker.
+struct RunningModel {
+  std::string model;
+  int running = 0;
 };
 
 // What one node runs at one worker.
@@ -31,6 +38,8 @@
   int running = 0;
   // Prompt tokens sent there that have not begun to be answered.
   int unread_tokens = 0;
+  // Only in reports to the holder.
+  std::vector<RunningModel> models;
 };
 
 // From a node to the holder of the placement lease.
--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -76,11 +76,13 @@
   struct ModelTotals {
     int waiting = 0;
     int running = 0;
-    // Requests a second.
+    // Requests, and tokens of their prompts, a second.
     double rate = 0;
+    double token_rate = 0;
   };
   struct RateCounter {
     double rate = 0;
+    double token_rate = 0;
     absl::Time updated;
   };
   // Requests of a model that run or wait at once, remembered when they stop suddenly.
@@ -129,6 +131,10 @@
     // By service and model: all its adapters together, and replicas that are there or on their way.
     std::map<std::pair<std::string, std::string>, ModelTotals> model_totals;
     std::map<std::pair<std::string, std::string>, int> replicas;
+    // Requests for adapters of a model, all together, a second. By service and model.
+    std::map<std::pair<std::string, std::string>, double> adapter_rates;
+    // Requests that run, by worker and model.
+    std::map<std::pair<std::string, std::string>, int> running_at;
     // Workers that take requests and orders, as far as is known.
     std::set<std::string> usable;
     absl::Time now;
@@ -175,7 +181,16 @@
                            const PlanContext& context) const;
   static ModelTotals TotalsOfModel(const Service& service, const std::string& model,
                                    const PlanContext& context);
-  // What unloading a model from a worker would cost, in requests a second.
+  // What a load at a worker costs the adapters of the models there: none can be loaded meanwhile.
+  static double BlockedAdapterCost(const Ledger& ledger, absl::Duration load_time,
+                                   const PlanContext& context);
+  // How many replicas a model's requests fill.
+  static double ReplicasFilled(const Service& service, const ModelTotals& totals);
+  // Requests that so many replicas will not serve in time before placement can do anything about
+  // it.
+  static double HarmedRequests(const Service& service, const ModelTotals& totals, int replicas);
+  // What one more replica is worth, and what unloading one would cost, in requests.
+  static double GainOfReplica(const Service& service, const ModelTotals& totals, int replicas);
   double ReplicaValue(const Service& service, const Ledger& ledger, const std::string& model,
                       const PlanContext& context) const;
   void Order(OrderKind kind, const std::string& worker_id, const ModelKey& key, std::string reason,
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -72,6 +72,7 @@
   struct DemandCounts {
     int running = 0;
     int arrived = 0;
+    int arrived_tokens = 0;
   };
 
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange);
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -70,6 +70,10 @@
   // Sends it to a worker when one has room. Returns whether it left the queue.
   bool TryDispatch(absl::Time now);
 
+  // Why no worker could take it when that was last looked at.
+  ChoiceProblem problem() const { return last_problem_; }
+  // Another request that asks for the same found no worker for this reason.
+  void NoteProblem(ChoiceProblem problem);
   // What is expected of a replica has changed.
   void OnNews() {
     if (state_ == State::kWaiting) {
@@ -82,6 +86,7 @@
   std::uint64_t number() const { return place_.number; }
   const std::string& service() const { return service_; }
   const ModelKey& model() const { return model_; }
+  int prompt_tokens() const { return facts_.prompt_tokens; }
   bool waiting() const { return state_ == State::kWaiting; }
   // Requests with an equal demand and no attempt yet wait for the same workers.
   bool first_attempt() const { return tried_.empty(); }
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -49,6 +49,8 @@
   // Attempts of this node under way, and the prompt tokens of those that have not begun to answer.
   int running = 0;
   double unread_tokens = 0;
+  // Of `running`, by model; none is 0.
+  std::map<std::string, int> running_by_model;
   // Running attempts of the other nodes, as they last told.
   int peers_running = 0;
   double peers_unread_tokens = 0;
@@ -121,8 +123,8 @@
   void AttemptStarted(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
   void AttemptBegan(const std::string& worker_id, double unread_tokens, absl::Duration latency,
                     absl::Time now);
-  void AttemptEnded(const std::string& worker_id, double unread_tokens, AttemptOutcome outcome,
-                    absl::Time now);
+  void AttemptEnded(const std::string& worker_id, const std::string& model, double unread_tokens,
+                    AttemptOutcome outcome, absl::Time now);
   void NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
                    absl::Time until);
 
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -14,11 +14,21 @@
 constexpr int kPlacementNews = 2;
 
 Json Encode(const WorkerLoad& load) {
-  return Json::array({load.worker_id, load.running, load.unread_tokens});
+  Json list = Json::array({load.worker_id, load.running, load.unread_tokens});
+  for (const RunningModel& model : load.models) {
+    list.push_back(model.model);
+    list.push_back(model.running);
+  }
+  return list;
 }
 
 WorkerLoad DecodeLoad(const Json& json) {
-  return {json.at(0).get<std::string>(), json.at(1).get<int>(), json.at(2).get<int>()};
+  constexpr std::size_t kFixedEntries = 3;
+  WorkerLoad load{json.at(0).get<std::string>(), json.at(1).get<int>(), json.at(2).get<int>(), {}};
+  for (std::size_t index = kFixedEntries; index + 1 < json.size(); index += 2) {
+    load.models.push_back({json.at(index).get<std::string>(), json.at(index + 1).get<int>()});
+  }
+  return load;
 }
 
 Json EncodeLoads(const std::vector<WorkerLoad>& loads) {
@@ -41,7 +51,7 @@
   Json demands = Json::array();
   for (const ModelDemand& demand : report.demands) {
     demands.push_back(Json::array({demand.service, demand.model, demand.adapter, demand.waiting,
-                                   demand.running, demand.arrived}));
+                                   demand.running, demand.arrived, demand.arrived_tokens}));
   }
   return Json::array({kDemandReport, report.node, report.incarnation, report.number,
                       std::move(demands), EncodeLoads(report.loads), report.unreachable});
@@ -55,7 +65,8 @@
   for (const Json& entry : json.at(4)) {
     report.demands.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
                               entry.at(2).get<std::string>(), entry.at(3).get<int>(),
-                              entry.at(4).get<int>(), entry.at(5).get<int>()});
+                              entry.at(4).get<int>(), entry.at(5).get<int>(),
+                              entry.at(6).get<int>()});
   }
   report.loads = DecodeLoads(json.at(5));
   report.unreachable = json.at(6).get<std::vector<std::string>>();
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -15,12 +15,6 @@
 // Models looked at in one run; the others come with the next.
 constexpr std::size_t kMostWishesAtOnce = 12;
 constexpr absl::Duration kConcurrencyMemory = absl::Seconds(4);
-// The first replica of a model that is asked for may take the place of nearly everything.
-constexpr double kMostCostOfFirstReplica = 50.0;
-// A further replica must be worth more than what it replaces by this factor.
-constexpr double kGainFactor = 0.5;
-// What a request that waits adds to the worth of a further replica.
-constexpr double kWaitingGain = 0.25;
 
 }  // namespace
 
@@ -48,7 +42,9 @@
     RateCounter& counter = rates_[{demand.service, ModelKey{demand.model, demand.adapter}}];
     const double age =
         counter.updated == absl::Time() ? 0 : absl::ToDoubleSeconds(now - counter.updated);
-    counter.rate = counter.rate * std::exp(-age / window) + demand.arrived / window;
+    const double kept = std::exp(-age / window);
+    counter.rate = counter.rate * kept + demand.arrived / window;
+    counter.token_rate = counter.token_rate * kept + demand.arrived_tokens / window;
     counter.updated = now;
   }
   known.report = report;
@@ -60,7 +56,9 @@
   const double window = absl::ToDoubleSeconds(settings_.rate_window);
   for (const auto& [key, counter] : rates_) {
     const double age = absl::ToDoubleSeconds(now - counter.updated);
-    totals[key].rate = counter.rate * std::exp(-age / window);
+    const double kept = std::exp(-age / window);
+    totals[key].rate = counter.rate * kept;
+    totals[key].token_rate = counter.token_rate * kept;
   }
   for (const auto& [node, known] : reports_) {
     if (now - known.received > settings_.report_lifetime) {
@@ -106,8 +104,14 @@
 void FleetPlacer::FillContext(PlanContext* context) const {
   std::set<std::string> unreachable;
   for (const auto& [node, known] : reports_) {
-    if (context->now - known.received <= settings_.report_lifetime) {
-      unreachable.insert(known.report.unreachable.begin(), known.report.unreachable.end());
+    if (context->now - known.received > settings_.report_lifetime) {
+      continue;
+    }
+    unreachable.insert(known.report.unreachable.begin(), known.report.unreachable.end());
+    for (const WorkerLoad& load : known.report.loads) {
+      for (const RunningModel& running : load.models) {
+        context->running_at[{load.worker_id, running.model}] += running.running;
+      }
     }
   }
   for (const auto& [id, worker] : *context->workers) {
@@ -120,6 +124,10 @@
     sum.waiting += totals.waiting;
     sum.running += totals.running;
     sum.rate += totals.rate;
+    sum.token_rate += totals.token_rate;
+    if (!key.second.adapter.empty()) {
+      context->adapter_rates[{key.first, key.second.model}] += totals.rate;
+    }
   }
   for (const auto& [id, ledger] : ledgers_) {
     if (!context->usable.contains(id)) {
@@ -163,14 +171,16 @@
     const ModelSpecification* model = nullptr;
     ModelTotals totals;
     int replicas = 0;
+    double gain = 0;
   };
   std::vector<Wish> wishes;
   for (const auto& [name, model] : service.engine->models) {
     if (!context->model_totals.contains({service.name, model.name})) {
       continue;
     }
-    const Wish wish{&model, TotalsOfModel(service, model.name, *context),
-                    CountReplicas(service, model.name, *context)};
+    Wish wish{&model, TotalsOfModel(service, model.name, *context),
+              CountReplicas(service, model.name, *context)};
+    wish.gain = GainOfReplica(service, wish.totals, wish.replicas);
     const double wanted = RecentConcurrency(service, model.name, wish.totals, context->now) /
                           settings_.requests_for_each_replica;
     const bool first = wish.replicas == 0 && wish.totals.waiting > 0;
@@ -178,17 +188,8 @@
       wishes.push_back(wish);
     }
   }
-  // Models that nobody serves come first, then those with the most requests for each replica.
-  std::stable_sort(wishes.begin(), wishes.end(), [](const Wish& left, const Wish& right) {
-    if ((left.replicas == 0) != (right.replicas == 0)) {
-      return left.replicas == 0;
-    }
-    const auto pressure = [](const Wish& wish) {
-      return static_cast<double>(wish.totals.waiting + wish.totals.running) /
-             std::max(1, wish.replicas);
-    };
-    return pressure(left) > pressure(right);
-  });
+  std::stable_sort(wishes.begin(), wishes.end(),
+                   [](const Wish& left, const Wish& right) { return left.gain > right.gain; });
   if (wishes.size() > kMostWishesAtOnce) {
     wishes.resize(kMostWishesAtOnce);
   }
@@ -199,8 +200,7 @@
 
 bool FleetPlacer::PlanReplica(const Service& service, const ModelSpecification& model,
                               const ModelTotals& totals, int replicas, PlanContext* context) {
-  const double gain = totals.rate / (replicas + 1.0) * kGainFactor + kWaitingGain * totals.waiting;
-  const double most_cost = replicas == 0 ? kMostCostOfFirstReplica : gain;
+  const double most_cost = GainOfReplica(service, totals, replicas);
   const std::optional<Placement> placement = PlaceModel(service, model, most_cost, context);
   if (!placement.has_value()) {
     return false;
--- a/src/fleet/fleet_placer_choice.cc
+++ b/src/fleet/fleet_placer_choice.cc
@@ -12,15 +12,28 @@
 namespace {
 
 constexpr std::size_t kAdapterLoadsAtOnce = 4;
-// Costs of a placement, in requests a second that it takes away elsewhere.
+// Costs of a placement, in requests that it harms elsewhere.
 constexpr double kEvictionCost = 0.02;
 // For each second that a load takes.
 constexpr double kLoadSecondCost = 0.15;
 constexpr double kBusyWorkerCost = 0.004;
-constexpr double kOnlyReplicaFactor = 3.0;
 constexpr double kFreshReplicaValue = 5.0;
-constexpr double kWaitingValue = 20.0;
 constexpr double kRunningValue = 0.3;
+// Prompt tokens a second that a replica reads without making its requests late, and the part of its
+// slots that may be taken.
+constexpr double kReplicaTokenRate = 9000;
+constexpr double kReplicaSlotPart = 0.6;
+// Seconds until a lack of replicas is mended: noticed, ordered and loaded.
+constexpr double kMendSeconds = 6;
+// What a request that waits adds to the worth of a first and of a further replica.
+constexpr double kWaitingGainOfFirst = 2.0;
+constexpr double kWaitingGain = 0.25;
+// A replica that is not short of places is worth this part of its requests a second.
+constexpr double kSpareReplicaGain = 0.5;
+// Of each second that requests for adapters are held up by a load.
+constexpr double kBlockedAdapterSecondCost = 0.3;
+// How long the requests of a replica go on after it is to be unloaded.
+constexpr double kDrainSeconds = 2.5;
 
 }  // namespace
 
@@ -41,12 +54,17 @@
     }
     const WorkerState& worker = context->workers->at(id);
     Placement placement{id, {}, worker.running * kBusyWorkerCost};
-    placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(LoadTime(model, worker.record));
+    const absl::Duration load_time = LoadTime(model, worker.record);
+    placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(load_time);
+    placement.cost += BlockedAdapterCost(ledger, load_time, *context);
     const double room = service.engine->memory_mb - UsedMemory(service, ledger);
     if (room < model.memory_mb) {
       double least = std::numeric_limits<double>::infinity();
       for (const auto& [held, adapters] : ledger.models) {
-        const double value = ReplicaValue(service, ledger, held, *context);
+        double value = ReplicaValue(service, ledger, held, *context);
+        if (context->running_at.contains({id, held})) {
+          value += kLoadSecondCost * kDrainSeconds;
+        }
         if (value < least) {
           least = value;
           placement.victim = ModelKey{held, ""};
@@ -63,13 +81,54 @@
   return best;
 }
 
+double FleetPlacer::BlockedAdapterCost(const Ledger& ledger, absl::Duration load_time,
+                                       const PlanContext& context) {
+  double rate = 0;
+  for (const auto& [model, adapters] : ledger.models) {
+    const auto adapter_rate = context.adapter_rates.find({ledger.service, model});
+    if (adapter_rate != context.adapter_rates.end()) {
+      const auto replicas = context.replicas.find({ledger.service, model});
+      const int count = replicas == context.replicas.end() ? 1 : std::max(1, replicas->second);
+      rate += adapter_rate->second / count;
+    }
+  }
+  return kBlockedAdapterSecondCost * rate * absl::ToDoubleSeconds(load_time);
+}
+
+double FleetPlacer::ReplicasFilled(const Service& service, const ModelTotals& totals) {
+  const double by_reading = totals.token_rate / kReplicaTokenRate;
+  const double by_slots = totals.running / std::max(1.0, service.engine->slots * kReplicaSlotPart);
+  return std::max(by_reading, by_slots);
+}
+
+double FleetPlacer::HarmedRequests(const Service& service, const ModelTotals& totals,
+                                   int replicas) {
+  if (replicas == 0) {
+    return totals.rate * kMendSeconds;
+  }
+  const double filled = ReplicasFilled(service, totals);
+  return filled <= replicas ? 0 : totals.rate * kMendSeconds * (1 - replicas / filled);
+}
+
+double FleetPlacer::GainOfReplica(const Service& service, const ModelTotals& totals, int replicas) {
+  const double fewer_harmed =
+      HarmedRequests(service, totals, replicas) - HarmedRequests(service, totals, replicas + 1);
+  if (replicas == 0) {
+    return fewer_harmed + kWaitingGainOfFirst * totals.waiting;
+  }
+  return fewer_harmed + kSpareReplicaGain * totals.rate / (replicas + 1) +
+         kWaitingGain * totals.waiting;
+}
+
 double FleetPlacer::ReplicaValue(const Service& service, const Ledger& ledger,
                                  const std::string& model, const PlanContext& context) const {
   const ModelTotals totals = TotalsOfModel(service, model, context);
   const int replicas = std::max(1, CountReplicas(service, model, context));
-  double value = totals.rate / replicas + kRunningValue * totals.running / replicas;
+  const double more_harmed =
+      HarmedRequests(service, totals, replicas - 1) - HarmedRequests(service, totals, replicas);
+  double value = more_harmed + (totals.rate + kRunningValue * totals.running) / replicas;
   if (replicas == 1) {
-    value = value * kOnlyReplicaFactor + kWaitingValue * totals.waiting;
+    value += kWaitingGainOfFirst * totals.waiting;
   }
   const auto loaded = ledger.loaded_at.find(ModelKey{model, ""});
   if (loaded != ledger.loaded_at.end() &&
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -280,7 +280,9 @@
 
 void Gateway::Enqueue(const QueuePlace& place, std::shared_ptr<RequestRelay> request) {
   if (request->first_attempt()) {
-    ++demand_[{request->service(), request->model()}].arrived;
+    DemandCounts& counts = demand_[{request->service(), request->model()}];
+    ++counts.arrived;
+    counts.arrived_tokens += request->prompt_tokens();
   }
   const absl::Time now = parts_.loop->Now();
   // Straight to a worker when nobody waits that might come first.
@@ -311,14 +313,19 @@
 void Gateway::Pump() {
   const absl::Time now = parts_.loop->Now();
   // First attempts for the same model wait for the same workers: one look tells for all.
-  std::set<std::pair<std::string, ModelKey>> blocked;
+  std::map<std::pair<std::string, ModelKey>, ChoiceProblem> blocked;
   for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
+    if (!request->waiting()) {
+      continue;
+    }
     const std::pair<std::string, ModelKey> key{request->service(), request->model()};
-    if (!request->waiting() || (request->first_attempt() && blocked.contains(key))) {
+    const auto known = request->first_attempt() ? blocked.find(key) : blocked.end();
+    if (known != blocked.end()) {
+      request->NoteProblem(known->second);
       continue;
     }
     if (!request->TryDispatch(now) && request->first_attempt()) {
-      blocked.insert(key);
+      blocked.emplace(key, request->problem());
     }
   }
   if (!queue_.empty()) {
@@ -366,14 +373,20 @@
       entry = demand_.erase(entry);
       continue;
     }
-    report->demands.push_back(
-        {service, model.model, model.adapter, waiting_count, counts.running, counts.arrived});
+    report->demands.push_back({service, model.model, model.adapter, waiting_count, counts.running,
+                               counts.arrived, counts.arrived_tokens});
     counts.arrived = 0;
+    counts.arrived_tokens = 0;
     ++entry;
   }
   for (const auto& [id, worker] : workers_.workers()) {
     if (worker.running > 0) {
-      report->loads.push_back({id, worker.running, static_cast<int>(worker.unread_tokens)});
+      report->loads.push_back({id, worker.running, static_cast<int>(worker.unread_tokens), {}});
+      for (const auto& [model, running] : worker.running_by_model) {
+        if (!model.empty()) {
+          report->loads.back().models.push_back({model, running});
+        }
+      }
     }
     if (worker.ended || worker.unreachable_until > parts_.loop->Now()) {
       report->unreachable.push_back(id);
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -111,8 +111,7 @@
   const WorkerDemand demand = Demand();
   const WorkerChoice choice = context_->workers->Choose(demand, routes_->configuration(), now);
   if (choice.worker == nullptr) {
-    last_problem_ = choice.problem;
-    // Only workers that were tried already are left: the request can't be helped by waiting long.
+    NoteProblem(choice.problem);
     return false;
   }
   if (attempts_ > 0 && !context_->budget->TryTake(service_, now)) {
@@ -128,6 +127,14 @@
   return true;
 }
 
+void RequestRelay::NoteProblem(ChoiceProblem problem) {
+  if (last_problem_ == problem) {
+    return;
+  }
+  last_problem_ = problem;
+  SetTimer(context_->loop->Now());
+}
+
 void RequestRelay::Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now) {
   context_->host->Dequeue(place_);
   state_ = State::kRunning;
@@ -281,7 +288,8 @@
 
 void RequestRelay::EndAttempt(AttemptOutcome outcome) {
   upstream_.reset();
-  context_->workers->AttemptEnded(worker_id_, attempt_began_ ? 0 : facts_.prompt_tokens, outcome,
+  context_->workers->AttemptEnded(worker_id_, model_.model,
+                                  attempt_began_ ? 0 : facts_.prompt_tokens, outcome,
                                   context_->loop->Now());
   context_->host->RunningChanged(service_, model_, -1);
   context_->host->PumpSoon();
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -218,6 +218,7 @@
 void WorkerDirectory::AttemptStarted(WorkerState* worker, const WorkerDemand& demand,
                                      absl::Time now) {
   ++worker->running;
+  ++worker->running_by_model[demand.model.model];
   worker->unread_tokens += demand.prompt_tokens;
   if (demand.prompt_parts == nullptr) {
     return;
@@ -244,13 +245,17 @@
           : worker->latency_ms + kLatencyWeight * (latency_ms - worker->latency_ms);
 }
 
-void WorkerDirectory::AttemptEnded(const std::string& worker_id, double unread_tokens,
-                                   AttemptOutcome outcome, absl::Time now) {
+void WorkerDirectory::AttemptEnded(const std::string& worker_id, const std::string& model,
+                                   double unread_tokens, AttemptOutcome outcome, absl::Time now) {
   WorkerState* const worker = Find(worker_id);
   if (worker == nullptr) {
     return;
   }
   worker->running = std::max(0, worker->running - 1);
+  const auto count = worker->running_by_model.find(model);
+  if (count != worker->running_by_model.end() && --count->second <= 0) {
+    worker->running_by_model.erase(count);
+  }
   worker->unread_tokens = std::max(0.0, worker->unread_tokens - unread_tokens);
   if (outcome == AttemptOutcome::kCancelled) {
     return;
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -9,7 +9,8 @@
 namespace {
 
 TEST_CASE("a demand report is read as it was written") {
-  const DemandReport report{"n1", 5, 9, {{"s", "m", "a1", 1, 2, 3}}, {{"w1", 4, 500}}, {"w7"}};
+  const DemandReport report{
+      "n1", 5, 9, {{"s", "m", "a1", 1, 2, 3, 900}}, {{"w1", 4, 500, {{"m", 3}, {"n", 1}}}}, {"w7"}};
   const auto read = DecodeFleetMessage(EncodeFleetMessage(report));
   REQUIRE(read.has_value());
   const auto* const same = std::get_if<DemandReport>(&*read);
@@ -19,8 +20,12 @@
   REQUIRE(same->demands.size() == 1);
   CHECK(same->demands[0].adapter == "a1");
   CHECK(same->demands[0].arrived == 3);
+  CHECK(same->demands[0].arrived_tokens == 900);
   REQUIRE(same->loads.size() == 1);
   CHECK(same->loads[0].unread_tokens == 500);
+  REQUIRE(same->loads[0].models.size() == 2);
+  CHECK(same->loads[0].models[1].model == "n");
+  CHECK(same->loads[0].models[1].running == 1);
   CHECK(same->unreachable == std::vector<std::string>{"w7"});
 }
 
--- a/tests/fleet/fleet_placer_test.cc
+++ b/tests/fleet/fleet_placer_test.cc
@@ -49,7 +49,7 @@
     DemandReport report;
     report.node = "n1";
     report.number = ++number;
-    report.demands.push_back({"s", model, adapter, waiting, running, arrived});
+    report.demands.push_back({"s", model, adapter, waiting, running, arrived, arrived * 1000});
     placer.OnReport(report, At(now));
   }
 
@@ -271,5 +271,75 @@
   }));
 }
 
+TEST_CASE("a busy model without a replica comes before a rare one") {
+  PlacerWorld world(1);
+  DemandReport report;
+  report.node = "n2";
+  report.number = 1;
+  report.demands.push_back({"s", "m2", "", 1, 0, 60, 60000});
+  world.placer.OnReport(report, At(5));
+  world.Demand(5, "m1", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(!orders.empty());
+  CHECK(orders.front().order.model == "m2");
+}
+
+TEST_CASE("a rare model does not take a replica that a busy one needs") {
+  PlacerWorld world(2);
+  world.Hold("w0", "m1");
+  world.Hold("w0", "m2");
+  world.Hold("w1", "m1");
+  world.Hold("w1", "m3");
+  // m1 fills two replicas; m2 and m3 are hardly asked for.
+  DemandReport report;
+  report.node = "n2";
+  report.number = 1;
+  report.demands.push_back({"s", "m1", "", 0, 4, 100, 100000});
+  report.demands.push_back({"s", "m2", "", 0, 0, 1, 1000});
+  report.demands.push_back({"s", "m3", "", 0, 0, 1, 1000});
+  world.placer.OnReport(report, At(5));
+  world.Demand(5, "m4", "", 1, 0, 1);
+  for (const PlannedOrder& planned : world.Plan(5)) {
+    CHECK(planned.order.kind == OrderKind::kUnload);
+    CHECK(planned.order.model != "m1");
+  }
+}
+
+TEST_CASE("a replica whose requests run is not the first to make room") {
+  PlacerWorld world(2);
+  world.Hold("w0", "m1");
+  world.Hold("w0", "m2");
+  world.Hold("w1", "m1");
+  world.Hold("w1", "m2");
+  DemandReport report;
+  report.node = "n2";
+  report.number = 1;
+  report.demands.push_back({"s", "m1", "", 0, 1, 1, 1000});
+  report.demands.push_back({"s", "m2", "", 0, 1, 1, 1000});
+  report.loads.push_back({"w0", 2, 0, {{"m1", 1}, {"m2", 1}}});
+  world.placer.OnReport(report, At(5));
+  world.Demand(5, "m4", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(!orders.empty());
+  CHECK(orders.front().order.kind == OrderKind::kUnload);
+  CHECK(orders.front().order.worker_id == "w1");
+}
+
+TEST_CASE("a load keeps away from a worker whose adapters are asked for") {
+  PlacerWorld world(2);
+  world.Hold("w0", "m1");
+  world.Hold("w1", "m2");
+  DemandReport report;
+  report.node = "n2";
+  report.number = 1;
+  report.demands.push_back({"s", "m1", "a1", 0, 0, 6, 6000});
+  report.demands.push_back({"s", "m2", "", 0, 0, 6, 6000});
+  world.placer.OnReport(report, At(5));
+  world.Demand(5, "m3", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(!orders.empty());
+  CHECK(orders.front().order.worker_id == "w1");
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -268,6 +269,29 @@
   CHECK(seconds < 5.0);
 }
 
+TEST_CASE("callers that wait for the same cold model are told alike, not the first one alone") {
+  GatewayWorld world;
+  world.PutConfiguration(2, 20000, 4.0);
+  emulator::PlatformWorkerOptions options;
+  options.id = "w1";
+  options.service = "models";
+  options.load_time = absl::Seconds(60);
+  world.AddWorker(options);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request = StreamRequest("/stream/x", "m2");
+  request.deadline_ms = 15000;
+  constexpr int kCallers = 60;
+  std::vector<decltype(world.Send(node, request))> calls;
+  for (int number = 0; number < kCallers; ++number) {
+    request.id = absl::StrCat("r", number);
+    calls.push_back(world.Send(node, request));
+  }
+  REQUIRE(world.Wait([&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->ended; });
+  }));
+  CHECK(node->metrics.refusals["model_absent"] == kCallers);
+}
+
 TEST_CASE("an adapter is loaded on demand") {
   GatewayWorld world;
   world.AddModelWorker("w1", "m1");
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -237,7 +237,7 @@
   for (int attempt = 0; attempt < 5; ++attempt) {
     WorkerState* const worker = workers.Find("w1");
     workers.AttemptStarted(worker, demand, At(0));
-    workers.AttemptEnded("w1", 0, AttemptOutcome::kFailed, At(0));
+    workers.AttemptEnded("w1", "", 0, AttemptOutcome::kFailed, At(0));
   }
   workers.AttemptStarted(workers.Find("w2"), demand, At(0));
   // w2 has a request and yet is preferred.
