--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -40,11 +40,11 @@
   // The table of this product's own rows in the shared store.
   std::string table = "hingespan";
   absl::Duration store_interval = absl::Seconds(1);
-  // In a fleet of more nodes than this, so many watch the lease each interval; the others read the
-  // table only so often, and learn of the holder from its news.
-  std::size_t most_lease_watchers = 10;
-  std::size_t lease_watchers = 3;
+  // Nodes that don't read the store themselves look at a reader's copy of the table only so often,
+  // and learn of the holder from its news.
   absl::Duration relaxed_store_interval = absl::Seconds(6);
+  // The holder, which renews without reading, looks for new nodes each so many renewals.
+  int renewals_between_reads = 5;
   absl::Duration load_news_interval = absl::Milliseconds(300);
   // Added to it for each node: what the holder sends grows no faster than with the fleet.
   absl::Duration load_news_each_node = absl::Milliseconds(10);
@@ -64,6 +64,8 @@
   WorkerDirectory* workers = nullptr;
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
+  // Whether this node reads the store for itself, and not another node's copy.
+  std::function<bool()> reads_store;
   // Sends a datagram to a node's address.
   std::function<void(const std::string& address, absl::string_view bytes)> send;
   // What callers of this node ask for and what it runs, for a report.
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -1,5 +1,6 @@
-// Reading of the shared store for a large fleet: two nodes of each zone read it, the others read
-// from these. A node that gets no fresh answer from a reader reads by itself.
+// Reading of the shared store for a large fleet: one node of each zone reads it, the others read
+// from that one, or from its substitute when it fails. A node that gets no fresh answer from either
+// reads by itself.
 #ifndef HINGESPAN_FLEET_SHARED_READING_H_
 #define HINGESPAN_FLEET_SHARED_READING_H_
 
@@ -25,12 +26,16 @@
   std::string zone;
   // Zones with no more nodes than this have no readers: each node reads by itself.
   std::size_t most_nodes_without_readers = 6;
+  // The first reads; the next takes its place while it fails.
   std::size_t readers_each_zone = 2;
   // How long a reader holds a question for changes, and what is added to it before it is given up.
   absl::Duration peer_wait = absl::Seconds(1);
   absl::Duration peer_slack = absl::Milliseconds(400);
   // How long a reader's own question to the store waits: its copy is no older than that.
   absl::Duration reader_wait = absl::Seconds(1.5);
+  // A reader asks for changes of a table this long after the last ones came: each question is
+  // priced.
+  absl::Duration reader_pause = absl::Milliseconds(400);
   // A copy that the store has not confirmed for this long is not fresh.
   absl::Duration freshness = absl::Seconds(2.2);
   // A reader that failed is not asked for this long.
@@ -82,6 +87,8 @@
   void ReadDirectly(const std::string& table, RowsCallback callback);
   void WatchDirectly(const std::string& table, std::uint64_t after, absl::Duration wait,
                      RowsCallback callback);
+  // The same for the others' sake: not before the pause is over.
+  void WatchAsReader(const std::string& table, std::uint64_t after, RowsCallback callback);
   // What another node's copy told goes into this node's as well, so that it has no gaps when this
   // node becomes a reader.
   void TakePeerAnswer(const std::string& table, const StoreRows& rows, absl::Duration age,
@@ -102,6 +109,9 @@
   std::list<Question> questions_;
   std::map<std::string, std::unique_ptr<LoopTimer>> gather_timers_;
   std::map<std::string, bool> gathering_;
+  // When changes of a table came last, and the questions that wait for the pause to be over.
+  std::map<std::string, absl::Time> changed_at_;
+  std::map<std::string, std::unique_ptr<LoopTimer>> pause_timers_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool reads_itself_ = true;
 };
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -89,7 +89,9 @@
   // A holder learns all it needs from its renewals; the others read the row.
   if (lease_.holding() && !lease_.needs_read() && announced_) {
     WriteLease();
-    return;
+    if (store_ticks_ % settings_.renewals_between_reads != 0) {
+      return;
+    }
   }
   ReadTable();
 }
@@ -97,18 +99,10 @@
 absl::Duration FleetCoordinator::StoreInterval() const {
   // At first the others' rows still come in.
   constexpr int kFirstTicks = 3;
-  if (peers_.size() <= settings_.most_lease_watchers || store_ticks_ < kFirstTicks ||
-      lease_.holding()) {
+  if (parts_.reads_store() || store_ticks_ < kFirstTicks || lease_.holding()) {
     return settings_.store_interval;
   }
-  std::size_t before = 0;
   const std::size_t own = std::hash<std::string>{}(settings_.node);
-  for (const auto& [node, address] : peers_) {
-    before += std::hash<std::string>{}(node) < own ? 1 : 0;
-  }
-  if (before < settings_.lease_watchers) {
-    return settings_.store_interval;
-  }
   // Spread over the interval by name.
   const double part = static_cast<double>(own % 1000) / 1000.0;
   return settings_.relaxed_store_interval * (0.75 + 0.5 * part);
--- a/src/fleet/shared_reading.cc
+++ b/src/fleet/shared_reading.cc
@@ -154,9 +154,7 @@
     });
     zone.resize(settings_.readers_each_zone);
     readers_ = std::move(zone);
-    reads_itself_ = std::any_of(readers_.begin(), readers_.end(), [&](const FleetNode& reader) {
-      return reader.name == settings_.node;
-    });
+    reads_itself_ = readers_.front().name == settings_.node;
   }
   if (read_itself_before != reads_itself_) {
     log_->Write(LogLevel::kInfo, reads_itself_ ? "store_reader" : "store_reader_no_more",
@@ -166,20 +164,13 @@
 
 const FleetNode* SharedReading::ChooseReader() const {
   const absl::Time now = loop_->Now();
-  const FleetNode* chosen = nullptr;
-  std::uint64_t best = 0;
   for (const FleetNode& reader : readers_) {
     const auto avoided = avoided_until_.find(reader.name);
-    if (avoided != avoided_until_.end() && avoided->second > now) {
-      continue;
-    }
-    const std::uint64_t rank = Rank(absl::StrCat(reader.name, "/", settings_.node));
-    if (chosen == nullptr || rank > best) {
-      chosen = &reader;
-      best = rank;
+    if (avoided == avoided_until_.end() || avoided->second <= now) {
+      return reader.name == settings_.node ? nullptr : &reader;
     }
   }
-  return chosen;
+  return nullptr;
 }
 
 void SharedReading::Avoid(const std::string& node, const std::string& why) {
@@ -209,6 +200,9 @@
                     return;
                   }
                   const auto copy = copies_.find(table);
+                  if (result.ok() && !result->rows.empty()) {
+                    changed_at_[table] = loop_->Now();
+                  }
                   if (result.ok() && copy != copies_.end()) {
                     copy->second.TakeChanges(*result, loop_->Now());
                     ScheduleAnswers(table);
@@ -217,6 +211,23 @@
                 });
 }
 
+void SharedReading::WatchAsReader(const std::string& table, std::uint64_t after,
+                                  RowsCallback callback) {
+  const auto changed = changed_at_.find(table);
+  const absl::Time now = loop_->Now();
+  if (changed == changed_at_.end() || changed->second + settings_.reader_pause <= now) {
+    WatchDirectly(table, after, settings_.reader_wait, std::move(callback));
+    return;
+  }
+  std::unique_ptr<LoopTimer>& timer = pause_timers_[table];
+  if (timer == nullptr) {
+    timer = loop_->MakeTimer();
+  }
+  timer->Set(changed->second + settings_.reader_pause, [this, table, after, callback] {
+    WatchDirectly(table, after, settings_.reader_wait, callback);
+  });
+}
+
 void SharedReading::Read(const std::string& table, RowsCallback callback) {
   const FleetNode* const reader = ChooseReader();
   if (reads_itself_ || reader == nullptr || !copies_.contains(table)) {
@@ -244,8 +255,11 @@
                           RowsCallback callback) {
   const FleetNode* const reader = ChooseReader();
   if (reads_itself_ || reader == nullptr || !copies_.contains(table)) {
-    const absl::Duration direct = readers_.empty() ? wait : std::min(wait, settings_.reader_wait);
-    WatchDirectly(table, after, direct, std::move(callback));
+    if (readers_.empty() || wait < settings_.reader_wait) {
+      WatchDirectly(table, after, wait, std::move(callback));
+    } else {
+      WatchAsReader(table, after, std::move(callback));
+    }
     return;
   }
   const std::string name = reader->name;
@@ -297,7 +311,7 @@
   // "", "tables", table, and for changes: after, milliseconds.
   const auto copy = parts.size() > 2 ? copies_.find(parts[2]) : copies_.end();
   const absl::Time now = loop_->Now();
-  if (copy == copies_.end() || !copy->second.known() || !reads_itself_ ||
+  if (copy == copies_.end() || !copy->second.known() ||
       now - copy->second.confirmed() > settings_.freshness) {
     exchange->Answer(kNoCopy, ReasonPhrase(kNoCopy), {}, {});
     return;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -101,9 +101,10 @@
                  });
   FleetCoordinatorSettings fleet = FleetSettings(settings_);
   fleet.copies_address = reading_.address();
+  reading_.Share(fleet.table, nullptr);
   FleetCoordinatorParts fleet_parts;
   fleet_parts.loop = parts_.loop;
-  fleet_parts.store = parts_.store;
+  fleet_parts.store = &reading_;
   fleet_parts.control = parts_.control;
   fleet_parts.workers = &workers_;
   fleet_parts.log = parts_.log;
@@ -118,6 +119,7 @@
     }
     PumpSoon();
   };
+  fleet_parts.reads_store = [this] { return reading_.reads_itself(); };
   fleet_parts.on_nodes = [this](const std::vector<FleetNode>& nodes) { reading_.SetNodes(nodes); };
   const std::uint64_t seed = fleet.incarnation;
   fleet_ = std::make_unique<FleetCoordinator>(std::move(fleet), std::move(fleet_parts));
--- a/tests/fleet/shared_reading_test.cc
+++ b/tests/fleet/shared_reading_test.cc
@@ -58,7 +58,7 @@
     settings.node = name;
     settings.zone = "z";
     settings.most_nodes_without_readers = 1;
-    settings.readers_each_zone = 1;
+    settings.readers_each_zone = 2;
     return settings;
   }
   CountedStore store;
@@ -144,5 +144,54 @@
   CHECK(third.store.calls == 0);
 }
 
+TEST_CASE("while the reader fails, its substitute reads and the others ask that one") {
+  EventLoop loop;
+  auto reader = std::make_unique<Node>(&loop, "a");
+  Node substitute(&loop, "b");
+  Node other(&loop, "c");
+  const std::vector<FleetNode> nodes = {{"a", "z", reader->reading.address(), 30},
+                                        {"b", "z", substitute.reading.address(), 20},
+                                        {"c", "z", other.reading.address(), 10}};
+  for (Node* const node : {reader.get(), &substitute, &other}) {
+    node->reading.SetNodes(nodes);
+    node->store.Put("x");
+  }
+  const auto read = [&](Node* node) {
+    std::unique_ptr<Result<StoreRows>> result;
+    node->reading.Read("t", [&](Result<StoreRows> rows) {
+      result = std::make_unique<Result<StoreRows>>(std::move(rows));
+    });
+    REQUIRE(loop.RunUntil([&] { return result != nullptr; }, kLimit));
+    REQUIRE(result->ok());
+  };
+  CHECK(!substitute.reading.reads_itself());
+  reader.reset();
+  // The first question of each fails at the reader, and each reads by itself once.
+  read(&substitute);
+  read(&other);
+  CHECK(substitute.store.calls == 1);
+  CHECK(other.store.calls == 1);
+  read(&substitute);
+  read(&other);
+  CHECK(substitute.store.calls == 2);
+  CHECK(other.store.calls == 1);
+}
+
+TEST_CASE("a reader lets changes come together before it asks for more") {
+  Fixture fixture;
+  fixture.SetNodes();
+  fixture.wide.store.Put("a");
+  REQUIRE(fixture.Read(&fixture.wide).ok());
+  REQUIRE(fixture.Watch(&fixture.wide, 1).ok());
+  const int before = fixture.wide.store.calls;
+  bool told = false;
+  fixture.wide.reading.Watch("t", 2, absl::Seconds(20), [&](Result<StoreRows>) { told = true; });
+  // Another question goes out and is answered meanwhile.
+  REQUIRE(fixture.Read(&fixture.wide).ok());
+  CHECK(fixture.wide.store.calls == before + 1);
+  CHECK(!told);
+  REQUIRE(fixture.loop.RunUntil([&] { return told; }, kLimit));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
