--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -23,7 +23,7 @@
 # programs/<name>.cc becomes program <name> with '_' written '-'; emulator/*.cc and bench/load/*.cc
 # are libraries of their own programs.
 function(hingespan_add_programs)
-  foreach(library emulator load hollow experiment)
+  foreach(library emulator load)
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/${library}/*.cc)
     if(sources)
       add_library(hingespan_${library} STATIC ${sources})
@@ -32,19 +32,10 @@
                             hingespan_engine hingespan_http)
     endif()
   endforeach()
-  # Hollow nodes run the node core before the emulator's engines, in one process.
-  if(TARGET hingespan_hollow)
-    target_link_libraries(hingespan_hollow PUBLIC hingespan_node hingespan_emulator)
-  endif()
   # The load tool reads its scenarios with the emulator's TOML reader.
   if(TARGET hingespan_load AND TARGET hingespan_emulator)
     target_link_libraries(hingespan_load PUBLIC hingespan_emulator)
   endif()
-  # Experiments run a deployment's scenario in the hollow world.
-  if(TARGET hingespan_experiment)
-    target_link_libraries(hingespan_experiment PUBLIC hingespan_hollow hingespan_load
-                          hingespan_operator)
-  endif()
   file(GLOB programs CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/programs/*.cc)
   foreach(source ${programs})
     get_filename_component(stem ${source} NAME_WE)
@@ -63,8 +54,7 @@
     get_filename_component(stem ${source} NAME_WE)
     string(REPLACE "_" "-" program bench_${stem})
     add_executable(${program} ${source})
-    target_link_libraries(${program} PRIVATE hingespan_node hingespan_load hingespan_hollow
-                          hingespan_experiment)
+    target_link_libraries(${program} PRIVATE hingespan_node hingespan_load)
     target_compile_definitions(${program} PRIVATE
       HINGESPAN_PROGRAM_DIRECTORY="${CMAKE_BINARY_DIR}"
       HINGESPAN_SOURCE_DIRECTORY="${CMAKE_SOURCE_DIR}")
@@ -72,7 +62,7 @@
 endfunction()
 
 # tests/soak is a program of its own, played by scripts/soak: its runs take minutes. Its parts that
-# are pure are tested by test-soak, from tests/soak_parts.
+# are pure are tested by test-soak_checks.
 function(hingespan_add_soak)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/soak/*.cc)
   list(REMOVE_ITEM sources ${CMAKE_SOURCE_DIR}/tests/soak/soak_main.cc)
@@ -86,12 +76,14 @@
 
 # tests/<module>/*.cc becomes the test program test-<module>. tests/failure starts real processes.
 function(hingespan_add_tests)
+  hingespan_add_soak()
+  # Many nodes' cores before the emulator's engines, in virtual time: used by several test programs.
+  hingespan_add_library_from(simulation tests/simulation hingespan_node hingespan_emulator)
   file(GLOB folders CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/*)
   foreach(folder ${folders})
     if(IS_DIRECTORY ${folder})
       get_filename_component(name ${folder} NAME)
-      if(name STREQUAL "soak")
-        hingespan_add_soak()
+      if(name STREQUAL "soak" OR name STREQUAL "simulation")
         continue()
       endif()
       file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc)
@@ -106,11 +98,11 @@
         if(TARGET hingespan_load)
           target_link_libraries(test-${name} PRIVATE hingespan_load)
         endif()
-        if(TARGET hingespan_hollow)
-          target_link_libraries(test-${name} PRIVATE hingespan_hollow)
+        if(name STREQUAL "node" OR name STREQUAL "placement")
+          target_link_libraries(test-${name} PRIVATE hingespan_simulation)
         endif()
-        if(TARGET hingespan_experiment)
-          target_link_libraries(test-${name} PRIVATE hingespan_experiment)
+        if(name STREQUAL "soak_checks")
+          target_link_libraries(test-${name} PRIVATE hingespan_soak)
         endif()
         target_compile_definitions(test-${name} PRIVATE
           HINGESPAN_PROGRAM_DIRECTORY="${CMAKE_BINARY_DIR}"
