--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -207,6 +207,13 @@
     case WorkerFault::kFails:
       exchange->Answer(500, "Failed", {{"Attempt-Id", id}, {"Server-Seal", "seal-500"}}, "");
       return;
+    case WorkerFault::kEncodes:
+      exchange->Answer(200, "OK",
+                       {{"Attempt-Id", id},
+                        {"Server-Seal", absl::StrCat("seal-", id)},
+                        {"Content-Encoding", "gzip"}},
+                       "not as it was");
+      return;
     case WorkerFault::kOtherRequest:
       exchange->Answer(200, "OK", {{"Attempt-Id", "another"}, {"Server-Seal", "s"}}, "wrong");
       return;
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -28,6 +28,8 @@
   kSheds,
   // The answer belongs to another request.
   kOtherRequest,
+  // The body comes encoded, though nobody asked for that.
+  kEncodes,
   // Runs the request; its connection ends without an answer.
   kLosesAnswer,
   // Breaks a stream off within the event after `events_before_break`.
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -58,6 +58,8 @@
   bool ready() const;
   std::string request_address() const { return requests_.address(); }
   std::string status_address() const { return status_.address(); }
+  // Empty where the settings give none.
+  std::string metrics_address() const { return metrics_.address(); }
 
   void Enqueue(const QueuePlace& place, std::shared_ptr<RequestRelay> request) override;
   void Dequeue(const QueuePlace& place) override;
@@ -77,6 +79,7 @@
 
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange);
   void OnStatusRequest(const std::shared_ptr<ServerExchange>& exchange);
+  void OnMetricsRequest(const std::shared_ptr<ServerExchange>& exchange);
   void Pump();
   void TakeConfiguration(const StoreRow& row);
   void TakeWorkerRow(const StoreRow& row);
@@ -91,6 +94,8 @@
   RetryBudget budget_;
   HttpServer requests_;
   HttpServer status_;
+  // Metrics alone; listens only where the settings give an address.
+  HttpServer metrics_;
   PeerLink peers_;
   SharedReading reading_;
   std::unique_ptr<FleetCoordinator> fleet_;
--- a/include/hingespan/serving/request_dialect.h
+++ b/include/hingespan/serving/request_dialect.h
@@ -55,6 +55,8 @@
   bool misdirected = false;
   // Another worker than the one that was meant answers at its address: that one has ended.
   bool from_other_worker = false;
+  // Its body is encoded, which no worker does: callers ask for bodies as they are.
+  bool is_encoded = false;
   // It carries a worker's signature.
   bool is_signed = false;
 };
--- a/programs/hingespan_gateway.cc
+++ b/programs/hingespan_gateway.cc
@@ -56,7 +56,10 @@
     return kExitListen;
   }
   log.Write(LogLevel::kInfo, "started",
-            {{"requests", gateway.request_address()}, {"pid", absl::StrCat(getpid())}});
+            {{"requests", gateway.request_address()},
+             {"status", gateway.status_address()},
+             {"metrics", gateway.metrics_address()},
+             {"pid", absl::StrCat(getpid())}});
   const auto stop = [&] { gateway.Stop([&loop] { loop.Stop(); }); };
   loop.OnSignal(SIGTERM, stop);
   loop.OnSignal(SIGINT, stop);
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -64,6 +64,9 @@
       status_(
           parts_.loop,
           [this](const std::shared_ptr<ServerExchange>& exchange) { OnStatusRequest(exchange); }),
+      metrics_(
+          parts_.loop,
+          [this](const std::shared_ptr<ServerExchange>& exchange) { OnMetricsRequest(exchange); }),
       peers_(parts_.loop, [this](absl::string_view bytes) { fleet_->OnDatagram(bytes); }),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
@@ -81,6 +84,13 @@
   if (const std::error_code error = status_.Listen(settings_.status_listen)) {
     return error;
   }
+  if (!settings_.metrics_listen.empty()) {
+    // Callers are served without it.
+    if (const std::error_code error = metrics_.Listen(settings_.metrics_listen)) {
+      parts_.log->Write(LogLevel::kWarning, "metrics_unavailable",
+                        {{"address", settings_.metrics_listen}, {"error", error.message()}});
+    }
+  }
   ServerLimits limits;
   limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
   requests_.SetLimits(limits);
@@ -269,7 +279,11 @@
     exchange->Answer(status, ReasonPhrase(status), {}, {});
     return;
   }
-  if (target == settings_.metrics_path) {
+  OnMetricsRequest(exchange);
+}
+
+void Gateway::OnMetricsRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  if (exchange->head().target == settings_.metrics_path) {
     parts_.metrics->waiting_now = queue_.size();
     parts_.metrics->holds_lease = fleet_->holds_lease();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -31,7 +31,7 @@
     return false;  // The answer to another request.
   }
   const bool success = head.status / 100 == 2;
-  if (success && !answer_facts_.is_signed) {
+  if (success && (!answer_facts_.is_signed || answer_facts_.is_encoded)) {
     return false;
   }
   answer_head_ = head;
--- a/tests/platform/request_fields_test.cc
+++ b/tests/platform/request_fields_test.cc
@@ -96,6 +96,9 @@
   head.fields = {{"Attempt-Id", "id1"}, {"Server-Seal", "s"}};
   CHECK(!RequestFields().ReadAnswer(head, "w1").not_executed);
   CHECK(RequestFields().ReadAnswer(head, "w1").is_signed);
+  CHECK(!RequestFields().ReadAnswer(head, "w1").is_encoded);
+  head.fields.push_back({"content-encoding", "gzip"});
+  CHECK(RequestFields().ReadAnswer(head, "w1").is_encoded);
 }
 
 }  // namespace
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -108,7 +108,7 @@
 TEST_CASE("a repeatable request goes to a second worker after a failure") {
   for (const WorkerFault fault :
        {WorkerFault::kFails, WorkerFault::kLosesAnswer, WorkerFault::kOtherRequest,
-        WorkerFault::kSheds, WorkerFault::kSilent}) {
+        WorkerFault::kSheds, WorkerFault::kSilent, WorkerFault::kEncodes}) {
     CAPTURE(static_cast<int>(fault));
     GatewayWorld world;
     world.AddPlainWorker("w1")->SetFault(fault);
@@ -213,6 +213,29 @@
   CHECK(call->body == Events(1, 3));
 }
 
+TEST_CASE("a body that came encoded is never passed on as the worker's") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1")->SetFault(WorkerFault::kEncodes);
+  TestNode* const node = world.AddNode("n1");
+  const auto call = world.Ask(node, TestRequest{});
+  CHECK(call->head.status == 502);
+  CHECK(call->body.empty());
+}
+
+TEST_CASE("metrics have an address of their own, and callers are served without it") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1");
+  TestNode* const node = world.AddNode("n1", "127.0.0.1:0");
+  TestCall call;
+  call.exchange = world.caller.Send(node->gateway.metrics_address(),
+                                    RequestText("GET", "/metrics", "h", {}, ""), &call);
+  REQUIRE(world.Wait([&] { return call.ended; }));
+  CHECK(call.body.find("hingespan_requests_waiting") != std::string::npos);
+  // The address is taken.
+  TestNode* const other = world.AddNode("n2", node->gateway.metrics_address());
+  CHECK(world.Ask(other, TestRequest{})->head.status == 200);
+}
+
 TEST_CASE("when the caller leaves, its worker's connection ends") {
   GatewayWorld world;
   auto* const worker = world.AddPlainWorker("w1");
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -17,7 +17,8 @@
 
 constexpr absl::Duration kWaitLimit = absl::Seconds(20);
 
-GatewaySettings SettingsOf(const std::string& name, const std::string& store_address) {
+GatewaySettings SettingsOf(const std::string& name, const std::string& store_address,
+                           const std::string& metrics_address) {
   GatewaySettings settings;
   settings.node = name;
   settings.zone = "zone-a";
@@ -25,6 +26,7 @@
   settings.status_listen = "127.0.0.1:0";
   settings.peer_listen = "127.0.0.1:0";
   settings.store_address = store_address;
+  settings.metrics_listen = metrics_address;
   settings.lease = absl::Milliseconds(400);
   settings.stop_time = absl::Milliseconds(1500);
   return settings;
@@ -55,13 +57,14 @@
 
 }  // namespace
 
-TestNode::TestNode(EventLoop* loop, const std::string& name, const std::string& store_address)
+TestNode::TestNode(EventLoop* loop, const std::string& name, const std::string& store_address,
+                   const std::string& metrics_address)
     : log_descriptor(memfd_create("log", 0)),
       log(log_descriptor, &SystemClock(), DecisionLogLimits{}),
       client(loop, ClientLimits{}),
       store(loop, &client, store_address, &metrics),
       control(loop, &client),
-      gateway(SettingsOf(name, store_address),
+      gateway(SettingsOf(name, store_address, metrics_address),
               {loop, &dialect, &reader, &store, &control, &client, &log, &metrics}) {}
 
 TestNode::~TestNode() { close(log_descriptor); }
@@ -122,8 +125,8 @@
   return AddWorker(std::move(options));
 }
 
-TestNode* GatewayWorld::AddNode(const std::string& name) {
-  nodes.push_back(std::make_unique<TestNode>(&loop, name, store.address()));
+TestNode* GatewayWorld::AddNode(const std::string& name, const std::string& metrics_address) {
+  nodes.push_back(std::make_unique<TestNode>(&loop, name, store.address(), metrics_address));
   TestNode* const node = nodes.back().get();
   REQUIRE(!node->gateway.Start());
   REQUIRE(Wait([&] { return node->gateway.ready(); }));
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -42,7 +42,8 @@
 
 // One node with all its parts.
 struct TestNode {
-  TestNode(EventLoop* loop, const std::string& name, const std::string& store_address);
+  TestNode(EventLoop* loop, const std::string& name, const std::string& store_address,
+           const std::string& metrics_address = "");
 
   ~TestNode();
   // The lines logged so far.
@@ -78,7 +79,7 @@
   emulator::PlatformWorker* AddPlainWorker(const std::string& id);
   emulator::PlatformWorker* AddModelWorker(const std::string& id, const std::string& model);
   // Started and ready.
-  TestNode* AddNode(const std::string& name);
+  TestNode* AddNode(const std::string& name, const std::string& metrics_address = "");
   // Routes "/plain/" (not repeatable), "/safe/" (repeatable), "/stream/" (resumable stream) and
   // "/once/" (stream that is not resumable) of host "h".
   // `load_seconds` is what the configuration says of a load.
