--- a/emulator/platform_store.cc
+++ b/emulator/platform_store.cc
@@ -150,7 +150,8 @@
   const auto entry = std::prev(waiting_.end());
   exchange->OnCallerGone([] {});
   entry->timer->Set(loop_->Now() + absl::Milliseconds(wait_ms), [this, entry] {
-    AnswerJson(entry->exchange, 200, RowsJson(entry->table, version_, true));
+    // Changes that came while a fault held them back are told now.
+    AnswerJson(entry->exchange, 200, RowsJson(entry->table, entry->after, true));
     waiting_.erase(entry);
   });
 }
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -57,6 +57,8 @@
   // Share of attempts that went well, 0 to 1, weighted towards the latest.
   double success = 1.0;
   absl::Time success_updated = absl::InfinitePast();
+  // Attempts that failed one after the other, up to the latest.
+  int failures_in_row = 0;
   // Milliseconds to the first byte of an answer, weighted towards the latest; 0: not known.
   double latency_ms = 0;
   // From 0, this node's own workers, to 1.
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -30,6 +30,9 @@
 constexpr absl::Duration kAvoidUnreachable = absl::Milliseconds(1000);
 constexpr absl::Duration kAvoidFull = absl::Milliseconds(60);
 constexpr absl::Duration kAvoidFailed = absl::Milliseconds(40);
+// Doubles with each further failure in a row, up to this.
+constexpr absl::Duration kAvoidLongest = absl::Seconds(4);
+constexpr int kMostDoublings = 7;
 // Kept prompts are assumed to be there for this long.
 constexpr absl::Duration kPromptPartMemory = absl::Seconds(20);
 constexpr std::size_t kMaxPromptParts = 2000;
@@ -266,11 +269,16 @@
   worker->success_updated = now;
   switch (outcome) {
     case AttemptOutcome::kServed:
+      worker->failures_in_row = 0;
+      break;
     case AttemptOutcome::kCancelled:
       break;
-    case AttemptOutcome::kFailed:
-      worker->avoided_until = std::max(worker->avoided_until, now + kAvoidFailed);
+    case AttemptOutcome::kFailed: {
+      const int doublings = std::min(worker->failures_in_row++, kMostDoublings);
+      const absl::Duration avoid = std::min(kAvoidLongest, kAvoidFailed * (1 << doublings));
+      worker->avoided_until = std::max(worker->avoided_until, now + avoid);
       break;
+    }
     case AttemptOutcome::kFull:
       worker->avoided_until = std::max(worker->avoided_until, now + kAvoidFull);
       break;
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -245,6 +245,39 @@
   CHECK(workers.Choose(demand, configuration, At(60)).worker->record.id == "w1");
 }
 
+TEST_CASE("workers: one that only fails is tried ever more rarely, however near it is") {
+  const Configuration configuration = PlainConfiguration();
+  WorkerDirectory workers("n", "z");
+  workers.Update(RecordOf("w1", ""), 1, At(0));
+  WorkerRecord far = RecordOf("w2", "");
+  far.zone = "far";
+  workers.Update(far, 2, At(0));
+  WorkerDemand demand;
+  demand.service = "s";
+  // Both are fast, so that the way to the other zone costs more than one failure.
+  for (const char* const id : {"w1", "w2"}) {
+    workers.AttemptStarted(workers.Find(id), demand, At(0));
+    workers.AttemptBegan(id, 0, absl::Milliseconds(1), At(0));
+    workers.AttemptEnded(id, "", 0, AttemptOutcome::kServed, At(0));
+  }
+  int failed = 0;
+  constexpr int kChoices = 1000;
+  for (int number = 0; number < kChoices; ++number) {
+    const absl::Time now = At(0.01 * number);
+    WorkerState* const worker = workers.Choose(demand, configuration, now).worker;
+    const bool near = worker->record.id == "w1";
+    failed += near ? 1 : 0;
+    workers.AttemptStarted(worker, demand, now);
+    workers.AttemptEnded(worker->record.id, "", 0,
+                         near ? AttemptOutcome::kFailed : AttemptOutcome::kServed, now);
+  }
+  CHECK(failed < kChoices / 50);
+  // Once it serves, it is chosen again.
+  workers.AttemptStarted(workers.Find("w1"), demand, At(60));
+  workers.AttemptEnded("w1", "", 0, AttemptOutcome::kServed, At(60));
+  CHECK(workers.Choose(demand, configuration, At(60)).worker->record.id == "w1");
+}
+
 TEST_CASE("workers: many nodes that know the same do not all choose the same") {
   const Configuration configuration = PlainConfiguration();
   std::map<std::string, int> chosen;
--- /dev/null
+++ b/tests/soak_checks/promises_test.cc
@@ -0,0 +1,230 @@
+// The soak's own checks: each has to see the violation it is there for.
+#include "tests/soak/promises.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "emulator/platform_store.h"
+#include "tests/soak/fault_plan.h"
+
+namespace hingespan::soak {
+namespace {
+
+absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
+
+// Workers of the stand-in that are really asked, and records as a run would have them.
+struct Fixture {
+  Fixture() {
+    options.id = "w1";
+    options.service = "plain";
+    options.names_request = true;
+    options.model_memory_mb = 100;
+    options.memory_mb = 150;
+    worker = std::make_unique<emulator::PlatformWorker>(&loop, &store, options);
+    views.push_back({"w1", worker.get()});
+    records.traffic_began = At(0);
+  }
+
+  RequestRecord* Add(RequestKind kind, int status, const std::string& body) {
+    auto record = std::make_unique<RequestRecord>();
+    record->loop = &loop;
+    record->id = absl::StrCat("r", records.requests.size());
+    record->kind = kind;
+    record->life = 1;
+    record->sent = At(1);
+    record->deadline = absl::Seconds(1);
+    record->ended_at = At(1.1);
+    record->head.status = status;
+    record->head.fields = {{"Attempt-Id", record->id},
+                           {"Server-Seal", absl::StrCat("seal-", record->id)}};
+    record->body = body;
+    record->result = gateway::ExchangeResult::kComplete;
+    records.requests.push_back(std::move(record));
+    return records.requests.back().get();
+  }
+
+  // Sends to the worker itself.
+  void Run(const std::string& id, const std::string& target, const std::string& body) {
+    RequestRecord call;
+    call.loop = &loop;
+    call.exchange =
+        client.Send(worker->address(),
+                    gateway::RequestText("POST", target, "h", {{"Attempt-Id", id}}, body), &call);
+    REQUIRE(loop.RunUntil([&] { return call.ended(); }, absl::Seconds(10)));
+  }
+
+  std::vector<std::string> Broken() {
+    std::vector<std::string> names;
+    for (const BrokenPromise& broken : CheckPromises(records, views)) {
+      names.push_back(broken.promise);
+    }
+    return names;
+  }
+
+  gateway::EventLoop loop;
+  emulator::PlatformStore store{&loop};
+  gateway::HttpClient client{&loop, gateway::ClientLimits{}};
+  emulator::PlatformWorkerOptions options;
+  std::unique_ptr<emulator::PlatformWorker> worker;
+  std::vector<SoakWorkerView> views;
+  SoakRecords records;
+};
+
+using Names = std::vector<std::string>;
+
+std::string Events(const std::string& id, int first, int last) {
+  std::string text;
+  for (int event = first; event <= last; ++event) {
+    absl::StrAppend(&text, "id: ", event, "\ndata: event ", event, " of ", id, "\n\n");
+  }
+  return text;
+}
+
+TEST_CASE("what is in order breaks no promise") {
+  Fixture fixture;
+  fixture.Add(RequestKind::kAct, 200, "answer of w1 to r0");
+  fixture.Add(RequestKind::kStream, 200, Events("r1", 1, 12));
+  fixture.Add(RequestKind::kRead, 503, "");
+  CHECK(fixture.Broken().empty());
+}
+
+TEST_CASE("another request's answer, seal or body is seen") {
+  Fixture fixture;
+  fixture.Add(RequestKind::kAct, 200, "answer of w1 to r7");
+  CHECK(fixture.Broken() == Names{"own answer"});
+  fixture.records.requests[0]->body = "answer of w1 to r0";
+  fixture.records.requests[0]->head.fields[1].value = "seal-r7";
+  CHECK(fixture.Broken() == Names{"own answer"});
+}
+
+TEST_CASE("a gap in a stream, and a broken one that looks complete, are seen") {
+  Fixture fixture;
+  fixture.Add(RequestKind::kStream, 200, Events("r0", 1, 4) + Events("r0", 6, 12));
+  CHECK(fixture.Broken() == Names{"events in order"});
+  fixture.records.requests[0]->body = Events("r0", 1, 5);
+  CHECK(fixture.Broken() == Names{"a broken stream does not look complete"});
+  fixture.records.requests[0]->result = gateway::ExchangeResult::kBroken;
+  CHECK(fixture.Broken().empty());
+}
+
+TEST_CASE("a second run and a false refusal are seen") {
+  Fixture fixture;
+  fixture.Add(RequestKind::kAct, 502, "");
+  fixture.Run("r0", "/act/x", "");
+  CHECK(fixture.Broken().empty());
+  fixture.records.requests[0]->head.status = 503;
+  CHECK(fixture.Broken() == Names{"a refusal is true"});
+  fixture.records.requests[0]->head.status = 502;
+  fixture.Run("r0", "/act/x", "");
+  CHECK(fixture.Broken() == Names{"at most once"});
+}
+
+TEST_CASE("a request without an answer is seen, but not beside a killed gateway") {
+  Fixture fixture;
+  RequestRecord* const lost = fixture.Add(RequestKind::kAct, 0, "");
+  lost->result = gateway::ExchangeResult::kBroken;
+  CHECK(fixture.Broken() == Names{"none is silently dropped"});
+  fixture.records.disturbances.push_back({Disturbance::Of::kGateway, 0, At(1), At(2)});
+  CHECK(fixture.Broken().empty());
+}
+
+TEST_CASE("an answer that comes late is seen") {
+  Fixture fixture;
+  fixture.Add(RequestKind::kAct, 504, "")->ended_at = At(9);
+  CHECK(fixture.Broken() == Names{"answered within its time"});
+}
+
+TEST_CASE("a request that a planned stop cuts off is seen") {
+  Fixture fixture;
+  RequestRecord* const cut = fixture.Add(RequestKind::kAct, 0, "");
+  cut->result = gateway::ExchangeResult::kBroken;
+  fixture.records.stops.push_back({0, 1, At(1.05)});
+  fixture.records.disturbances.push_back({Disturbance::Of::kGateway, 0, At(1.05), At(9)});
+  CHECK(fixture.Broken() == Names{"a planned stop cuts off nothing"});
+}
+
+TEST_CASE("a change that reverts, and one that does not take effect, are seen") {
+  Fixture fixture;
+  fixture.records.changes = {{1, At(-20)}, {2, At(-10)}};
+  fixture.Add(RequestKind::kProbe, 200, "")->probed_version = 2;
+  RequestRecord* const old = fixture.Add(RequestKind::kProbe, 200, "");
+  old->probed_version = 1;
+  old->sent = At(3);
+  old->ended_at = At(3.1);
+  CHECK(fixture.Broken() == Names{"a change never reverts"});
+  old->probed_version = 2;
+  old->head.status = 404;
+  CHECK(fixture.Broken() == Names{"a change takes effect within seconds"});
+  fixture.records.disturbances.push_back({Disturbance::Of::kStore, 0, At(0), At(1)});
+  CHECK(fixture.Broken().empty());
+}
+
+TEST_CASE("work for a worker that left long ago is seen") {
+  Fixture fixture;
+  fixture.Add(RequestKind::kRead, 502, "");
+  fixture.Run("r0", "/read/x", "");
+  fixture.records.leaves.push_back({"w1", fixture.loop.Now() - absl::Seconds(30)});
+  CHECK(fixture.Broken() == Names{"a leaving worker gets no new work"});
+}
+
+TEST_CASE("a shared token and an overfilled worker are seen") {
+  Fixture fixture;
+  const auto order = [&](const char* holder, const char* model) {
+    fixture.Run("order", "/api/order",
+                absl::StrCat("{\"operation\":\"model_load\",\"model\":\"", model,
+                             "\",\"holder\":\"", holder, "\",\"fencing_token\":4}"));
+  };
+  order("n1", "m1");
+  CHECK(fixture.Broken().empty());
+  // The load has to end before the next is taken.
+  REQUIRE(fixture.loop.RunUntil([&] { return fixture.worker->Holds("m1"); }, absl::Seconds(10)));
+  order("n1", "m2");
+  CHECK(fixture.Broken() == Names{"memory is never overcommitted"});
+  order("n2", "m2");
+  CHECK(fixture.Broken() == Names{"memory is never overcommitted", "one holder a token"});
+}
+
+TEST_CASE("a fleet that does not serve again after the faults is seen") {
+  Fixture fixture;
+  fixture.records.recovery_began = At(0);
+  CHECK(fixture.Broken() == Names{"all is served again after the faults"});
+  fixture.Add(RequestKind::kRead, 503, "");
+  CHECK(fixture.Broken() == Names{"all is served again after the faults"});
+  fixture.records.requests[0]->head.status = 200;
+  fixture.records.requests[0]->body = "answer of w1 to r0";
+  CHECK(fixture.Broken().empty());
+  fixture.records.requests[0]->ended_at = At(1.9);
+  fixture.records.requests[0]->sent = At(-4);
+  fixture.records.recovery_began = At(-5);
+  fixture.records.requests[0]->deadline = absl::Seconds(9);
+  CHECK(fixture.Broken() == Names{"nothing is slow in good times"});
+}
+
+TEST_CASE("an end that nobody asked for is seen") {
+  Fixture fixture;
+  fixture.records.odd_ends.push_back("gateway-0 life 1");
+  CHECK(fixture.Broken() == Names{"processes end only when they are told to"});
+}
+
+TEST_CASE("a plan follows from its seed alone and stays within its time") {
+  FaultPlanOptions options;
+  options.seed = 7;
+  const std::vector<PlannedFault> plan = MakeFaultPlan(options);
+  const std::vector<PlannedFault> again = MakeFaultPlan(options);
+  REQUIRE(plan.size() == again.size());
+  REQUIRE(plan.size() > 5);
+  for (std::size_t index = 0; index < plan.size(); ++index) {
+    CHECK(plan[index].kind == again[index].kind);
+    CHECK(plan[index].at == again[index].at);
+    CHECK(plan[index].at + plan[index].duration <= options.length);
+  }
+  options.seed = 8;
+  CHECK(MakeFaultPlan(options).front().at != plan.front().at);
+}
+
+}  // namespace
+}  // namespace hingespan::soak
