--- a/include/hingespan/fleet/lease_manager.h
+++ b/include/hingespan/fleet/lease_manager.h
@@ -92,6 +92,8 @@
   bool needs_read_ = true;
   bool write_under_way_ = false;
   absl::Time write_sent_;
+  // The write under way renews; else it acquires.
+  bool write_renews_ = false;
   bool holding_ = false;
   bool confirmed_since_pause_ = true;
   bool resigned_ = false;
--- /dev/null
+++ b/src/fleet/cbor_reader.h
@@ -0,0 +1,23 @@
+// Reads CBOR that came from the network.
+#ifndef HINGESPAN_SRC_FLEET_CBOR_READER_H_
+#define HINGESPAN_SRC_FLEET_CBOR_READER_H_
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/string_view.h"
+
+namespace hingespan::gateway {
+
+// A discarded value when the bytes are no CBOR. The library throws for some of them (a length
+// beyond all memory) even where it is asked not to.
+inline nlohmann::json ReadCbor(absl::string_view bytes) {
+  try {
+    return nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  } catch (const nlohmann::json::exception&) {
+    return {nlohmann::json::value_t::discarded};
+  }
+}
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_SRC_FLEET_CBOR_READER_H_
--- a/src/fleet/fleet_coordinator_placement.cc
+++ b/src/fleet/fleet_coordinator_placement.cc
@@ -125,6 +125,7 @@
   SchedulePlacement(std::max(due, now + absl::Milliseconds(1)));
 }
 
+// Spec action: SendOrder.
 void FleetCoordinator::SendOrder(const PlannedOrder& planned) {
   WorkerOrder order = planned.order;
   order.holder = settings_.node;
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "cbor_reader.h"
+
 namespace hingespan::gateway {
 namespace {
 
@@ -112,7 +114,7 @@
 }
 
 std::optional<FleetMessage> DecodeFleetMessage(absl::string_view bytes) {
-  const Json json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  const Json json = ReadCbor(bytes);
   if (!json.is_array() || json.size() < 6 || !json.at(0).is_number_integer()) {
     return std::nullopt;
   }
--- a/src/fleet/lease_manager.cc
+++ b/src/fleet/lease_manager.cc
@@ -13,6 +13,7 @@
   token_ = 0;
 }
 
+// Spec action: ReadLease.
 void LeaseManager::OnRead(const std::optional<LeaseRecord>& record, std::uint64_t row_version,
                           absl::Time now) {
   if (row_known_ && row_version < row_version_) {
@@ -44,6 +45,7 @@
   unchanged_since_ = absl::InfiniteFuture();
 }
 
+// Spec action: SendWrite.
 std::optional<LeaseManager::Write> LeaseManager::NextWrite(absl::Time now) {
   if (resigned_ || write_under_way_ || needs_read_ || !row_known_) {
     return std::nullopt;
@@ -69,14 +71,21 @@
     return std::nullopt;
   }
   write_under_way_ = true;
+  write_renews_ = holding_;
   write_sent_ = now;
   last_attempt_ = now;
   return write;
 }
 
+// Spec action: WriteAnswered.
 void LeaseManager::OnCommitted(std::uint64_t row_version, absl::Time now) {
   write_under_way_ = false;
-  if (!holding_) {
+  if (write_renews_ && !holding_) {
+    // The lease was lost while its renewal was under way: the renewal came before that.
+    needs_read_ = true;
+    return;
+  }
+  if (!write_renews_) {
     token_ = row_version;
   }
   holding_ = true;
@@ -94,12 +103,14 @@
   confirmed_at_ = absl::InfinitePast();
 }
 
+// Spec action: WriteAnswered.
 void LeaseManager::OnCommitFailed(absl::Time) {
   write_under_way_ = false;
   // It may have happened: the row tells.
   needs_read_ = true;
 }
 
+// Spec action: OrderFenced.
 void LeaseManager::OnFenced(absl::Time) {
   fenced_token_ = std::max(fenced_token_, token_);
   Lose();
--- a/src/fleet/shared_reading.cc
+++ b/src/fleet/shared_reading.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "cbor_reader.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -40,7 +41,7 @@
 };
 
 std::optional<CopyAnswer> DecodeRows(const std::string& table, const std::string& bytes) {
-  const Json json = Json::from_cbor(bytes, true, false);
+  const Json json = ReadCbor(bytes);
   if (!json.is_array() || json.size() != 3) {
     return std::nullopt;
   }
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -43,6 +43,11 @@
   CHECK(same->replicas[0].expected_in_ms == 40);
 }
 
+TEST_CASE("a length beyond all memory is no message") {
+  // An array of 2^59 entries.
+  CHECK(!DecodeFleetMessage(absl::string_view("\x9b\x08\0\0\0\0\0\0\0", 9)).has_value());
+}
+
 TEST_CASE("property: no bytes do harm") {
   CHECK(rc::check("any datagram", [] {
     std::string bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
--- a/tests/fleet/lease_manager_test.cc
+++ b/tests/fleet/lease_manager_test.cc
@@ -53,6 +53,20 @@
   CHECK(write->condition_version == 6);
 }
 
+TEST_CASE("a renewal's answer that comes after the lease was lost does not bring it back") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(7, At(0));
+  REQUIRE(lease.NextWrite(At(1.1)).has_value());
+  // Done at version 8; then another node takes over at 9 and orders, which a worker tells first.
+  lease.OnFenced(At(1.5));
+  lease.OnCommitted(8, At(1.6));
+  CHECK(!lease.holding());
+  CHECK(!lease.MayOrder(At(1.7)));
+  CHECK(lease.needs_read());
+}
+
 TEST_CASE("a node that is less suited lets others come first") {
   LeaseManager lease(SettingsOf("n2"));
   lease.SetExtraWait(absl::Seconds(2));
