--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -66,6 +66,8 @@
   GatewayMetrics* metrics = nullptr;
   // Whether this node reads the store for itself, and not another node's copy.
   std::function<bool()> reads_store;
+  // Whether other nodes read from this one.
+  std::function<bool()> reads_for_others;
   // Sends a datagram to a node's address.
   std::function<void(const std::string& address, absl::string_view bytes)> send;
   // What callers of this node ask for and what it runs, for a report.
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -69,6 +69,8 @@
   void SetNodes(const std::vector<FleetNode>& nodes);
   // Whether this node reads the store for itself.
   bool reads_itself() const { return reads_itself_; }
+  // Whether others read from this node.
+  bool reads_for_others() const { return reads_itself_ && !readers_.empty(); }
 
   void Read(const std::string& table, RowsCallback callback) override;
   void Watch(const std::string& table, std::uint64_t after, absl::Duration wait,
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -89,7 +89,8 @@
   // A holder learns all it needs from its renewals; the others read the row.
   if (lease_.holding() && !lease_.needs_read() && announced_) {
     WriteLease();
-    if (store_ticks_ % settings_.renewals_between_reads != 0) {
+    const bool due = store_ticks_ % settings_.renewals_between_reads == 0;
+    if (!due && !parts_.reads_for_others()) {
       return;
     }
   }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -130,6 +130,7 @@
     PumpSoon();
   };
   fleet_parts.reads_store = [this] { return reading_.reads_itself(); };
+  fleet_parts.reads_for_others = [this] { return reading_.reads_for_others(); };
   fleet_parts.on_nodes = [this](const std::vector<FleetNode>& nodes) { reading_.SetNodes(nodes); };
   const std::uint64_t seed = fleet.incarnation;
   fleet_ = std::make_unique<FleetCoordinator>(std::move(fleet), std::move(fleet_parts));
