--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -173,75 +173,6 @@
 
 bool Gateway::ready() const { return routes_ != nullptr && workers_known_ && !stopping_; }
 
-void Gateway::TakeConfiguration(const StoreRow& row) {
-  if (row.removed || row.key != parts_.reader->configuration_key()) {
-    return;
-  }
-  Result<Configuration> read = parts_.reader->ReadConfiguration(row);
-  if (!read.ok()) {
-    parts_.log->Write(LogLevel::kError, "configuration_malformed",
-                      {{"row_version", absl::StrCat(row.version)}});
-    return;
-  }
-  if (routes_ != nullptr && read->version <= routes_->configuration().version) {
-    return;
-  }
-  auto configuration = std::make_shared<const Configuration>(std::move(*read));
-  routes_ = std::make_shared<const RouteTable>(configuration);
-  ServerLimits limits;
-  limits.message.head_bytes = configuration->limits.max_head_bytes;
-  limits.message.body_bytes = configuration->limits.max_body_bytes;
-  limits.head_timeout = configuration->limits.head_timeout;
-  limits.idle_timeout = configuration->limits.idle_timeout;
-  limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
-  requests_.SetLimits(limits);
-  fleet_->SetConfiguration(configuration);
-  parts_.metrics->configuration_version = configuration->version;
-  parts_.log->Write(LogLevel::kInfo, "configuration_applied",
-                    {{"version", absl::StrCat(configuration->version)},
-                     {"row_version", absl::StrCat(row.version)},
-                     {"routes", absl::StrCat(configuration->routes.size())}});
-  PumpSoon();
-}
-
-void Gateway::TakeWorkerRow(const StoreRow& row) {
-  if (row.removed) {
-    if (workers_.Remove(row.key, row.version)) {
-      parts_.log->Write(LogLevel::kInfo, "worker_gone",
-                        {{"worker", row.key}, {"row_version", absl::StrCat(row.version)}});
-    }
-    return;
-  }
-  Result<WorkerRecord> record = parts_.reader->ReadWorker(row);
-  if (!record.ok()) {
-    parts_.log->Write(LogLevel::kWarning, "worker_row_malformed", {{"worker", row.key}});
-    return;
-  }
-  const bool draining = record->draining;
-  const std::string address = record->address;
-  const std::size_t models = record->models.size();
-  if (workers_.Update(std::move(*record), row.version, parts_.loop->Now())) {
-    parts_.log->Write(LogLevel::kInfo, "worker_changed",
-                      {{"worker", row.key},
-                       {"address", address},
-                       {"draining", draining ? "true" : "false"},
-                       {"models", absl::StrCat(models)},
-                       {"row_version", absl::StrCat(row.version)}});
-  }
-}
-
-void Gateway::TakeWorkerSnapshot(const StoreRows& rows) {
-  std::set<std::string> present;
-  for (const StoreRow& row : rows.rows) {
-    present.insert(row.key);
-    TakeWorkerRow(row);
-  }
-  workers_.RetainOnly(present, rows.version);
-  workers_known_ = true;
-  fleet_->WorkersChanged();
-  PumpSoon();
-}
-
 void Gateway::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
   const auto refuse = [&](int status, const char* why) {
     parts_.log->Write(
@@ -376,43 +307,6 @@
 
 void Gateway::Ended(std::uint64_t number) { open_requests_.erase(number); }
 
-void Gateway::FillReport(DemandReport* report) {
-  std::map<std::pair<std::string, ModelKey>, int> waiting;
-  for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
-    ++waiting[{request->service(), request->model()}];
-  }
-  for (auto entry = demand_.begin(); entry != demand_.end();) {
-    const auto& [service, model] = entry->first;
-    DemandCounts& counts = entry->second;
-    const auto waits = waiting.find(entry->first);
-    const int waiting_count = waits == waiting.end() ? 0 : waits->second;
-    if (model.model.empty() || (counts.running == 0 && counts.arrived == 0 && waiting_count == 0)) {
-      entry = demand_.erase(entry);
-      continue;
-    }
-    report->demands.push_back({service, model.model, model.adapter, waiting_count, counts.running,
-                               counts.arrived, counts.arrived_tokens});
-    counts.arrived = 0;
-    counts.arrived_tokens = 0;
-    ++entry;
-  }
-  for (const auto& [id, worker] : workers_.workers()) {
-    if (worker.running > 0) {
-      report->loads.push_back({id, worker.running, static_cast<int>(worker.unread_tokens), {}});
-      for (const auto& [model, running] : worker.running_by_model) {
-        if (!model.empty()) {
-          report->loads.back().models.push_back({model, running});
-        }
-      }
-    }
-    if (worker.ended || worker.unreachable_until > parts_.loop->Now()) {
-      report->unreachable.push_back(id);
-    }
-  }
-  budget_.SetNodes(fleet_->nodes());
-  workers_.SetNodes(fleet_->nodes());
-}
-
 void Gateway::Stop(std::function<void()> done) {
   if (stopping_) {
     return;
--- /dev/null
+++ b/src/serving/gateway_demand.cc
@@ -0,0 +1,48 @@
+// What the gateway tells the holder of the placement lease: what its callers ask for, what it runs.
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "hingespan/serving/gateway.h"
+
+namespace hingespan::gateway {
+
+void Gateway::FillReport(DemandReport* report) {
+  std::map<std::pair<std::string, ModelKey>, int> waiting;
+  for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
+    ++waiting[{request->service(), request->model()}];
+  }
+  for (auto entry = demand_.begin(); entry != demand_.end();) {
+    const auto& [service, model] = entry->first;
+    DemandCounts& counts = entry->second;
+    const auto waits = waiting.find(entry->first);
+    const int waiting_count = waits == waiting.end() ? 0 : waits->second;
+    if (model.model.empty() || (counts.running == 0 && counts.arrived == 0 && waiting_count == 0)) {
+      entry = demand_.erase(entry);
+      continue;
+    }
+    report->demands.push_back({service, model.model, model.adapter, waiting_count, counts.running,
+                               counts.arrived, counts.arrived_tokens});
+    counts.arrived = 0;
+    counts.arrived_tokens = 0;
+    ++entry;
+  }
+  for (const auto& [id, worker] : workers_.workers()) {
+    if (worker.running > 0) {
+      report->loads.push_back({id, worker.running, static_cast<int>(worker.unread_tokens), {}});
+      for (const auto& [model, running] : worker.running_by_model) {
+        if (!model.empty()) {
+          report->loads.back().models.push_back({model, running});
+        }
+      }
+    }
+    if (worker.ended || worker.unreachable_until > parts_.loop->Now()) {
+      report->unreachable.push_back(id);
+    }
+  }
+  budget_.SetNodes(fleet_->nodes());
+  workers_.SetNodes(fleet_->nodes());
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/src/serving/gateway_records.cc
@@ -0,0 +1,81 @@
+// What the gateway takes from the store's rows: the configuration in force, and the workers.
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "hingespan/serving/gateway.h"
+
+namespace hingespan::gateway {
+
+void Gateway::TakeConfiguration(const StoreRow& row) {
+  if (row.removed || row.key != parts_.reader->configuration_key()) {
+    return;
+  }
+  Result<Configuration> read = parts_.reader->ReadConfiguration(row);
+  if (!read.ok()) {
+    parts_.log->Write(LogLevel::kError, "configuration_malformed",
+                      {{"row_version", absl::StrCat(row.version)}});
+    return;
+  }
+  if (routes_ != nullptr && read->version <= routes_->configuration().version) {
+    return;
+  }
+  auto configuration = std::make_shared<const Configuration>(std::move(*read));
+  routes_ = std::make_shared<const RouteTable>(configuration);
+  ServerLimits limits;
+  limits.message.head_bytes = configuration->limits.max_head_bytes;
+  limits.message.body_bytes = configuration->limits.max_body_bytes;
+  limits.head_timeout = configuration->limits.head_timeout;
+  limits.idle_timeout = configuration->limits.idle_timeout;
+  limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
+  requests_.SetLimits(limits);
+  fleet_->SetConfiguration(configuration);
+  parts_.metrics->configuration_version = configuration->version;
+  parts_.log->Write(LogLevel::kInfo, "configuration_applied",
+                    {{"version", absl::StrCat(configuration->version)},
+                     {"row_version", absl::StrCat(row.version)},
+                     {"routes", absl::StrCat(configuration->routes.size())}});
+  PumpSoon();
+}
+
+void Gateway::TakeWorkerRow(const StoreRow& row) {
+  if (row.removed) {
+    if (workers_.Remove(row.key, row.version)) {
+      parts_.log->Write(LogLevel::kInfo, "worker_gone",
+                        {{"worker", row.key}, {"row_version", absl::StrCat(row.version)}});
+    }
+    return;
+  }
+  Result<WorkerRecord> record = parts_.reader->ReadWorker(row);
+  if (!record.ok()) {
+    parts_.log->Write(LogLevel::kWarning, "worker_row_malformed", {{"worker", row.key}});
+    return;
+  }
+  const bool draining = record->draining;
+  const std::string address = record->address;
+  const std::size_t models = record->models.size();
+  if (workers_.Update(std::move(*record), row.version, parts_.loop->Now())) {
+    parts_.log->Write(LogLevel::kInfo, "worker_changed",
+                      {{"worker", row.key},
+                       {"address", address},
+                       {"draining", draining ? "true" : "false"},
+                       {"models", absl::StrCat(models)},
+                       {"row_version", absl::StrCat(row.version)}});
+  }
+}
+
+void Gateway::TakeWorkerSnapshot(const StoreRows& rows) {
+  std::set<std::string> present;
+  for (const StoreRow& row : rows.rows) {
+    present.insert(row.key);
+    TakeWorkerRow(row);
+  }
+  workers_.RetainOnly(present, rows.version);
+  workers_known_ = true;
+  fleet_->WorkersChanged();
+  PumpSoon();
+}
+
+}  // namespace hingespan::gateway
