--- a/src/operator/request_explanation.cc
+++ b/src/operator/request_explanation.cc
@@ -63,6 +63,8 @@
 struct RequestLines {
   std::vector<const Line*> attempts;
   const Line* last = nullptr;
+  // It was refused before it had a route; then there is no `last`.
+  const Line* refused = nullptr;
   std::set<std::string> workers;
   std::string model;
   std::string adapter;
@@ -83,6 +85,8 @@
       found.attempts.push_back(&line);
     } else if (Field(line, "event") == "request") {
       found.last = &line;
+    } else if (Field(line, "event") == "request_refused") {
+      found.refused = &line;
     }
   }
   if (found.last != nullptr) {
@@ -138,6 +142,23 @@
                       Field(*load, "why"), ")");
 }
 
+std::string RefusedCause(const Line& refused) {
+  const std::string why = Field(refused, "why");
+  if (why == "no_route") {
+    return absl::StrCat("404: version ", Field(refused, "configuration"),
+                        " of the configuration, in force at ", Field(refused, "node"),
+                        ", has no route for it");
+  }
+  if (why == "no_configuration_yet") {
+    return absl::StrCat("refused: ", Field(refused, "node"),
+                        " knew no configuration or no workers yet");
+  }
+  if (why == "stopping") {
+    return absl::StrCat("refused: ", Field(refused, "node"), " was stopping");
+  }
+  return absl::StrCat("refused with status ", Field(refused, "status"), " (", why, ")");
+}
+
 std::string ServedCause(const RequestLines& request, const std::vector<const Line*>& context) {
   const int sent = Number(*request.last, "sent_after_ms");
   const int first = Number(*request.last, "first_byte_ms");
@@ -221,6 +242,12 @@
   for (const Line* const attempt : request.attempts) {
     explanation.lines.push_back(attempt->text);
   }
+  if (request.last == nullptr && request.refused != nullptr) {
+    explanation.found = true;
+    explanation.lines.push_back(request.refused->text);
+    explanation.cause = RefusedCause(*request.refused);
+    return explanation;
+  }
   if (request.last == nullptr) {
     explanation.found = !request.attempts.empty();
     explanation.cause =
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -175,9 +175,13 @@
 
 void Gateway::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
   const auto refuse = [&](int status, const char* why) {
-    parts_.log->Write(
-        LogLevel::kInfo, "request_refused",
-        {{"target", exchange->head().target}, {"status", absl::StrCat(status)}, {"why", why}});
+    const std::uint64_t version = routes_ == nullptr ? 0 : routes_->configuration().version;
+    parts_.log->Write(LogLevel::kInfo, "request_refused",
+                      {{"request", parts_.dialect->ReadRequest(exchange->head()).id},
+                       {"target", exchange->head().target},
+                       {"status", absl::StrCat(status)},
+                       {"why", why},
+                       {"configuration", absl::StrCat(version)}});
     ++parts_.metrics->requests_by_status[status];
     ++parts_.metrics->refusals[why];
     exchange->Answer(status, ReasonPhrase(status),
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -65,7 +65,9 @@
       store(loop, &client, store_address, &metrics),
       control(loop, &client),
       gateway(SettingsOf(name, store_address, metrics_address),
-              {loop, &dialect, &reader, &store, &control, &client, &log, &metrics}) {}
+              {loop, &dialect, &reader, &store, &control, &client, &log, &metrics}) {
+  log.SetSource("hingespan-gateway", name, "zone-a");
+}
 
 TestNode::~TestNode() { close(log_descriptor); }
 
--- a/tests/serving/request_explanation_test.cc
+++ b/tests/serving/request_explanation_test.cc
@@ -82,6 +82,20 @@
   CHECK(absl::StrContains(explanation.cause, "first replica"));
 }
 
+TEST_CASE("refused before it had a route: the node and the configuration in force there") {
+  GatewayWorld world;
+  world.PutConfiguration(7);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request;
+  request.id = "astray-1";
+  request.target = "/nowhere/";
+  REQUIRE(world.Ask(node, request)->head.status == 404);
+  const RequestExplanation explanation = Explain(world, "astray-1");
+  CHECK(explanation.found);
+  CHECK(explanation.cause ==
+        "404: version 7 of the configuration, in force at n1, has no route for it");
+}
+
 TEST_CASE("a request that no line names is said so") {
   const RequestExplanation explanation = ExplainRequest({"noise", "{}", "{\"event\":1}"}, "x");
   CHECK(!explanation.found);
