--- a/include/hingespan/fleet/lease_manager.h
+++ b/include/hingespan/fleet/lease_manager.h
@@ -36,9 +36,24 @@
   absl::Duration slack = absl::Milliseconds(400);
   // The holder renews this often.
   absl::Duration renew_interval = absl::Seconds(1);
+  // Whether workers refuse a token below the highest that they have seen. Where they don't, only
+  // time keeps the orders of two holders apart.
+  bool workers_check_tokens = true;
   // A holder whose renewals get no answer goes on ordering for this long, where workers check
   // tokens; nobody can take over while the store answers nobody, and a token seen later is refused.
   absl::Duration unconfirmed_limit = absl::Seconds(10);
+  // Where they don't: for this part of `duration`. Two renewals fall into it, so that a single lost
+  // answer stops no orders.
+  double unchecked_limit_part = 2.0 / 3;
+  // The longest from a decision to order until the worker has the order or never gets it: the
+  // order's time limit, and its way.
+  absl::Duration order_transit = absl::Milliseconds(500);
+
+  // How long a holder may order after it sent the last write that was confirmed.
+  absl::Duration OrderLimit() const;
+  // How long another machine's row must have been seen unchanged before it is taken over. Where
+  // tokens are not checked, the former holder's last order is by then `duration` old.
+  absl::Duration TakeoverWait() const;
 };
 
 // Pure: the time and the store's answers are arguments. Not thread-safe.
@@ -103,6 +118,8 @@
   std::uint64_t fenced_token_ = 0;
   absl::Time confirmed_at_ = absl::InfinitePast();
   absl::Time last_attempt_ = absl::InfinitePast();
+  // The last write got no answer: the next one does not wait for the whole interval.
+  bool last_failed_ = false;
 };
 
 }  // namespace hingespan::gateway
--- a/include/hingespan/http/http_client.h
+++ b/include/hingespan/http/http_client.h
@@ -43,6 +43,8 @@
   virtual ~ClientExchange() = default;
   // Closes the connection at once; the receiver is not called again.
   virtual void Cancel() = 0;
+  // Cancel, by a reset: bytes that a slow or cut link still holds up are thrown away.
+  virtual void Discard() = 0;
   // Stops and restarts reading, for a reader that can't keep up.
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
--- a/include/hingespan/serving/gateway_settings.h
+++ b/include/hingespan/serving/gateway_settings.h
@@ -30,6 +30,9 @@
   // Largest value of a row of the store.
   int store_row_bytes = 65536;
   absl::Duration lease = absl::Seconds(3);
+  // Whether workers refuse an order whose fencing token is lower than one they have seen. False is
+  // the careful choice: a takeover then waits until no older order can arrive.
+  bool workers_check_tokens = false;
   // From the request to stop until the process must have ended.
   absl::Duration stop_time = absl::Seconds(8);
   double retry_ratio = 0.2;
--- a/src/fleet/lease_manager.cc
+++ b/src/fleet/lease_manager.cc
@@ -3,6 +3,21 @@
 #include <algorithm>
 
 namespace hingespan::gateway {
+namespace {
+
+// Part of the renewal interval after which a write without an answer is repeated.
+constexpr double kRepeatPart = 0.25;
+
+}  // namespace
+
+absl::Duration LeaseSettings::OrderLimit() const {
+  return workers_check_tokens ? unconfirmed_limit : duration * unchecked_limit_part;
+}
+
+absl::Duration LeaseSettings::TakeoverWait() const {
+  const absl::Duration wait = duration + slack;
+  return workers_check_tokens ? wait : wait + OrderLimit() + order_transit;
+}
 
 bool LeaseManager::IsMine(const LeaseRecord& record) const {
   return record.holder == settings_.node && record.incarnation == settings_.incarnation;
@@ -45,12 +60,13 @@
   unchanged_since_ = absl::InfiniteFuture();
 }
 
-// Spec action: SendWrite.
+// Spec action: SendWrite, TakeOver.
 std::optional<LeaseManager::Write> LeaseManager::NextWrite(absl::Time now) {
   if (resigned_ || write_under_way_ || needs_read_ || !row_known_) {
     return std::nullopt;
   }
-  if (now - last_attempt_ < settings_.renew_interval && last_attempt_ != absl::InfinitePast()) {
+  const absl::Duration interval = settings_.renew_interval * (last_failed_ ? kRepeatPart : 1.0);
+  if (last_attempt_ != absl::InfinitePast() && now - last_attempt_ < interval) {
     return std::nullopt;
   }
   Write write;
@@ -62,7 +78,7 @@
     // Another process on this machine is gone for certain; another machine may only be silent.
     const bool same_machine =
         record_->holder == settings_.node && record_->incarnation != settings_.incarnation;
-    const absl::Duration wait = settings_.duration + settings_.slack + extra_wait_;
+    const absl::Duration wait = settings_.TakeoverWait() + extra_wait_;
     if (!same_machine &&
         (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < wait)) {
       return std::nullopt;
@@ -80,6 +96,7 @@
 // Spec action: WriteAnswered.
 void LeaseManager::OnCommitted(std::uint64_t row_version, absl::Time now) {
   write_under_way_ = false;
+  last_failed_ = false;
   if (write_renews_ && !holding_) {
     // The lease was lost while its renewal was under way: the renewal came before that.
     needs_read_ = true;
@@ -99,6 +116,7 @@
 
 void LeaseManager::OnConflict(absl::Time) {
   write_under_way_ = false;
+  last_failed_ = false;
   needs_read_ = true;
   confirmed_at_ = absl::InfinitePast();
 }
@@ -106,6 +124,7 @@
 // Spec action: WriteAnswered.
 void LeaseManager::OnCommitFailed(absl::Time) {
   write_under_way_ = false;
+  last_failed_ = true;
   // It may have happened: the row tells.
   needs_read_ = true;
 }
@@ -125,7 +144,7 @@
 
 bool LeaseManager::MayOrder(absl::Time now) const {
   return holding_ && !resigned_ && confirmed_since_pause_ &&
-         confirmed_at_ != absl::InfinitePast() && now - confirmed_at_ < settings_.unconfirmed_limit;
+         confirmed_at_ != absl::InfinitePast() && now - confirmed_at_ < settings_.OrderLimit();
 }
 
 }  // namespace hingespan::gateway
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -83,6 +83,13 @@
     RemoveFromKept();
   }
 
+  // Closes by a reset, so that nothing that is still on this side arrives later.
+  void Reset() {
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   void Pause() { paused_ = true; }
   void Resume() {
     if (!paused_) {
@@ -282,6 +289,12 @@
       connection_ = nullptr;
     }
   }
+  void Discard() override {
+    if (connection_ != nullptr) {
+      connection_->Reset();
+    }
+    Cancel();
+  }
   void PauseReading() override {
     if (connection_ != nullptr) {
       connection_->Pause();
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -40,6 +40,7 @@
   fleet.lease.incarnation = fleet.incarnation;
   fleet.lease.address = settings.peer_listen;
   fleet.lease.duration = settings.lease;
+  fleet.lease.workers_check_tokens = settings.workers_check_tokens;
   return fleet;
 }
 
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -62,6 +62,17 @@
   };
 }
 
+Setter Flag(bool* target) {
+  return [target](const TomlValue& value) -> std::string {
+    const bool* const flag = std::get_if<bool>(&value);
+    if (flag == nullptr) {
+      return "true or false";
+    }
+    *target = *flag;
+    return {};
+  };
+}
+
 Setter Level(LogLevel* target) {
   return [target](const TomlValue& value) -> std::string {
     static const std::map<std::string, LogLevel> levels = {{"debug", LogLevel::kDebug},
@@ -98,6 +109,7 @@
               [settings](double value) { settings->store_row_bytes = static_cast<int>(value); })},
       {"placement.lease_ms",
        Number(100, 1e6, [settings](double value) { settings->lease = absl::Milliseconds(value); })},
+      {"placement.workers_check_tokens", Flag(&settings->workers_check_tokens)},
       {"stop.time_s",
        Number(0.1, 3600, [settings](double value) { settings->stop_time = absl::Seconds(value); })},
       {"retries.ratio", Number(0, 10, [settings](double value) { settings->retry_ratio = value; })},
--- a/tests/fleet/lease_manager_test.cc
+++ b/tests/fleet/lease_manager_test.cc
@@ -152,6 +152,49 @@
   CHECK(!lease.NextWrite(At(5)).has_value());
 }
 
+LeaseSettings UncheckedSettingsOf(const std::string& node, std::uint64_t incarnation = 1) {
+  LeaseSettings settings = SettingsOf(node, incarnation);
+  settings.workers_check_tokens = false;
+  return settings;
+}
+
+TEST_CASE("where workers check tokens, a holder cut from the store goes on ordering") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(3, At(0.1));
+  CHECK(lease.MayOrder(At(9)));
+}
+
+TEST_CASE("where they don't, it stops before its lease ends, counted from the renewal's sending") {
+  LeaseManager lease(UncheckedSettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(3, At(0.9));
+  CHECK(lease.MayOrder(At(1.9)));
+  CHECK(!lease.MayOrder(At(2.1)));
+}
+
+TEST_CASE("where they don't, a takeover waits for the former holder's last order to be old") {
+  LeaseManager lease(UncheckedSettingsOf("n2"));
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 5}, 5, At(0));
+  CHECK(!lease.NextWrite(At(5.4)).has_value());
+  CHECK(lease.NextWrite(At(6)).has_value());
+}
+
+TEST_CASE("a renewal without an answer is repeated soon, and confirms the lease again") {
+  LeaseManager lease(UncheckedSettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(3, At(0.1));
+  REQUIRE(lease.NextWrite(At(1.1)).has_value());
+  lease.OnCommitFailed(At(1.3));
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 3}, 3, At(1.35));
+  REQUIRE(lease.NextWrite(At(1.4)).has_value());
+  lease.OnCommitted(4, At(1.5));
+  CHECK(lease.MayOrder(At(2.5)));
+}
+
 // A store with one row that loses answers, does writes late, and does not answer at times.
 struct ModelStore {
   std::optional<LeaseRecord> record;
@@ -237,5 +280,79 @@
   }));
 }
 
+TEST_CASE("property: where workers check no tokens, orders of two machines are a lease apart") {
+  CHECK(rc::check("holders under lost, late and refused calls, pauses and restarts", [] {
+    ModelStore store;
+    const std::vector<std::string> names = {"n1", "n2", "n3"};
+    std::vector<LeaseManager> nodes;
+    for (const std::string& name : names) {
+      nodes.emplace_back(UncheckedSettingsOf(name));
+    }
+    const LeaseSettings settings = UncheckedSettingsOf("any");
+    std::uint64_t incarnation = 1;
+    std::deque<LeaseManager::Write> late;
+    // When the last order of each machine arrived at the latest.
+    std::vector<absl::Time> arrived(nodes.size(), absl::InfinitePast());
+    double now = 0;
+    const int steps = *rc::gen::inRange(20, 300);
+    for (int step = 0; step < steps; ++step) {
+      now += *rc::gen::element(0.01, 0.1, 0.3, 1.0);
+      const auto index = *rc::gen::inRange<std::size_t>(0, nodes.size());
+      LeaseManager& node = nodes[index];
+      switch (*rc::gen::inRange(0, 12)) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+          node.OnRead(store.record, store.row_version, At(now));
+          break;
+        case 4:
+          node.OnReadFailed(At(now));
+          break;
+        case 5:
+          if (!late.empty()) {
+            store.Apply(late.front());
+            late.pop_front();
+          }
+          break;
+        case 6:
+          node = LeaseManager(UncheckedSettingsOf(names[index], ++incarnation));
+          break;
+        default: {
+          const auto write = node.NextWrite(At(now));
+          if (!write.has_value()) {
+            break;
+          }
+          const int fate = *rc::gen::inRange(0, 8);
+          if (fate == 0) {
+            late.push_back(*write);
+          }
+          const bool done = fate > 1 && store.Apply(*write);
+          const double answered = now + *rc::gen::element(0.01, 0.4, 1.2);
+          if (fate <= 2) {
+            node.OnCommitFailed(At(answered));
+          } else if (done) {
+            node.OnCommitted(store.row_version, At(answered));
+          } else {
+            node.OnConflict(At(answered));
+          }
+          now = answered;
+        }
+      }
+      for (std::size_t other = 0; other < nodes.size(); ++other) {
+        if (!nodes[other].MayOrder(At(now))) {
+          continue;
+        }
+        for (std::size_t earlier = 0; earlier < nodes.size(); ++earlier) {
+          if (earlier != other) {
+            RC_ASSERT(At(now) - arrived[earlier] >= settings.duration);
+          }
+        }
+        arrived[other] = At(now) + settings.order_transit;
+      }
+    }
+  }));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
