--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -122,6 +122,8 @@
   std::shared_ptr<const Configuration> configuration_;
   LeaseManager lease_;
   FleetPlacer placer_;
+  // Of the lease's row, as it was read last.
+  WeightStoreEstimate inherited_estimate_;
   std::unique_ptr<LoopTimer> store_timer_;
   std::unique_ptr<LoopTimer> report_timer_;
   std::unique_ptr<LoopTimer> placement_timer_;
--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -17,6 +17,7 @@
 
 #include "absl/time/time.h"
 #include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/fleet/weight_store_limit.h"
 #include "hingespan/serving/configuration.h"
 #include "hingespan/serving/worker_control.h"
 #include "hingespan/serving/worker_directory.h"
@@ -40,6 +41,7 @@
   absl::Duration repeat_news = absl::Milliseconds(600);
   // A replica is not unloaded before it has been there for this long.
   absl::Duration least_residence = absl::Seconds(4);
+  WeightStoreLimitSettings weight_store;
 };
 
 // An order to send, and why.
@@ -54,10 +56,12 @@
 // Pure; not thread-safe.
 class FleetPlacer {
  public:
-  explicit FleetPlacer(const FleetPlacerSettings& settings) : settings_(settings) {}
+  explicit FleetPlacer(const FleetPlacerSettings& settings)
+      : settings_(settings), weight_store_(settings.weight_store) {}
 
   // A new holder knows nothing of the loads its predecessor ordered last: it waits for the rate.
-  void Begin(absl::Time now);
+  // `inherited` is what that one had learned of the weight store.
+  void Begin(const WeightStoreEstimate& inherited, absl::Time now);
   void OnReport(const DemandReport& report, absl::Time now);
   // Orders that are due. `workers` are the records as this node believes them.
   std::vector<PlannedOrder> Plan(const Configuration& configuration,
@@ -73,6 +77,8 @@
   absl::Time NextDue(absl::Time now) const;
   // What all nodes together run at the workers.
   std::vector<WorkerLoad> TotalLoads(absl::Time now) const;
+  // What was learned of the weight store, and the loads from it that are under way.
+  const WeightStoreLimit& weight_store() const { return weight_store_; }
 
  private:
   struct ModelTotals {
@@ -124,6 +130,9 @@
     // An unload there makes room for this model.
     std::string reserved_for;
     absl::Time reserved_until = absl::InfinitePast();
+    bool reserved_from_store = false;
+    // It carries out an order that this holder did not give.
+    bool busy_with_unknown = false;
   };
   using TotalsByModel = std::map<std::pair<std::string, ModelKey>, ModelTotals>;
   // What one run of Plan works with.
@@ -164,14 +173,19 @@
                    const ModelTotals& totals, int replicas, PlanContext* context);
   void PlanAdapter(const Service& service, const ModelSpecification& model, const ModelKey& key,
                    const ModelTotals& totals, PlanContext* context);
+  // `store_free`: whether the weight store bears one more load; else only copies at workers count.
   std::optional<Placement> PlaceModel(const Service& service, const ModelSpecification& model,
-                                      double most_cost, PlanContext* context) const;
+                                      double most_cost, bool store_free,
+                                      PlanContext* context) const;
   std::optional<Placement> PlaceAdapter(const Service& service, const ModelSpecification& model,
                                         const ModelKey& key, PlanContext* context) const;
   // The greatest of what runs and waits now and of what did so lately.
   double RecentConcurrency(const Service& service, const std::string& model,
                            const ModelTotals& totals, absl::Time now);
   static absl::Duration LoadTime(const ModelSpecification& model, const WorkerRecord& record);
+  static bool HasCopy(const std::string& model, const WorkerRecord& record);
+  // Loads from the weight store that are decided and not yet taken by their workers.
+  int PlannedStoreLoads(absl::Time now) const;
   bool MayTakeOrder(const std::string& worker_id, const Service& service,
                     const PlanContext& context) const;
   double UsedMemory(const Service& service, const Ledger& ledger) const;
@@ -201,7 +215,10 @@
   void Order(OrderKind kind, const std::string& worker_id, const ModelKey& key, std::string reason,
              const ModelTotals& totals, PlanContext* context);
   bool TakeLoadToken(const Service& service, absl::Time now);
-  void Accepted(const WorkerOrder& order, Ledger* ledger, absl::Time now);
+  // `timed`: the worker's answer tells when it took the order.
+  void Accepted(const WorkerOrder& order, bool timed, Ledger* ledger, absl::Time now);
+  // The worker is still at a load: takes note, and tells when it is expected now.
+  void NoteStillLoading(const std::string& worker_id, Ledger* ledger, absl::Time now);
   void FinishLoads(const std::string& worker_id, Ledger* ledger, absl::Time now);
   static void FinishUnload(const WorkerReport& report, Ledger* ledger, absl::Time now);
   void FinishAdapters(absl::Time now);
@@ -216,8 +233,14 @@
   std::map<std::string, double> load_tokens_;
   std::map<std::string, absl::Time> load_tokens_updated_;
   std::vector<ReplicaNews> news_;
-  // Expected load times by worker and model, as of the order.
-  std::map<std::pair<std::string, std::string>, absl::Duration> load_times_;
+  struct OrderedLoad {
+    // When nothing slows it.
+    absl::Duration full_speed;
+    bool from_store = false;
+  };
+  // By worker and model, as of the order.
+  std::map<std::pair<std::string, std::string>, OrderedLoad> ordered_loads_;
+  WeightStoreLimit weight_store_;
   absl::Time began_;
   bool demand_waits_ = false;
 };
--- a/include/hingespan/fleet/lease_manager.h
+++ b/include/hingespan/fleet/lease_manager.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "hingespan/fleet/weight_store_limit.h"
 
 namespace hingespan::gateway {
 
@@ -24,6 +25,8 @@
   std::string address;
   // 0 in the write that acquires: the token is then the row's version.
   std::uint64_t token = 0;
+  // What the holder has learned of the weight store, for its successor.
+  WeightStoreEstimate weight_store;
 };
 
 struct LeaseSettings {
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -18,7 +18,9 @@
   return Json{{"holder", record.holder},
               {"incarnation", record.incarnation},
               {"address", record.address},
-              {"token", record.token}}
+              {"token", record.token},
+              {"loads_at_once", record.weight_store.limit},
+              {"slow_load_seen", record.weight_store.settled}}
       .dump();
 }
 std::optional<LeaseRecord> DecodeLease(const std::string& value) {
@@ -27,9 +29,11 @@
     return std::nullopt;
   }
   try {
+    const WeightStoreEstimate estimate{json.value("loads_at_once", 0.0),
+                                       json.value("slow_load_seen", false)};
     return LeaseRecord{
         json.at("holder").get<std::string>(), json.at("incarnation").get<std::uint64_t>(),
-        json.at("address").get<std::string>(), json.at("token").get<std::uint64_t>()};
+        json.at("address").get<std::string>(), json.at("token").get<std::uint64_t>(), estimate};
   } catch (const Json::exception&) {
     return std::nullopt;
   }
@@ -180,6 +184,7 @@
   lease_.OnRead(lease, lease_version, parts_.loop->Now());
   if (lease.has_value()) {
     holder_address_ = lease->address;
+    inherited_estimate_ = lease->weight_store;
   }
   if (lease.has_value() && lease->holder != holder_before) {
     parts_.log->Write(LogLevel::kInfo, "lease_seen",
@@ -190,10 +195,12 @@
 }
 
 void FleetCoordinator::WriteLease() {
-  const std::optional<LeaseManager::Write> write = lease_.NextWrite(parts_.loop->Now());
+  std::optional<LeaseManager::Write> write = lease_.NextWrite(parts_.loop->Now());
   if (!write.has_value()) {
     return;
   }
+  write->record.weight_store =
+      lease_.holding() ? placer_.weight_store().estimate() : inherited_estimate_;
   parts_.store->Commit({{settings_.table, kLeaseKey, write->condition_version}},
                        {{settings_.table, kLeaseKey, EncodeLease(write->record)}},
                        [this](Result<std::uint64_t> result) {
@@ -220,8 +227,10 @@
   const absl::Time now = parts_.loop->Now();
   if (lease_.holding()) {
     ++parts_.metrics->lease_acquisitions;
-    placer_.Begin(now);
-    parts_.log->Write(LogLevel::kInfo, "lease_acquired", {{"token", absl::StrCat(lease_.token())}});
+    placer_.Begin(inherited_estimate_, now);
+    parts_.log->Write(LogLevel::kInfo, "lease_acquired",
+                      {{"token", absl::StrCat(lease_.token())},
+                       {"loads_at_once", absl::StrCat(placer_.weight_store().estimate().limit)}});
     SendNews({});
     ScheduleReport(absl::ZeroDuration());
     SchedulePlacement(now);
--- a/src/fleet/fleet_coordinator_placement.cc
+++ b/src/fleet/fleet_coordinator_placement.cc
@@ -139,6 +139,8 @@
                      {"why", planned.reason},
                      {"waiting", absl::StrCat(planned.waiting)},
                      {"rate", absl::StrCat(planned.rate)},
+                     {"loads_at_once", absl::StrCat(placer_.weight_store().running())},
+                     {"loads_limit", absl::StrCat(placer_.weight_store().estimate().limit)},
                      {"expected_sequence", absl::StrCat(order.expected_sequence)},
                      {"token", absl::StrCat(order.token)}});
   parts_.control->SendOrder(order, [this, order](OrderOutcome outcome) {
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-void FleetPlacer::Begin(absl::Time now) {
+void FleetPlacer::Begin(const WeightStoreEstimate& inherited, absl::Time now) {
   began_ = now;
+  weight_store_.Begin(inherited);
   ledgers_.clear();
   news_.clear();
   told_again_.clear();
@@ -203,26 +204,28 @@
 bool FleetPlacer::PlanReplica(const Service& service, const ModelSpecification& model,
                               const ModelTotals& totals, int replicas, PlanContext* context) {
   const double most_cost = GainOfReplica(service, totals, replicas);
-  const std::optional<Placement> placement = PlaceModel(service, model, most_cost, context);
+  const bool store_free = weight_store_.MayBegin(PlannedStoreLoads(context->now), context->now);
+  const std::optional<Placement> placement =
+      PlaceModel(service, model, most_cost, store_free, context);
   if (!placement.has_value()) {
     return false;
   }
+  const WorkerRecord& record = context->workers->at(placement->worker_id).record;
+  const bool local = HasCopy(model.name, record);
   if (!placement->victim.model.empty()) {
     Ledger& ledger = ledgers_[placement->worker_id];
     ledger.reserved_for = model.name;
+    ledger.reserved_from_store = !local;
     ledger.reserved_until = context->now + kReservation;
     Order(OrderKind::kUnload, placement->worker_id, placement->victim,
           absl::StrCat("room for ", model.name), totals, context);
     return true;
   }
-  const WorkerRecord& record = context->workers->at(placement->worker_id).record;
-  const bool local =
-      record.copies_in_memory.contains(model.name) || record.copies_on_disk.contains(model.name);
   if (!local && !TakeLoadToken(service, context->now)) {
     return false;
   }
   ledgers_[placement->worker_id].reserved_for.clear();
-  load_times_[{placement->worker_id, model.name}] = LoadTime(model, record);
+  ordered_loads_[{placement->worker_id, model.name}] = {LoadTime(model, record), !local};
   Order(OrderKind::kLoad, placement->worker_id, ModelKey{model.name, ""},
         replicas == 0 ? "first replica" : "further replica", totals, context);
   return true;
@@ -315,6 +318,22 @@
   return count;
 }
 
+int FleetPlacer::PlannedStoreLoads(absl::Time now) const {
+  int planned = 0;
+  for (const auto& [id, ledger] : ledgers_) {
+    const bool reserved =
+        !ledger.reserved_for.empty() && ledger.reserved_until > now && ledger.reserved_from_store;
+    bool ordered = false;
+    if (ledger.unanswered.has_value() && ledger.unanswered->kind == OrderKind::kLoad &&
+        ledger.unanswered->adapter.empty()) {
+      const auto load = ordered_loads_.find({id, ledger.unanswered->model});
+      ordered = load != ordered_loads_.end() && load->second.from_store;
+    }
+    planned += reserved || ordered ? 1 : 0;
+  }
+  return planned;
+}
+
 bool FleetPlacer::TakeLoadToken(const Service& service, absl::Time now) {
   const double rate = service.engine->loads_per_second * settings_.load_rate_part;
   const auto [entry, fresh] = load_tokens_updated_.try_emplace(service.name, began_);
--- a/src/fleet/fleet_placer_choice.cc
+++ b/src/fleet/fleet_placer_choice.cc
@@ -39,7 +39,7 @@
 
 std::optional<FleetPlacer::Placement> FleetPlacer::PlaceModel(const Service& service,
                                                               const ModelSpecification& model,
-                                                              double most_cost,
+                                                              double most_cost, bool store_free,
                                                               PlanContext* context) const {
   std::optional<Placement> best;
   for (const auto& [id, ledger] : ledgers_) {
@@ -53,6 +53,9 @@
       continue;
     }
     const WorkerState& worker = context->workers->at(id);
+    if (!store_free && !HasCopy(model.name, worker.record)) {
+      continue;
+    }
     Placement placement{id, {}, worker.running * kBusyWorkerCost};
     const absl::Duration load_time = LoadTime(model, worker.record);
     placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(load_time);
@@ -197,6 +200,10 @@
   return record.copies_on_disk.contains(model.name) ? model.load_time_from_disk : model.load_time;
 }
 
+bool FleetPlacer::HasCopy(const std::string& model, const WorkerRecord& record) {
+  return record.copies_in_memory.contains(model) || record.copies_on_disk.contains(model);
+}
+
 double FleetPlacer::UsedMemory(const Service& service, const Ledger& ledger) const {
   double used = 0;
   const auto add = [&](const ModelKey& key) {
--- a/src/fleet/fleet_placer_ledger.cc
+++ b/src/fleet/fleet_placer_ledger.cc
@@ -14,11 +14,15 @@
 constexpr absl::Duration kAskAgain = absl::Milliseconds(300);
 constexpr absl::Duration kAskAfterConflict = absl::Milliseconds(150);
 constexpr absl::Duration kAskAfterSilence = absl::Milliseconds(300);
+// A load that is late is expected this much later, again and again.
+constexpr absl::Duration kLoadOverdueStep = absl::Milliseconds(700);
 constexpr absl::Duration kUnloadTime = absl::Milliseconds(250);
 constexpr absl::Duration kAdapterLoadTime = absl::Milliseconds(30);
 constexpr absl::Duration kAfterRefusal = absl::Seconds(1);
-// A load that is this much late is taken for lost.
-constexpr absl::Duration kLoadOverdue = absl::Seconds(12);
+// An unload that is this much late is asked for anew.
+constexpr absl::Duration kUnloadOverdue = absl::Seconds(12);
+// A worker that is not busy this long after a load was to end has lost it.
+constexpr absl::Duration kLoadLostAfter = absl::Seconds(2);
 
 }  // namespace
 
@@ -47,8 +51,18 @@
 void FleetPlacer::SyncLedgers(const Configuration& configuration,
                               const std::map<std::string, WorkerState>& workers, absl::Time now) {
   for (auto entry = ledgers_.begin(); entry != ledgers_.end();) {
-    entry = workers.contains(entry->first) ? std::next(entry) : ledgers_.erase(entry);
+    if (workers.contains(entry->first)) {
+      ++entry;
+      continue;
+    }
+    weight_store_.LoadDropped(entry->first, now);
+    entry = ledgers_.erase(entry);
+  }
+  int unknown_loads = 0;
+  for (const auto& [id, ledger] : ledgers_) {
+    unknown_loads += ledger.busy_with_unknown ? 1 : 0;
   }
+  weight_store_.SetOtherLoads(unknown_loads, now);
   for (const auto& [id, worker] : workers) {
     const Service* const service = configuration.FindService(worker.record.service);
     if (service == nullptr || !service->engine.has_value()) {
@@ -68,10 +82,9 @@
     const ModelKey key = ledger->model_load->key;
     if (ledger->models.contains(key.model)) {
       ledger->model_load.reset();
+      weight_store_.LoadEnded(worker_id, now);
       ledger->loaded_at[key] = now;
       news_.push_back({worker_id, key.model, "", ReplicaState::kReady, 0});
-    } else if (now > ledger->model_load->expected + kLoadOverdue) {
-      ledger->model_load.reset();
     }
   }
 }
@@ -87,7 +100,7 @@
     ledger->model_unload.reset();
     return;
   }
-  if (now > ledger->model_unload->expected + kLoadOverdue) {
+  if (now > ledger->model_unload->expected + kUnloadOverdue) {
     ledger->model_unload.reset();
     ledger->uncertain = true;
     ledger->ask_at = now + kAskAgain;
@@ -109,7 +122,7 @@
   }
 }
 
-void FleetPlacer::Accepted(const WorkerOrder& order, Ledger* ledger, absl::Time now) {
+void FleetPlacer::Accepted(const WorkerOrder& order, bool timed, Ledger* ledger, absl::Time now) {
   const ModelKey key{order.model, order.adapter};
   ledger->sequence = order.expected_sequence + 1;
   if (order.kind == OrderKind::kUnload) {
@@ -125,7 +138,12 @@
         RunningLoad{key, now + kAdapterLoadTime, now + kAdapterLoadTime});
     return;
   }
-  const absl::Duration load_time = load_times_[{order.worker_id, order.model}];
+  const OrderedLoad& load = ordered_loads_[{order.worker_id, order.model}];
+  const absl::Duration load_time =
+      load.from_store ? weight_store_.ExpectedTime(load.full_speed) : load.full_speed;
+  if (load.from_store) {
+    weight_store_.LoadBegan(order.worker_id, load.full_speed, timed, now);
+  }
   ledger->model_load = RunningLoad{key, now + load_time, now + load_time};
   news_.push_back({order.worker_id, order.model, "", ReplicaState::kLoading,
                    static_cast<int>(absl::ToInt64Milliseconds(load_time))});
@@ -140,11 +158,11 @@
   ledger.unanswered.reset();
   switch (outcome) {
     case OrderOutcome::kAccepted:
-      Accepted(order, &ledger, now);
+      Accepted(order, true, &ledger, now);
       return;
     case OrderOutcome::kDone:
       if (order.kind == OrderKind::kUnload && !order.adapter.empty()) {
-        Accepted(order, &ledger, now);
+        Accepted(order, true, &ledger, now);
         return;
       }
       ledger.uncertain = true;
@@ -195,7 +213,7 @@
   }
   if (ledger.without_answer.has_value() &&
       report.order_sequence == ledger.without_answer->expected_sequence + 1) {
-    Accepted(*ledger.without_answer, &ledger, now);
+    Accepted(*ledger.without_answer, false, &ledger, now);
   }
   ledger.without_answer.reset();
   ledger.reported = true;
@@ -206,16 +224,31 @@
   // known before it has ended.
   const bool known = ledger.model_load.has_value() || ledger.model_unload.has_value();
   ledger.uncertain = report.busy && !known;
+  ledger.busy_with_unknown = ledger.uncertain;
   ledger.ask_at = ledger.uncertain ? now + kAskAgain : absl::InfiniteFuture();
   if (!report.busy && ledger.model_load.has_value() &&
       !ledger.models.contains(ledger.model_load->key.model) &&
-      now > ledger.model_load->expected + absl::Seconds(2)) {
+      now > ledger.model_load->expected + kLoadLostAfter) {
     ledger.model_load.reset();
+    weight_store_.LoadDropped(worker_id, now);
+  }
+  if (report.busy && ledger.model_load.has_value()) {
+    NoteStillLoading(worker_id, &ledger, now);
   }
   FinishLoads(worker_id, &ledger, now);
   FinishUnload(report, &ledger, now);
 }
 
+void FleetPlacer::NoteStillLoading(const std::string& worker_id, Ledger* ledger, absl::Time now) {
+  weight_store_.LoadSeenRunning(worker_id, now);
+  if (now < ledger->model_load->expected) {
+    return;
+  }
+  ledger->model_load->expected = now + kLoadOverdueStep;
+  news_.push_back({worker_id, ledger->model_load->key.model, "", ReplicaState::kLoading,
+                   static_cast<int>(absl::ToInt64Milliseconds(kLoadOverdueStep))});
+}
+
 std::vector<std::string> FleetPlacer::WorkersToAsk(absl::Time now) {
   std::vector<std::string> ids;
   for (auto& [id, ledger] : ledgers_) {
--- a/tests/fleet/fleet_placer_test.cc
+++ b/tests/fleet/fleet_placer_test.cc
@@ -37,7 +37,7 @@
       worker.row_version = 1;
       this->workers[worker.record.id] = worker;
     }
-    placer.Begin(At(0));
+    placer.Begin({}, At(0));
   }
 
   void Hold(const std::string& worker, const std::string& model) {
@@ -374,5 +374,54 @@
   CHECK(world.Plan(6).size() == 1);
 }
 
+TEST_CASE("a load that outlasts its time by far still takes its room") {
+  PlacerWorld world(1);
+  world.Demand(5, "m1", "", 1, 0, 1);
+  const auto orders = world.Plan(5);
+  REQUIRE(orders.size() == 1);
+  // Taken, and under way for half a minute: the store is slow.
+  ++world.sequences["w0"];
+  world.busy["w0"] = true;
+  world.placer.OnOutcome(orders[0].order, OrderOutcome::kAccepted, At(5));
+  for (double now = 6; now < 36; now += 0.5) {
+    world.Demand(now, "m2", "", 1, 0, 1);
+    world.Demand(now, "m3", "", 1, 0, 1);
+    CHECK(world.Plan(now).empty());
+  }
+  // Room is left for one more of the two that are asked for.
+  world.busy["w0"] = false;
+  world.Hold("w0", "m1");
+  world.workers["w0"].row_version = 2;
+  int loads = 0;
+  for (double now = 36; now < 40; now += 0.5) {
+    world.Demand(now, "m2", "", 1, 0, 1);
+    world.Demand(now, "m3", "", 1, 0, 1);
+    for (const PlannedOrder& planned : world.Plan(now)) {
+      loads += planned.order.kind == OrderKind::kLoad ? 1 : 0;
+    }
+  }
+  CHECK(loads == 1);
+}
+
+TEST_CASE("no room is made for a load that the weight store does not bear now") {
+  PlacerWorld world(6, 6.0);
+  for (int number = 0; number < 6; ++number) {
+    const std::string id = "w" + std::to_string(number);
+    world.Hold(id, "m3");
+    world.Hold(id, "m4");
+  }
+  world.Demand(5, "m1", "", 9, 0, 9);
+  world.Demand(5, "m2", "", 9, 0, 9);
+  int unloads = 0;
+  for (double now = 5; now < 7; now += 0.1) {
+    world.Demand(now, "m1", "", 40, 0, 9);
+    world.Demand(now, "m2", "", 40, 0, 9);
+    for (const PlannedOrder& planned : world.Plan(now)) {
+      unloads += planned.order.kind == OrderKind::kUnload ? 1 : 0;
+    }
+  }
+  CHECK(unloads == 3);
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
