--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -40,7 +40,7 @@
   // News of an adapter that requests wait for are repeated this often.
   absl::Duration repeat_news = absl::Milliseconds(600);
   // A replica is not unloaded before it has been there for this long.
-  absl::Duration least_residence = absl::Seconds(4);
+  absl::Duration least_residence = absl::Milliseconds(1000);
   WeightStoreLimitSettings weight_store;
 };
 
