--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -151,6 +151,13 @@
     absl::Time now;
     std::vector<PlannedOrder> orders;
   };
+  // A model that should get one more replica.
+  struct Wish {
+    const ModelSpecification* model = nullptr;
+    ModelTotals totals;
+    int replicas = 0;
+    double gain = 0;
+  };
   // What would have to be done at one worker to place a model or adapter there.
   struct Placement {
     std::string worker_id;
@@ -165,7 +172,17 @@
   TotalsByModel Totals(absl::Time now);
   void PlanService(const Service& service, PlanContext* context);
   void PlanModels(const Service& service, PlanContext* context);
+  std::vector<Wish> Wishes(const Service& service, const PlanContext& context);
   void PlanAdapters(const Service& service, PlanContext* context);
+  // Tells all nodes when models that requests wait for, and that no worker loads yet, are expected.
+  void TellExpectedLoads(const Service& service, const std::vector<Wish>& waiting,
+                         const PlanContext& context);
+  void TellExpected(const std::string& model, absl::Time expected, absl::Time now);
+  // When loads from the weight store that are under way end, in order: one entry for each place.
+  std::vector<absl::Time> StorePlacesFree(absl::Time now) const;
+  // When a copy at a worker could be loaded; InfiniteFuture: there is none.
+  absl::Time ExpectedFromCopy(const Service& service, const ModelSpecification& model,
+                              const PlanContext& context) const;
   // Requests wait for an adapter that is there: the news of it may be lost, and its worker's record
   // does not tell of it while the store is out of reach.
   void TellAdapterAgain(const Service& service, const ModelKey& key, absl::Time now);
@@ -228,6 +245,12 @@
   std::map<std::string, Ledger> ledgers_;
   std::map<std::string, NodeReport> reports_;
   std::map<ModelKey, absl::Time> told_again_;
+  // What was told last of models that wait for their load.
+  struct ToldExpected {
+    absl::Time expected;
+    absl::Time told;
+  };
+  std::map<std::string, ToldExpected> told_expected_;
   std::map<std::pair<std::string, ModelKey>, RateCounter> rates_;
   std::map<std::pair<std::string, std::string>, Concurrency> concurrency_;
   std::map<std::string, double> load_tokens_;
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -66,6 +66,7 @@
   void PumpSoon() override;
   void RunningChanged(const std::string& service, const ModelKey& model, int change) override;
   absl::Time ExpectedReady(const ModelKey& model) const override;
+  void ToldToReturn(const std::string& service, const ModelKey& model, absl::Time at) override;
   absl::Time StopLimit() const override;
   void Begun(std::shared_ptr<RequestRelay> request) override;
   void Ended(std::uint64_t number) override;
@@ -105,6 +106,12 @@
   // All requests that have not ended, by number.
   std::map<std::uint64_t, std::shared_ptr<RequestRelay>> open_requests_;
   std::map<std::pair<std::string, ModelKey>, DemandCounts> demand_;
+  // A caller that was told when its model is there, until it should have come back.
+  struct ReturningCaller {
+    std::pair<std::string, ModelKey> key;
+    absl::Time until;
+  };
+  std::vector<ReturningCaller> returning_;
   std::shared_ptr<const RouteTable> routes_;
   std::unique_ptr<LoopTimer> stop_timer_;
   std::unique_ptr<LoopTimer> pump_timer_;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -40,6 +40,8 @@
   virtual void RunningChanged(const std::string& service, const ModelKey& model, int change) = 0;
   // When a replica is expected to be ready; InfiniteFuture: nothing is known.
   virtual absl::Time ExpectedReady(const ModelKey& model) const = 0;
+  // A caller was refused and told to come back then: the model is still asked for.
+  virtual void ToldToReturn(const std::string& service, const ModelKey& model, absl::Time at) = 0;
   // When this node, which stops, must have answered everything; InfiniteFuture: it does not stop.
   virtual absl::Time StopLimit() const = 0;
   // The host keeps a request alive from Start until its end.
@@ -107,6 +109,8 @@
   absl::Time WaitLimit() const;
   // How long the caller waits for the first event.
   absl::Duration Patience() const;
+  // Whether the request is better held until its model is there than told to come back then.
+  bool MayWaitFor(absl::Time expected, absl::Time latest) const;
   // When a silent worker is given up, and when that is looked at first.
   absl::Time StallLimit() const;
   absl::Time FirstStallLimit() const;
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -15,6 +15,8 @@
 // Models looked at in one run; the others come with the next.
 constexpr std::size_t kMostWishesAtOnce = 12;
 constexpr absl::Duration kConcurrencyMemory = absl::Seconds(4);
+// From the order to unload until the load that it makes room for begins.
+constexpr absl::Duration kUnloadEstimate = absl::Milliseconds(500);
 
 }  // namespace
 
@@ -24,6 +26,7 @@
   ledgers_.clear();
   news_.clear();
   told_again_.clear();
+  told_expected_.clear();
   load_tokens_.clear();
   load_tokens_updated_.clear();
   for (auto& [key, counter] : rates_) {
@@ -169,22 +172,17 @@
   PlanAdapters(service, context);
 }
 
-void FleetPlacer::PlanModels(const Service& service, PlanContext* context) {
-  struct Wish {
-    const ModelSpecification* model = nullptr;
-    ModelTotals totals;
-    int replicas = 0;
-    double gain = 0;
-  };
+std::vector<FleetPlacer::Wish> FleetPlacer::Wishes(const Service& service,
+                                                   const PlanContext& context) {
   std::vector<Wish> wishes;
   for (const auto& [name, model] : service.engine->models) {
-    if (!context->model_totals.contains({service.name, model.name})) {
+    if (!context.model_totals.contains({service.name, model.name})) {
       continue;
     }
-    Wish wish{&model, TotalsOfModel(service, model.name, *context),
-              CountReplicas(service, model.name, *context)};
+    Wish wish{&model, TotalsOfModel(service, model.name, context),
+              CountReplicas(service, model.name, context)};
     wish.gain = GainOfReplica(service, wish.totals, wish.replicas);
-    const double wanted = RecentConcurrency(service, model.name, wish.totals, context->now) /
+    const double wanted = RecentConcurrency(service, model.name, wish.totals, context.now) /
                           settings_.requests_for_each_replica;
     const bool first = wish.replicas == 0 && wish.totals.waiting > 0;
     if (first || (wish.replicas > 0 && wanted > wish.replicas)) {
@@ -193,12 +191,22 @@
   }
   std::stable_sort(wishes.begin(), wishes.end(),
                    [](const Wish& left, const Wish& right) { return left.gain > right.gain; });
-  if (wishes.size() > kMostWishesAtOnce) {
-    wishes.resize(kMostWishesAtOnce);
-  }
-  for (const Wish& wish : wishes) {
-    PlanReplica(service, *wish.model, wish.totals, wish.replicas, context);
+  return wishes;
+}
+
+void FleetPlacer::PlanModels(const Service& service, PlanContext* context) {
+  const std::vector<Wish> wishes = Wishes(service, *context);
+  std::vector<Wish> waiting;
+  for (std::size_t index = 0; index < wishes.size(); ++index) {
+    const Wish& wish = wishes[index];
+    const bool planned =
+        index < kMostWishesAtOnce &&
+        PlanReplica(service, *wish.model, wish.totals, wish.replicas, context);
+    if (!planned && wish.replicas == 0) {
+      waiting.push_back(wish);
+    }
   }
+  TellExpectedLoads(service, waiting, *context);
 }
 
 bool FleetPlacer::PlanReplica(const Service& service, const ModelSpecification& model,
@@ -217,6 +225,10 @@
     ledger.reserved_for = model.name;
     ledger.reserved_from_store = !local;
     ledger.reserved_until = context->now + kReservation;
+    if (replicas == 0) {
+      TellExpected(model.name, context->now + kUnloadEstimate + LoadTime(model, record),
+                   context->now);
+    }
     Order(OrderKind::kUnload, placement->worker_id, placement->victim,
           absl::StrCat("room for ", model.name), totals, context);
     return true;
--- a/src/serving/gateway_demand.cc
+++ b/src/serving/gateway_demand.cc
@@ -7,9 +7,28 @@
 #include "hingespan/serving/gateway.h"
 
 namespace hingespan::gateway {
+namespace {
+
+// A caller may come back this much later than it was told.
+constexpr absl::Duration kReturnSlack = absl::Milliseconds(500);
+
+}  // namespace
+
+void Gateway::ToldToReturn(const std::string& service, const ModelKey& model, absl::Time at) {
+  if (!model.model.empty()) {
+    returning_.push_back({{service, model}, at + kReturnSlack});
+    fleet_->DemandWaits();
+  }
+}
 
 void Gateway::FillReport(DemandReport* report) {
   std::map<std::pair<std::string, ModelKey>, int> waiting;
+  const absl::Time now = parts_.loop->Now();
+  std::erase_if(returning_, [&](const ReturningCaller& caller) { return caller.until <= now; });
+  for (const ReturningCaller& caller : returning_) {
+    ++waiting[caller.key];
+    demand_.try_emplace(caller.key);
+  }
   for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
     ++waiting[{request->service(), request->model()}];
   }
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -28,6 +28,13 @@
 constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(10);
 // Callers give a stream without an event up after this, or a multiple of the route's targets.
 constexpr absl::Duration kLeastPatience = absl::Seconds(2);
+// A model expected within this part of the target latency leaves time for the first event.
+constexpr double kInTimePart = 0.85;
+// A refusal within this part of the target latency costs the caller little.
+constexpr double kPromptRefusalPart = 0.25;
+// Callers wait as they are told for at most this part of the time that they have left; less, since
+// the expectation is one.
+constexpr double kHonouredWaitPart = 0.3;
 // Bytes that may wait for a slow caller before the worker is not read any more.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
 // A request that still waits this long before its node ends is refused, so that another node may
@@ -186,8 +193,7 @@
   const absl::Time patience = arrived_ + Patience();
   const absl::Time expected = context_->host->ExpectedReady(model_);
   if (last_problem_ == ChoiceProblem::kModelAbsent && expected != absl::InfiniteFuture()) {
-    // The caller is told at once to come back when its model is there, unless it will wait for it.
-    limit = expected < std::min(latest, patience) ? latest : arrived_;
+    limit = MayWaitFor(expected, std::min(latest, patience)) ? latest : arrived_;
   }
   limit = std::min(limit, patience - kDeadlineMargin);
   const absl::Time stop = context_->host->StopLimit();
@@ -197,6 +203,20 @@
   return std::min(limit, latest);
 }
 
+bool RequestRelay::MayWaitFor(absl::Time expected, absl::Time latest) const {
+  if (expected <= arrived_ + route_->target_latency * kInTimePart) {
+    return true;
+  }
+  // It would be late: told at once to come back when the model is there, it can still be in time.
+  const absl::Time now = context_->loop->Now();
+  const bool soon = now - arrived_ <= route_->target_latency * kPromptRefusalPart;
+  const bool comes_back = expected - now <= (deadline_ - now) * kHonouredWaitPart;
+  if (soon && comes_back) {
+    return false;
+  }
+  return expected < latest;
+}
+
 absl::Duration RequestRelay::Patience() const {
   if (route_->kind != RouteKind::kStreaming) {
     return absl::InfiniteDuration();
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -199,6 +199,7 @@
   const absl::Time expected = context_->host->ExpectedReady(model_);
   if (expected != absl::InfiniteFuture()) {
     retry_after = std::max(retry_after, expected - now + kAfterExpected);
+    context_->host->ToldToReturn(service_, model_, now + retry_after);
   }
   ++context_->metrics->refusals[std::string(why)];
   exchange_->Answer(503, ReasonPhrase(503),
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -315,6 +315,30 @@
   CHECK(node->metrics.refusals["model_absent"] == kCallers);
 }
 
+TEST_CASE("a caller whose answer would be late is told to come back, and is served then") {
+  GatewayWorld world;
+  // A load takes longer than the target, and less than the caller's patience.
+  world.PutConfiguration(2, 20000, 1.0, 400);
+  emulator::PlatformWorkerOptions options;
+  options.id = "w1";
+  options.service = "models";
+  options.load_time = absl::Seconds(1);
+  world.AddWorker(options);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request = StreamRequest("/stream/x", "m2");
+  request.deadline_ms = 15000;
+  const auto call = world.Ask(node, request);
+  CHECK(call->head.status == 503);
+  double seconds = 0;
+  REQUIRE(absl::SimpleAtod(FieldOf(*call, "Retry-After"), &seconds));
+  CHECK(seconds > 0.9);
+  CHECK(seconds < 2.0);
+  // Nobody waits at the node, but somebody will come back: the model is loaded all the same.
+  REQUIRE(world.Wait([&] { return world.workers[0]->Holds("m2"); }));
+  request.id = "r2";
+  CHECK(world.Ask(node, request)->head.status == 200);
+}
+
 TEST_CASE("an adapter is loaded on demand") {
   GatewayWorld world;
   world.AddModelWorker("w1", "m1");
