--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -24,7 +24,29 @@
 
 namespace hingespan::gateway {
 
+// What the placer weighs, in requests; 0 or false switches a mechanism off.
+struct PlacementPolicy {
+  // A replica that is not short of places is worth this part of its requests a second.
+  double spare_replica_gain = 0.5;
+  // What a replica that was just loaded is worth more than others, so that those it was loaded for
+  // reach it.
+  double fresh_replica_value = 5.0;
+  // Of each second that requests for adapters are held up by a load.
+  double blocked_adapter_cost = 0.3;
+  // How long the requests of a replica go on after it is to be unloaded, in seconds.
+  double drain_seconds = 2.5;
+  // Copies on workers' disks and in their memory are preferred.
+  bool prefer_copies = true;
+  // Requests that wait for a load which can't begin yet are told when it is expected.
+  bool tell_expected_loads = true;
+  // While models wait for a worker that has a copy of them and is busy with another order, fewer
+  // loads from the weight store and fewer further replicas are begun: each keeps a worker busy for
+  // long.
+  bool yield_to_copies = true;
+};
+
 struct FleetPlacerSettings {
+  PlacementPolicy policy;
   // Loads that may begin at once, on top of the rate of the weight store.
   double load_burst = 3.5;
   // Of them, how many a new holder may begin at once: its predecessor may just have ordered.
@@ -51,6 +73,8 @@
   std::string reason;
   int waiting = 0;
   double rate = 0;
+  // Where a load takes the weights from: "store", "copy"; empty for other orders.
+  std::string source;
 };
 
 // Pure; not thread-safe.
@@ -158,6 +182,9 @@
     int replicas = 0;
     double gain = 0;
   };
+  // How much of the last seconds models waited for a busy worker with a copy of them, 0 to 1.
+  double CopyPressure(absl::Time now) const;
+  void NoteCopyPressure(const std::vector<Wish>& waiting, const PlanContext& context);
   // What would have to be done at one worker to place a model or adapter there.
   struct Placement {
     std::string worker_id;
@@ -218,19 +245,21 @@
   static ModelTotals TotalsOfModel(const Service& service, const std::string& model,
                                    const PlanContext& context);
   // What a load at a worker costs the adapters of the models there: none can be loaded meanwhile.
-  static double BlockedAdapterCost(const Ledger& ledger, absl::Duration load_time,
-                                   const PlanContext& context);
+  double BlockedAdapterCost(const Ledger& ledger, absl::Duration load_time,
+                            const PlanContext& context) const;
   // How many replicas a model's requests fill.
   static double ReplicasFilled(const Service& service, const ModelTotals& totals);
   // Requests that so many replicas will not serve in time before placement can do anything about
   // it.
   static double HarmedRequests(const Service& service, const ModelTotals& totals, int replicas);
   // What one more replica is worth, and what unloading one would cost, in requests.
-  static double GainOfReplica(const Service& service, const ModelTotals& totals, int replicas);
+  double GainOfReplica(const Service& service, const ModelTotals& totals, int replicas) const;
   double ReplicaValue(const Service& service, const Ledger& ledger, const std::string& model,
                       const PlanContext& context) const;
   void Order(OrderKind kind, const std::string& worker_id, const ModelKey& key, std::string reason,
              const ModelTotals& totals, PlanContext* context);
+  // "store" or "copy" for the load of a model, else empty.
+  std::string SourceOf(const WorkerOrder& order) const;
   bool TakeLoadToken(const Service& service, absl::Time now);
   // `timed`: the worker's answer tells when it took the order.
   void Accepted(const WorkerOrder& order, bool timed, Ledger* ledger, absl::Time now);
@@ -266,6 +295,10 @@
   WeightStoreLimit weight_store_;
   absl::Time began_;
   bool demand_waits_ = false;
+  double copy_pressure_ = 0;
+  absl::Time copy_pressure_updated_ = absl::InfinitePast();
+  // Whether a model with a copy waited when that was last looked at.
+  bool copy_waits_ = false;
 };
 
 }  // namespace hingespan::gateway
--- a/include/hingespan/fleet/weight_store_limit.h
+++ b/include/hingespan/fleet/weight_store_limit.h
@@ -67,8 +67,9 @@
   // Loads that were not ordered by this holder.
   void SetOtherLoads(int count, absl::Time now);
 
-  // Whether one more load may be ordered beside those under way and `planned` ones.
-  bool MayBegin(int planned, absl::Time now);
+  // Whether one more load may be ordered beside those under way and `planned` ones. `part`: of the
+  // limit, what the workers can spare; one load is always allowed.
+  bool MayBegin(int planned, double part, absl::Time now);
   // How long a load is expected to take beside those under way.
   absl::Duration ExpectedTime(absl::Duration full_speed) const;
   int running() const { return static_cast<int>(loads_.size()) + others_; }
--- a/include/hingespan/serving/gateway_settings.h
+++ b/include/hingespan/serving/gateway_settings.h
@@ -7,11 +7,33 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "hingespan/common/finding.h"
+#include "hingespan/fleet/fleet_placer.h"
 #include "hingespan/settings/log_settings.h"
 
 namespace hingespan::gateway {
 
+// What the gateway weighs for each request; false switches a mechanism off.
+struct ServingPolicy {
+  // A caller whose answer would be late is told at once to come back when its model is there.
+  bool return_when_late = true;
+  // Callers told to come back count as waiting until then.
+  bool count_returning = true;
+  // Workers that keep parts of a request's prompt are preferred.
+  bool prefer_kept_prompts = true;
+  // Workers of the node's zone are preferred.
+  bool prefer_own_zone = true;
+  // Workers with failures and long first events are avoided.
+  bool judge_workers = true;
+};
+
 struct GatewaySettings {
+  ServingPolicy serving;
+  PlacementPolicy placement;
+  WeightStoreLimitSettings weight_store;
+  // A model gets one more replica when this many requests run or wait for each.
+  double requests_for_each_replica = 7;
+  // A replica counts as just loaded for so long.
+  absl::Duration fresh_replica = absl::Seconds(1);
   std::string node;
   std::string zone;
   // Of this machine's link; 0: not known.
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -59,6 +59,8 @@
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
   RelayHost* host = nullptr;
+  // Policy: whether callers whose answers would be late are told to come back.
+  bool return_when_late = true;
 };
 
 class RequestRelay : public AnswerReceiver, public std::enable_shared_from_this<RequestRelay> {
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -103,11 +103,19 @@
   int candidates = 0;
 };
 
+// What the choice of a worker weighs; false switches it off.
+struct ChoicePolicy {
+  bool kept_prompts = true;
+  bool own_zone = true;
+  // Failures seen here.
+  bool judge = true;
+};
+
 // Pure; not thread-safe.
 class WorkerDirectory {
  public:
-  WorkerDirectory(std::string node, std::string zone)
-      : node_(std::move(node)), zone_(std::move(zone)) {}
+  WorkerDirectory(std::string node, std::string zone, ChoicePolicy policy = {})
+      : policy_(policy), node_(std::move(node)), zone_(std::move(zone)) {}
 
   // The more nodes choose at once from what they knew a moment ago, the more each prefers workers
   // of its own, so that not all choose the same one.
@@ -141,6 +149,7 @@
   double Cost(const WorkerState& worker, const WorkerDemand& demand, absl::Time now) const;
   static bool IsFull(const WorkerState& worker, const WorkerDemand& demand, const Service* service);
 
+  ChoicePolicy policy_;
   std::string node_;
   std::string zone_;
   // The most that this node's preference adds to a worker's cost, in milliseconds.
--- a/src/fleet/fleet_coordinator_placement.cc
+++ b/src/fleet/fleet_coordinator_placement.cc
@@ -137,6 +137,7 @@
                      {"model", order.model},
                      {"adapter", order.adapter},
                      {"why", planned.reason},
+                     {"source", planned.source},
                      {"waiting", absl::StrCat(planned.waiting)},
                      {"rate", absl::StrCat(planned.rate)},
                      {"loads_at_once", absl::StrCat(placer_.weight_store().running())},
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -27,6 +27,8 @@
   news_.clear();
   told_again_.clear();
   told_expected_.clear();
+  copy_pressure_ = 0;
+  copy_pressure_updated_ = absl::InfinitePast();
   load_tokens_.clear();
   load_tokens_updated_.clear();
   for (auto& [key, counter] : rates_) {
@@ -175,6 +177,7 @@
 std::vector<FleetPlacer::Wish> FleetPlacer::Wishes(const Service& service,
                                                    const PlanContext& context) {
   std::vector<Wish> wishes;
+  const double spare = 1 - CopyPressure(context.now);
   for (const auto& [name, model] : service.engine->models) {
     if (!context.model_totals.contains({service.name, model.name})) {
       continue;
@@ -182,10 +185,11 @@
     Wish wish{&model, TotalsOfModel(service, model.name, context),
               CountReplicas(service, model.name, context)};
     wish.gain = GainOfReplica(service, wish.totals, wish.replicas);
+    wish.gain *= wish.replicas > 0 ? spare : 1;
     const double wanted = RecentConcurrency(service, model.name, wish.totals, context.now) /
                           settings_.requests_for_each_replica;
     const bool first = wish.replicas == 0 && wish.totals.waiting > 0;
-    if (first || (wish.replicas > 0 && wanted > wish.replicas)) {
+    if (first || (wish.replicas > 0 && wanted * spare > wish.replicas)) {
       wishes.push_back(wish);
     }
   }
@@ -199,20 +203,21 @@
   std::vector<Wish> waiting;
   for (std::size_t index = 0; index < wishes.size(); ++index) {
     const Wish& wish = wishes[index];
-    const bool planned =
-        index < kMostWishesAtOnce &&
-        PlanReplica(service, *wish.model, wish.totals, wish.replicas, context);
+    const bool planned = index < kMostWishesAtOnce &&
+                         PlanReplica(service, *wish.model, wish.totals, wish.replicas, context);
     if (!planned && wish.replicas == 0) {
       waiting.push_back(wish);
     }
   }
+  NoteCopyPressure(waiting, *context);
   TellExpectedLoads(service, waiting, *context);
 }
 
 bool FleetPlacer::PlanReplica(const Service& service, const ModelSpecification& model,
                               const ModelTotals& totals, int replicas, PlanContext* context) {
   const double most_cost = GainOfReplica(service, totals, replicas);
-  const bool store_free = weight_store_.MayBegin(PlannedStoreLoads(context->now), context->now);
+  const bool store_free = weight_store_.MayBegin(PlannedStoreLoads(context->now),
+                                                 1 - CopyPressure(context->now), context->now);
   const std::optional<Placement> placement =
       PlaceModel(service, model, most_cost, store_free, context);
   if (!placement.has_value()) {
@@ -377,6 +382,7 @@
   planned.reason = std::move(reason);
   planned.waiting = totals.waiting;
   planned.rate = totals.rate;
+  planned.source = SourceOf(planned.order);
   ledger.unanswered = planned.order;
   if (kind == OrderKind::kUnload) {
     news_.push_back({worker_id, key.model, key.adapter, ReplicaState::kLeaving, 0});
@@ -384,6 +390,14 @@
   context->orders.push_back(std::move(planned));
 }
 
+std::string FleetPlacer::SourceOf(const WorkerOrder& order) const {
+  const auto load = ordered_loads_.find({order.worker_id, order.model});
+  if (order.kind != OrderKind::kLoad || !order.adapter.empty() || load == ordered_loads_.end()) {
+    return {};
+  }
+  return load->second.from_store ? "store" : "copy";
+}
+
 std::vector<ReplicaNews> FleetPlacer::TakeNews(absl::Time now) {
   FinishAdapters(now);
   return std::exchange(news_, {});
--- a/src/fleet/fleet_placer_choice.cc
+++ b/src/fleet/fleet_placer_choice.cc
@@ -17,7 +17,6 @@
 // For each second that a load takes.
 constexpr double kLoadSecondCost = 0.15;
 constexpr double kBusyWorkerCost = 0.004;
-constexpr double kFreshReplicaValue = 5.0;
 constexpr double kRunningValue = 0.3;
 // Prompt tokens a second that a replica reads without making its requests late, and the part of its
 // slots that may be taken.
@@ -28,12 +27,6 @@
 // What a request that waits adds to the worth of a first and of a further replica.
 constexpr double kWaitingGainOfFirst = 2.0;
 constexpr double kWaitingGain = 0.25;
-// A replica that is not short of places is worth this part of its requests a second.
-constexpr double kSpareReplicaGain = 0.5;
-// Of each second that requests for adapters are held up by a load.
-constexpr double kBlockedAdapterSecondCost = 0.3;
-// How long the requests of a replica go on after it is to be unloaded.
-constexpr double kDrainSeconds = 2.5;
 
 }  // namespace
 
@@ -58,7 +51,9 @@
     }
     Placement placement{id, {}, worker.running * kBusyWorkerCost};
     const absl::Duration load_time = LoadTime(model, worker.record);
-    placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(load_time);
+    const absl::Duration weighed_time =
+        settings_.policy.prefer_copies ? load_time : model.load_time;
+    placement.cost += kLoadSecondCost * absl::ToDoubleSeconds(weighed_time);
     placement.cost += BlockedAdapterCost(ledger, load_time, *context);
     const double room = service.engine->memory_mb - UsedMemory(service, ledger);
     if (room < model.memory_mb) {
@@ -66,7 +61,7 @@
       for (const auto& [held, adapters] : ledger.models) {
         double value = ReplicaValue(service, ledger, held, *context);
         if (context->running_at.contains({id, held})) {
-          value += kLoadSecondCost * kDrainSeconds;
+          value += kLoadSecondCost * settings_.policy.drain_seconds;
         }
         if (value < least) {
           least = value;
@@ -85,7 +80,7 @@
 }
 
 double FleetPlacer::BlockedAdapterCost(const Ledger& ledger, absl::Duration load_time,
-                                       const PlanContext& context) {
+                                       const PlanContext& context) const {
   double rate = 0;
   for (const auto& [model, adapters] : ledger.models) {
     const auto adapter_rate = context.adapter_rates.find({ledger.service, model});
@@ -95,7 +90,7 @@
       rate += adapter_rate->second / count;
     }
   }
-  return kBlockedAdapterSecondCost * rate * absl::ToDoubleSeconds(load_time);
+  return settings_.policy.blocked_adapter_cost * rate * absl::ToDoubleSeconds(load_time);
 }
 
 double FleetPlacer::ReplicasFilled(const Service& service, const ModelTotals& totals) {
@@ -113,13 +108,14 @@
   return filled <= replicas ? 0 : totals.rate * kMendSeconds * (1 - replicas / filled);
 }
 
-double FleetPlacer::GainOfReplica(const Service& service, const ModelTotals& totals, int replicas) {
+double FleetPlacer::GainOfReplica(const Service& service, const ModelTotals& totals,
+                                  int replicas) const {
   const double fewer_harmed =
       HarmedRequests(service, totals, replicas) - HarmedRequests(service, totals, replicas + 1);
   if (replicas == 0) {
     return fewer_harmed + kWaitingGainOfFirst * totals.waiting;
   }
-  return fewer_harmed + kSpareReplicaGain * totals.rate / (replicas + 1) +
+  return fewer_harmed + settings_.policy.spare_replica_gain * totals.rate / (replicas + 1) +
          kWaitingGain * totals.waiting;
 }
 
@@ -136,7 +132,7 @@
   const auto loaded = ledger.loaded_at.find(ModelKey{model, ""});
   if (loaded != ledger.loaded_at.end() &&
       context.now - loaded->second < settings_.least_residence) {
-    value += kFreshReplicaValue;
+    value += settings_.policy.fresh_replica_value;
   }
   return value;
 }
--- a/src/fleet/fleet_placer_waits.cc
+++ b/src/fleet/fleet_placer_waits.cc
@@ -13,6 +13,8 @@
 // An expectation is told again when it has moved by this much, or after so long.
 constexpr absl::Duration kToldChange = absl::Milliseconds(500);
 constexpr absl::Duration kToldLifetime = absl::Seconds(1);
+// How far back it counts that models waited for a worker with their copy.
+constexpr absl::Duration kPressureWindow = absl::Seconds(6);
 // Making room, and seeing that there is room, before a load begins.
 constexpr absl::Duration kMakeRoom = absl::Milliseconds(500);
 
@@ -67,9 +69,28 @@
   return expected;
 }
 
+double FleetPlacer::CopyPressure(absl::Time now) const {
+  if (!settings_.policy.yield_to_copies || copy_pressure_updated_ == absl::InfinitePast()) {
+    return 0;
+  }
+  const double kept = std::exp(-absl::FDivDuration(now - copy_pressure_updated_, kPressureWindow));
+  return copy_pressure_ * kept + (copy_waits_ ? 1 - kept : 0);
+}
+
+void FleetPlacer::NoteCopyPressure(const std::vector<Wish>& waiting, const PlanContext& context) {
+  copy_pressure_ = CopyPressure(context.now);
+  copy_pressure_updated_ = context.now;
+  copy_waits_ = std::any_of(waiting.begin(), waiting.end(), [&](const Wish& wish) {
+    return std::any_of(context.workers->begin(), context.workers->end(), [&](const auto& worker) {
+      return context.usable.contains(worker.first) &&
+             HasCopy(wish.model->name, worker.second.record);
+    });
+  });
+}
+
 void FleetPlacer::TellExpectedLoads(const Service& service, const std::vector<Wish>& waiting,
                                     const PlanContext& context) {
-  if (waiting.empty()) {
+  if (waiting.empty() || !settings_.policy.tell_expected_loads) {
     return;
   }
   const std::vector<absl::Time> places = StorePlacesFree(context.now);
--- a/src/fleet/weight_store_limit.cc
+++ b/src/fleet/weight_store_limit.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace hingespan::gateway {
 namespace {
@@ -106,8 +107,7 @@
   int overdue = 0;
   for (const auto& [id, load] : loads_) {
     const absl::Duration ran = load.last_seen_running - load.began;
-    if (!load.timed ||
-        ran - settings_.observation_lag < load.full_speed * settings_.slow_factor) {
+    if (!load.timed || ran - settings_.observation_lag < load.full_speed * settings_.slow_factor) {
       continue;
     }
     const double seconds = absl::ToDoubleSeconds(now - load.began);
@@ -124,14 +124,13 @@
   }
 }
 
-bool WeightStoreLimit::MayBegin(int planned, absl::Time now) {
-  if (!settings_.enabled) {
-    return true;
-  }
+bool WeightStoreLimit::MayBegin(int planned, double part, absl::Time now) {
   Advance(now);
   TakeOverdue(now);
-  if (running() + planned + 1 <= limit_ + kRounding) {
-    return true;
+  const int wanted = running() + planned + 1;
+  const double most = settings_.enabled ? limit_ + kRounding : std::numeric_limits<double>::max();
+  if (wanted <= most) {
+    return wanted <= std::max(kLeastLimit, most * part);
   }
   for (auto& [id, load] : loads_) {
     load.limit_bound = true;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -41,9 +41,17 @@
   fleet.lease.address = settings.peer_listen;
   fleet.lease.duration = settings.lease;
   fleet.lease.workers_check_tokens = settings.workers_check_tokens;
+  fleet.placer.policy = settings.placement;
+  fleet.placer.weight_store = settings.weight_store;
+  fleet.placer.requests_for_each_replica = settings.requests_for_each_replica;
+  fleet.placer.least_residence = settings.fresh_replica;
   return fleet;
 }
 
+ChoicePolicy WorkerPreferences(const ServingPolicy& serving) {
+  return {serving.prefer_kept_prompts, serving.prefer_own_zone, serving.judge_workers};
+}
+
 SharedReadingSettings ReadingSettings(const GatewaySettings& settings) {
   SharedReadingSettings reading;
   reading.node = settings.node;
@@ -58,7 +66,7 @@
 Gateway::Gateway(GatewaySettings settings, GatewayParts parts)
     : settings_(std::move(settings)),
       parts_(parts),
-      workers_(settings_.node, settings_.zone),
+      workers_(settings_.node, settings_.zone, WorkerPreferences(settings_.serving)),
       budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window}),
       requests_(parts_.loop,
                 [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
@@ -72,8 +80,9 @@
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
       pump_timer_(parts_.loop->MakeTimer()) {
-  context_ = {parts_.loop, parts_.dialect, parts_.client,  &workers_,
-              &budget_,    parts_.log,     parts_.metrics, this};
+  context_ = {parts_.loop,    parts_.dialect, parts_.client,
+              &workers_,      &budget_,       parts_.log,
+              parts_.metrics, this,           settings_.serving.return_when_late};
 }
 
 Gateway::~Gateway() = default;
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -89,8 +89,40 @@
   };
 }
 
-std::map<std::string, Setter> Setters(GatewaySettings* settings) {
+Setter Amount(double most, double* target) {
+  return Number(0, most, [target](double value) { *target = value; });
+}
+
+// What the system weighs when it decides: [policy] and [policy.placement].
+std::map<std::string, Setter> PolicySetters(GatewaySettings* settings) {
+  ServingPolicy& serving = settings->serving;
+  PlacementPolicy& placement = settings->placement;
   return {
+      {"policy.return_when_late", Flag(&serving.return_when_late)},
+      {"policy.count_returning", Flag(&serving.count_returning)},
+      {"policy.prefer_kept_prompts", Flag(&serving.prefer_kept_prompts)},
+      {"policy.prefer_own_zone", Flag(&serving.prefer_own_zone)},
+      {"policy.judge_workers", Flag(&serving.judge_workers)},
+      {"policy.learn_loads_at_once", Flag(&settings->weight_store.enabled)},
+      {"policy.first_loads_at_once",
+       Number(1, 1e4, [settings](double value) { settings->weight_store.first_limit = value; })},
+      {"policy.requests_for_each_replica",
+       Number(0.1, 1e6, [settings](double value) { settings->requests_for_each_replica = value; })},
+      {"policy.fresh_replica_ms",
+       Number(0, 1e6,
+              [settings](double value) { settings->fresh_replica = absl::Milliseconds(value); })},
+      {"policy.spare_replica_gain", Amount(1e6, &placement.spare_replica_gain)},
+      {"policy.fresh_replica_value", Amount(1e6, &placement.fresh_replica_value)},
+      {"policy.blocked_adapter_cost", Amount(1e6, &placement.blocked_adapter_cost)},
+      {"policy.drain_seconds", Amount(1e6, &placement.drain_seconds)},
+      {"policy.prefer_copies", Flag(&placement.prefer_copies)},
+      {"policy.yield_to_copies", Flag(&placement.yield_to_copies)},
+      {"policy.tell_expected_loads", Flag(&placement.tell_expected_loads)},
+  };
+}
+
+std::map<std::string, Setter> Setters(GatewaySettings* settings) {
+  std::map<std::string, Setter> setters = {
       {"node.name", Text(&settings->node)},
       {"node.zone", Text(&settings->zone)},
       {"node.link_mbps", Number(0, 1e7, [settings](double value) { settings->link_mbps = value; })},
@@ -120,6 +152,8 @@
               [settings](double value) { settings->retry_window = absl::Seconds(value); })},
       {"log.level", Level(&settings->log_level)},
   };
+  setters.merge(PolicySetters(settings));
+  return setters;
 }
 
 constexpr const char* kRequired[] = {"node.name",     "node.zone",    "listen.requests",
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -211,7 +211,7 @@
   const absl::Time now = context_->loop->Now();
   const bool soon = now - arrived_ <= route_->target_latency * kPromptRefusalPart;
   const bool comes_back = expected - now <= (deadline_ - now) * kHonouredWaitPart;
-  if (soon && comes_back) {
+  if (context_->return_when_late && soon && comes_back) {
     return false;
   }
   return expected < latest;
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -141,10 +141,11 @@
 
 double WorkerDirectory::Cost(const WorkerState& worker, const WorkerDemand& demand,
                              absl::Time now) const {
-  const double success = std::max(kLeastSuccess, RecoveredSuccess(worker, now));
+  const double success =
+      policy_.judge ? std::max(kLeastSuccess, RecoveredSuccess(worker, now)) : 1.0;
   const double running = worker.running + worker.peers_running;
-  const double preference =
-      (worker.record.zone == zone_ ? 0.0 : kOtherZoneCostMs) + worker.preference * preference_ms_;
+  const bool near = !policy_.own_zone || worker.record.zone == zone_;
+  const double preference = (near ? 0.0 : kOtherZoneCostMs) + worker.preference * preference_ms_;
   if (demand.model.model.empty()) {
     const double latency = worker.latency_ms > 0 ? worker.latency_ms : kPlainServiceMs;
     const double waiting = std::max(0.0, running + 1 - worker.record.slots);
@@ -152,7 +153,7 @@
     return (latency * (1.0 + spread + waiting) + preference) / success;
   }
   double unread = demand.prompt_tokens;
-  if (demand.prompt_parts != nullptr) {
+  if (policy_.kept_prompts && demand.prompt_parts != nullptr) {
     for (const PromptPart& part : *demand.prompt_parts) {
       const auto kept = worker.prompt_parts.find(PromptPartKey(demand.model, part));
       if (kept == worker.prompt_parts.end() || kept->second + kPromptPartMemory < now) {
@@ -196,7 +197,7 @@
     if (IsFull(worker, demand, service)) {
       continue;
     }
-    const bool avoided = worker.avoided_until > now;
+    const bool avoided = policy_.judge && worker.avoided_until > now;
     const double cost = Cost(worker, demand, now);
     if (choice.worker == nullptr || (best_avoided && !avoided) ||
         (best_avoided == avoided && cost < best)) {
--- a/tests/fleet/fleet_placer_test.cc
+++ b/tests/fleet/fleet_placer_test.cc
@@ -423,5 +423,93 @@
   CHECK(unloads == 3);
 }
 
+// m2 waits for w0, which has the only copy of it and is busy, and the weight store bears no more
+// loads; then m1 is asked for more. Returns whether a further replica of m1 is begun.
+bool FurtherReplicaBesideWaitingCopy(bool yield) {
+  FleetPlacerSettings settings;
+  settings.policy.yield_to_copies = yield;
+  settings.weight_store.first_limit = 2;
+  PlacerWorld world(5, 6.0);
+  world.placer = FleetPlacer(settings);
+  world.placer.Begin({}, At(0));
+  world.workers["w0"].record.copies_on_disk.insert("m2");
+  world.busy["w0"] = true;
+  world.Hold("w1", "m1");
+  world.workers["w2"].record.copies_on_disk.insert("m1");
+  bool further = false;
+  for (double now = 5; now < 16; now += 0.25) {
+    DemandReport report;
+    report.node = "n1";
+    report.number = ++world.number;
+    report.demands.push_back({"s", "m3", "", 1, 0, 1, 1000});
+    if (now > 5.5) {
+      report.demands.push_back({"s", "m2", "", 1, 0, 1, 1000});
+    }
+    if (now > 14) {
+      report.demands.push_back({"s", "m1", "", 0, 20, 5, 5000});
+    }
+    world.placer.OnReport(report, At(now));
+    for (const PlannedOrder& planned : world.Plan(now)) {
+      further = further || planned.reason == "further replica";
+      ++world.sequences[planned.order.worker_id];
+      world.busy[planned.order.worker_id] = true;
+      world.placer.OnOutcome(planned.order, OrderOutcome::kAccepted, At(now));
+    }
+  }
+  return further;
+}
+
+TEST_CASE("further replicas make way while models wait for a worker with their copy") {
+  CHECK(FurtherReplicaBesideWaitingCopy(false));
+  CHECK(!FurtherReplicaBesideWaitingCopy(true));
+}
+
+TEST_CASE("loads from the weight store yield the part that the workers can't spare") {
+  WeightStoreLimitSettings settings;
+  settings.first_limit = 4;
+  WeightStoreLimit limit(settings);
+  limit.LoadBegan("w1", absl::Seconds(6), true, At(0));
+  CHECK(limit.MayBegin(0, 1, At(0)));
+  CHECK(!limit.MayBegin(0, 0.3, At(0)));
+  limit.LoadEnded("w1", At(6));
+  // One is always allowed.
+  CHECK(limit.MayBegin(0, 0, At(6)));
+}
+
+TEST_CASE("models whose load can't begin yet are told when they are expected") {
+  PlacerWorld world(4, 6.0);
+  // Three at once; the fourth model begins after them.
+  for (const char* const model : {"m1", "m2", "m3", "m4"}) {
+    world.Demand(5, model, "", 1, 0, 1);
+  }
+  DemandReport report;
+  report.node = "n2";
+  report.number = 1;
+  for (const char* const model : {"m1", "m2", "m3", "m4"}) {
+    report.demands.push_back({"s", model, "", 1, 0, 1, 1000});
+  }
+  world.placer.OnReport(report, At(5));
+  int loads = 0;
+  for (double now = 5; now < 6; now += 0.1) {
+    for (const PlannedOrder& planned : world.Plan(now)) {
+      ++loads;
+      ++world.sequences[planned.order.worker_id];
+      world.busy[planned.order.worker_id] = true;
+      world.placer.OnOutcome(planned.order, OrderOutcome::kAccepted, At(now));
+    }
+  }
+  CHECK(loads == 3);
+  std::map<std::string, int> expected_ms;
+  for (const ReplicaNews& news : world.placer.TakeNews(At(6))) {
+    expected_ms[news.model] = news.expected_in_ms;
+  }
+  REQUIRE(expected_ms.size() == 4);
+  int later = 0;
+  for (const auto& [model, expected] : expected_ms) {
+    later += expected > 10000 ? 1 : 0;
+  }
+  CHECK(later == 1);
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
--- a/tests/fleet/weight_store_limit_test.cc
+++ b/tests/fleet/weight_store_limit_test.cc
@@ -22,7 +22,7 @@
   // Begins what the limit allows, on so many workers, and moves on.
   void Run(double until, int workers) {
     for (; now < until; now += kStep) {
-      while (static_cast<int>(left_.size()) < workers && limit.MayBegin(0, At(now))) {
+      while (static_cast<int>(left_.size()) < workers && limit.MayBegin(0, 1, At(now))) {
         const std::string worker = "w" + std::to_string(++number_);
         limit.LoadBegan(worker, absl::Seconds(load_seconds_), true, At(now));
         left_[worker] = load_seconds_;
@@ -116,7 +116,7 @@
   limit.LoadEnded("w1", At(4));
   limit.LoadEnded("w2", At(4));
   limit.LoadSeenRunning("w3", At(9));
-  limit.MayBegin(0, At(9));
+  limit.MayBegin(0, 1, At(9));
   CHECK(limit.estimate().limit >= 3);
 }
 
@@ -133,8 +133,8 @@
   WeightStoreLimit limit{WeightStoreLimitSettings{}};
   limit.Begin({5.4, true});
   limit.SetOtherLoads(4, At(0));
-  CHECK(limit.MayBegin(0, At(0)));
-  CHECK(!limit.MayBegin(1, At(0)));
+  CHECK(limit.MayBegin(0, 1, At(0)));
+  CHECK(!limit.MayBegin(1, 1, At(0)));
   // Nothing is inherited from a row that says nothing.
   limit.Begin({});
   CHECK(limit.estimate().limit == doctest::Approx(5.4));
