Soak: on a quarter of the seeds workers check no tokens

There a late order with an older token is carried out and breaks the promise 'tokens rise'; the gateways are told (placement.workers_check_tokens). Seeds kept so far are among the others, so that they play as before.

--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -155,13 +155,13 @@
               body.at("fencing_token").get<std::uint64_t>(),
               0,
               body.value("holder", "")};
-  if (order.token < highest_token_) {
+  if (options_.checks_tokens && order.token < highest_token_) {
     order.status = 412;
   } else if (body.contains("expected_revision") &&
              body["expected_revision"].get<std::uint64_t>() != sequence_) {
     order.status = 409;
   } else {
-    highest_token_ = order.token;
+    highest_token_ = std::max(highest_token_, order.token);
     order.status = Take(order.operation, order.model, order.adapter);
   }
   orders_.push_back(order);
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -56,6 +56,8 @@
   // What the models take up and the worker has; 0: not looked at.
   double model_memory_mb = 0;
   double memory_mb = 0;
+  // Whether it refuses an order whose token is lower than one it has seen.
+  bool checks_tokens = true;
 };
 
 class PlatformWorker {
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -47,7 +47,9 @@
                           << options_.zone << "\"\n[listen]\nrequests = \"127.0.0.1:0\"\n"
                           << "status = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n[store]\n"
                           << "address = \"" << options_.store_address << "\"\n[stop]\n"
-                          << "time_s = " << options_.stop_seconds << "\n";
+                          << "time_s = " << options_.stop_seconds << "\n[placement]\n"
+                          << "workers_check_tokens = "
+                          << (options_.workers_check_tokens ? "true" : "false") << "\n";
   const std::string log = log_file();
   const pid_t parent = getpid();
   const pid_t child = fork();
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -18,6 +18,7 @@
   // Holds the settings and the log of each life.
   std::string folder;
   int stop_seconds = 6;
+  bool workers_check_tokens = true;
 };
 
 // Not thread-safe. Destroying it kills the process by its id.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -120,6 +120,11 @@
 
 SoakRun::~SoakRun() = default;
 
+bool SoakRun::WorkersCheckTokens() const {
+  // A quarter of the seeds; the seeds that were kept before this was played are none of them.
+  return options_.seed % 4 != 2;
+}
+
 double SoakRun::Fraction() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
 
 void SoakRun::At(absl::Duration after, std::function<void()> task) {
@@ -154,6 +159,7 @@
   options.event_interval = absl::Milliseconds(30);
   options.load_time = absl::Milliseconds(300);
   options.names_request = true;
+  options.checks_tokens = WorkersCheckTokens();
   options.heartbeat = kHeartbeat;
   options.announces_itself = false;
   options.model_memory_mb = kModelMemoryMb;
@@ -439,7 +445,7 @@
     gateway.store_link = std::make_unique<FaultProxy>(&loop_, store_.address());
     gateway.process = std::make_unique<GatewayProcess>(GatewayProcessOptions{
         options_.program, absl::StrCat("gateway-", index), absl::StrCat("zone-", index % 2),
-        gateway.store_link->address(), options_.folder, kStopSeconds});
+        gateway.store_link->address(), options_.folder, kStopSeconds, WorkersCheckTokens()});
     if (!gateway.process->Start(kStartLimit)) {
       return {{"processes start", gateway.process->name()}};
     }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -76,6 +76,8 @@
   void StopGateway(std::size_t index);
   void TakeWorkerAway(Worker* worker, bool announced, absl::Duration duration);
   void Note(Disturbance::Of of, std::size_t target, absl::Duration duration);
+  // Where they don't, a late order with an older token is carried out, and breaks a promise.
+  bool WorkersCheckTokens() const;
   double Fraction();
 
   SoakOptions options_;
