A stream that has begun gets no other answer when the budget of repeats is used up

Ruled out: the worker (its bytes were cut, not spoilt), the parser. Change: one way to give a request up (GiveUp): a begun stream is broken off, what may have run gets 502 or 504, the rest is refused; three places that each decided this by themselves use it. Test: gateway_test, sixteen streams that break together; seen failing on the old code (five answers of 502 inside a stream), passes now.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -124,6 +124,9 @@
   void OnFailedAttempt(absl::string_view how);
   void ForwardEvents(const std::string& events);
   void SendWholeAnswer();
+  // The final answer to a request that is not served: a stream that has begun is broken off, one
+  // that may have run gets `unknown_status`, else it is refused as not run.
+  void GiveUp(int unknown_status, absl::string_view why);
   void Refuse(absl::string_view why);
   void FailUnknown(int status, absl::string_view why);
   void AbortStream(absl::string_view why);
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -123,11 +123,7 @@
   }
   if (attempts_ > 0 && !context_->budget->TryTake(service_, now)) {
     ++context_->metrics->repeats_denied;
-    if (may_have_run_) {
-      FailUnknown(502, "retry_budget");
-    } else {
-      Refuse("retry_budget");
-    }
+    GiveUp(502, "retry_budget");
     return true;
   }
   Dispatch(choice.worker, demand, now);
@@ -271,13 +267,13 @@
       SetTimer(now);
       return;
     }
+    absl::string_view why = ProblemName(last_problem_);
     if (stream_started_) {
-      AbortStream("no_worker_to_resume");
+      why = "no_worker_to_resume";
     } else if (may_have_run_) {
-      FailUnknown(now >= Deadline() ? 504 : 502, last_failure_);
-    } else {
-      Refuse(ProblemName(last_problem_));
+      why = last_failure_;
     }
+    GiveUp(now >= Deadline() ? 504 : 502, why);
     return;
   }
   if (state_ != State::kRunning) {
@@ -285,11 +281,8 @@
   }
   if (now >= Deadline()) {
     EndAttempt(AttemptOutcome::kCancelled);
-    if (stream_started_) {
-      AbortStream("deadline");
-    } else {
-      FailUnknown(504, "deadline");
-    }
+    may_have_run_ = true;
+    GiveUp(504, "deadline");
     return;
   }
   if (now >= StallLimit() && !AnotherWorkerIsFree(now)) {
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -181,15 +181,18 @@
     BeginWaiting();
     return;
   }
+  GiveUp(502, last_failure_);
+}
+
+void RequestRelay::GiveUp(int unknown_status, absl::string_view why) {
   if (stream_started_) {
-    AbortStream(last_failure_);
-    return;
+    // Its head has gone out: no other answer may follow.
+    AbortStream(why);
+  } else if (may_have_run_) {
+    FailUnknown(unknown_status, why);
+  } else {
+    Refuse(why);
   }
-  if (may_have_run_) {
-    FailUnknown(502, last_failure_);
-    return;
-  }
-  Refuse(last_failure_);
 }
 
 void RequestRelay::Refuse(absl::string_view why) {
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "tests/serving/gateway_world.h"
@@ -213,6 +214,49 @@
   CHECK(call->body == Events(1, 3));
 }
 
+TEST_CASE("a stream that has begun gets no other answer when the budget of repeats is used up") {
+  GatewayWorld world;
+  emulator::PlatformWorkerOptions options;
+  options.id = "w1";
+  options.service = "models";
+  options.models["m1"];
+  options.slots = 40;
+  world.AddWorker(options)->SetFault(WorkerFault::kBreaksStream);
+  TestNode* const node = world.AddNode("n1");
+  // More than the budget bears: ten, and a fifth of them.
+  constexpr int kStreams = 16;
+  std::vector<decltype(world.Send(node, TestRequest{}))> calls;
+  for (int number = 0; number < kStreams; ++number) {
+    TestRequest request = StreamRequest("/stream/x", "m1");
+    request.id = absl::StrCat("r", number);
+    calls.push_back(world.Send(node, request));
+  }
+  // All have broken off and wait for another worker.
+  REQUIRE(world.Wait([&] {
+    const std::vector<std::string> lines = node->LogLines();
+    return std::count_if(lines.begin(), lines.end(), [](const std::string& line) {
+             return absl::StrContains(line, "attempt_failed");
+           }) == kStreams;
+  }));
+  options.id = "w2";
+  world.AddWorker(options);
+  REQUIRE(world.Wait([&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->ended; });
+  }));
+  int broken = 0;
+  for (const auto& call : calls) {
+    const bool whole = call->result == ExchangeResult::kComplete;
+    CHECK(call->body == (whole ? Events(1, 6) : Events(1, 3)));
+    CHECK((whole || call->result == ExchangeResult::kBroken));
+    broken += whole ? 0 : 1;
+  }
+  CHECK(broken > 0);
+  CHECK(broken < kStreams);
+  // Each was broken off; none got a second answer inside its first.
+  CHECK(node->metrics.streams_broken == broken);
+  CHECK(node->metrics.requests_by_status[502] == 0);
+}
+
 TEST_CASE("a body that came encoded is never passed on as the worker's") {
   GatewayWorld world;
   world.AddPlainWorker("w1")->SetFault(WorkerFault::kEncodes);
