--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -26,8 +26,6 @@
 
 // What the placer weighs, in requests; 0 or false switches a mechanism off.
 struct PlacementPolicy {
-  // A replica that is not short of places is worth this part of its requests a second.
-  double spare_replica_gain = 0.5;
   // What a replica that was just loaded is worth more than others, so that those it was loaded for
   // reach it.
   double fresh_replica_value = 5.0;
@@ -253,7 +251,7 @@
   // it.
   static double HarmedRequests(const Service& service, const ModelTotals& totals, int replicas);
   // What one more replica is worth, and what unloading one would cost, in requests.
-  double GainOfReplica(const Service& service, const ModelTotals& totals, int replicas) const;
+  static double GainOfReplica(const Service& service, const ModelTotals& totals, int replicas);
   double ReplicaValue(const Service& service, const Ledger& ledger, const std::string& model,
                       const PlanContext& context) const;
   void Order(OrderKind kind, const std::string& worker_id, const ModelKey& key, std::string reason,
--- a/src/fleet/fleet_placer_choice.cc
+++ b/src/fleet/fleet_placer_choice.cc
@@ -108,15 +108,13 @@
   return filled <= replicas ? 0 : totals.rate * kMendSeconds * (1 - replicas / filled);
 }
 
-double FleetPlacer::GainOfReplica(const Service& service, const ModelTotals& totals,
-                                  int replicas) const {
+double FleetPlacer::GainOfReplica(const Service& service, const ModelTotals& totals, int replicas) {
   const double fewer_harmed =
       HarmedRequests(service, totals, replicas) - HarmedRequests(service, totals, replicas + 1);
   if (replicas == 0) {
     return fewer_harmed + kWaitingGainOfFirst * totals.waiting;
   }
-  return fewer_harmed + settings_.policy.spare_replica_gain * totals.rate / (replicas + 1) +
-         kWaitingGain * totals.waiting;
+  return fewer_harmed + kWaitingGain * totals.waiting;
 }
 
 double FleetPlacer::ReplicaValue(const Service& service, const Ledger& ledger,
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -111,7 +111,6 @@
       {"policy.fresh_replica_ms",
        Number(0, 1e6,
               [settings](double value) { settings->fresh_replica = absl::Milliseconds(value); })},
-      {"policy.spare_replica_gain", Amount(1e6, &placement.spare_replica_gain)},
       {"policy.fresh_replica_value", Amount(1e6, &placement.fresh_replica_value)},
       {"policy.blocked_adapter_cost", Amount(1e6, &placement.blocked_adapter_cost)},
       {"policy.drain_seconds", Amount(1e6, &placement.drain_seconds)},
