A stop's log lines and metrics say what had not left the process

The lines "stopping" and "stopped" had open requests alone, so they could not tell an answer lost with the process (hypothesis 1) from a stream the node aborted (2) or an answer sent whole and cut by a reset (3).

Change: HttpServer::activity() says what each connection is at (answering, sending, closing, idle), and the bytes unsent and unread. "stopping" and "stopped" have them, and why the stop ended (idle or limit). Metrics: hingespan_connections{state}, hingespan_unsent_bytes. They are read off the connections when asked for, so that no further counter can drift. 1: "stopped", why idle, sending > 0, unsent_bytes > 0. 2: attempt_failed and hingespan_streams_broken_total, as before. 3: "stopped", unsent_bytes 0, closing > 0 or unread_bytes > 0. The stop itself is unchanged.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -26,6 +26,21 @@
   std::size_t max_connections = 3000;
 };
 
+// What a server's connections are at; each counts once. Bytes are of all of them together.
+struct ServerActivity {
+  // A whole request was read, and its answer isn't whole.
+  std::size_t answering = 0;
+  // The last answer is whole, but not all of it has left this process.
+  std::size_t sending = 0;
+  // The last answer has left; its connection waits for the caller's end.
+  std::size_t closing = 0;
+  // All others: kept for a next request, or with part of one.
+  std::size_t idle = 0;
+  std::size_t unsent_bytes = 0;
+  // Received by the system or by this process, but not parsed.
+  std::size_t unread_bytes = 0;
+};
+
 // One request and its answer. Kept alive by whoever answers. Once `Finish` or `Abort` was called,
 // or the caller has gone, all further calls do nothing.
 class ServerExchange {
@@ -74,6 +89,7 @@
   // From now on every answer asks the caller to close its connection.
   void AskToClose();
   std::size_t connections() const;
+  ServerActivity activity() const;
   // Requests whose answer is not whole yet, or has not left this process.
   std::size_t open_exchanges() const;
 
--- a/include/hingespan/http/server_connection.h
+++ b/include/hingespan/http/server_connection.h
@@ -6,17 +6,24 @@
 #include <cstddef>
 #include <memory>
 
+#include "absl/container/flat_hash_set.h"
 #include "hingespan/http/http_server.h"
 
 namespace hingespan::gateway {
 
+class ServerConnection {
+ public:
+  virtual ~ServerConnection() = default;
+  virtual void AddTo(ServerActivity* activity) const = 0;
+};
+
 // What a server's connections share.
 struct ServerState {
   EventLoop* loop = nullptr;
   HttpServer::Handler handler;
   ServerLimits limits;
   bool ask_to_close = false;
-  std::size_t connections = 0;
+  absl::flat_hash_set<const ServerConnection*> connections;
   std::size_t open_exchanges = 0;
 };
 
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <system_error>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "hingespan/fleet/fleet_coordinator.h"
 #include "hingespan/fleet/peer_link.h"
@@ -87,6 +88,7 @@
   void TakeWorkerSnapshot(const StoreRows& rows);
   void FillReport(DemandReport* report);
   void CheckStopped();
+  void LogStop(absl::string_view event, std::string why);
 
   GatewaySettings settings_;
   GatewayParts parts_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "hingespan/http/http_server.h"
 
 namespace hingespan::gateway {
 
@@ -50,6 +51,7 @@
   // Set when the text is made.
   std::uint64_t waiting_now = 0;
   std::uint64_t configuration_version = 0;
+  ServerActivity connections;
   bool holds_lease = false;
 };
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -36,7 +36,7 @@
   }
 
   void Take(tcp::socket socket) {
-    if (shared->connections >= shared->limits.max_connections) {
+    if (shared->connections.size() >= shared->limits.max_connections) {
       return;  // The socket closes: nothing was read of it.
     }
     StartServerConnection(shared, std::move(socket));
@@ -95,7 +95,14 @@
 
 void HttpServer::SetLimits(const ServerLimits& limits) { implementation_->shared->limits = limits; }
 void HttpServer::AskToClose() { implementation_->shared->ask_to_close = true; }
-std::size_t HttpServer::connections() const { return implementation_->shared->connections; }
+std::size_t HttpServer::connections() const { return implementation_->shared->connections.size(); }
+ServerActivity HttpServer::activity() const {
+  ServerActivity activity;
+  for (const ServerConnection* const connection : implementation_->shared->connections) {
+    connection->AddTo(&activity);
+  }
+  return activity;
+}
 std::size_t HttpServer::open_exchanges() const { return implementation_->shared->open_exchanges; }
 
 }  // namespace hingespan::gateway
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -63,18 +63,18 @@
   bool close_after_ = false;
 };
 
-class Connection : public std::enable_shared_from_this<Connection> {
+class Connection : public ServerConnection, public std::enable_shared_from_this<Connection> {
  public:
   Connection(std::shared_ptr<ServerState> server, tcp::socket socket)
       : server_(std::move(server)),
         socket_(std::move(socket)),
         timer_(server_->loop->MakeTimer()),
         parser_(std::make_unique<RequestParser>(server_->limits.message)) {
-    ++server_->connections;
+    server_->connections.insert(this);
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
   }
-  ~Connection() { --server_->connections; }
+  ~Connection() override { server_->connections.erase(this); }
 
   void Start() {
     WaitForRequest();
@@ -83,6 +83,24 @@
 
   std::size_t pending_bytes() const { return writing_.size() + waiting_.size(); }
 
+  void AddTo(ServerActivity* activity) const override {
+    if (closed_) {
+      return;
+    }
+    activity->unsent_bytes += pending_bytes();
+    boost::system::error_code ignored;
+    activity->unread_bytes += input_.size() + socket_.available(ignored);
+    if (exchange_open_) {
+      ++activity->answering;
+    } else if (pending_bytes() > 0) {
+      ++activity->sending;
+    } else if (ending_) {
+      ++activity->closing;
+    } else {
+      ++activity->idle;
+    }
+  }
+
   void Write(absl::string_view bytes) {
     if (closed_) {
       return;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -232,6 +232,7 @@
   if (exchange->head().target == settings_.metrics_path) {
     parts_.metrics->waiting_now = queue_.size();
     parts_.metrics->holds_lease = fleet_->holds_lease();
+    parts_.metrics->connections = requests_.activity();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
     exchange->Answer(200, ReasonPhrase(200), {{"Content-Type", "text/plain; version=0.0.4"}},
                      MetricsText(*parts_.metrics));
@@ -333,8 +334,7 @@
   for (const auto& [number, request] : open_requests_) {
     request->OnStopping();
   }
-  parts_.log->Write(LogLevel::kInfo, "stopping",
-                    {{"open_requests", absl::StrCat(requests_.open_exchanges())}});
+  LogStop("stopping", "asked");
   CheckStopped();
 }
 
@@ -342,12 +342,23 @@
   const absl::Time now = parts_.loop->Now();
   const bool idle = now - stop_began_ >= kLeastStopTime && requests_.open_exchanges() == 0;
   if (idle || now - stop_began_ >= settings_.stop_time - kStopMargin) {
-    parts_.log->Write(LogLevel::kInfo, "stopped",
-                      {{"open_requests", absl::StrCat(requests_.open_exchanges())}});
+    LogStop("stopped", idle ? "idle" : "limit");
     stopped_();
     return;
   }
   stop_timer_->Set(now + kStopCheck, [this] { CheckStopped(); });
 }
 
+void Gateway::LogStop(absl::string_view event, std::string why) {
+  const ServerActivity activity = requests_.activity();
+  parts_.log->Write(LogLevel::kInfo, event,
+                    {{"why", std::move(why)},
+                     {"open_requests", absl::StrCat(requests_.open_exchanges())},
+                     {"sending", absl::StrCat(activity.sending)},
+                     {"unsent_bytes", absl::StrCat(activity.unsent_bytes)},
+                     {"closing", absl::StrCat(activity.closing)},
+                     {"idle", absl::StrCat(activity.idle)},
+                     {"unread_bytes", absl::StrCat(activity.unread_bytes)}});
+}
+
 }  // namespace hingespan::gateway
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -43,6 +43,22 @@
   return family;
 }
 
+MetricFamily ConnectionGauges(const ServerActivity& activity) {
+  MetricFamily family = Family("hingespan_connections", "Callers' connections, by what they are at",
+                               MetricType::Gauge);
+  const auto add = [&](const char* state, std::size_t count) {
+    ClientMetric metric;
+    metric.gauge.value = static_cast<double>(count);
+    metric.label.push_back({"state", state});
+    family.metric.push_back(std::move(metric));
+  };
+  add("answering", activity.answering);
+  add("sending", activity.sending);
+  add("closing", activity.closing);
+  add("idle", activity.idle);
+  return family;
+}
+
 template <typename Key>
 MetricFamily CountersByLabel(const char* name, const char* help, const char* label,
                              const std::map<Key, std::uint64_t>& counts,
@@ -131,6 +147,10 @@
                                metrics.whole_request));
   families.push_back(
       Gauge("hingespan_requests_waiting", "Requests waiting for a worker", metrics.waiting_now));
+  families.push_back(ConnectionGauges(metrics.connections));
+  families.push_back(Gauge("hingespan_unsent_bytes",
+                           "Bytes of answers that have not left this process",
+                           metrics.connections.unsent_bytes));
   families.push_back(Gauge("hingespan_configuration_version",
                            "Version of the configuration in force", metrics.configuration_version));
   families.push_back(Gauge("hingespan_holds_placement_lease", "1 while this node holds the lease",
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -491,5 +491,28 @@
   CHECK(waiting->head.status == 503);
 }
 
+// Tells an answer lost with the process from one that was sent and cut on its way.
+TEST_CASE("the lines of a stop say why it ended and what had not left by then") {
+  GatewayWorld world;
+  world.AddPlainWorker("w1")->SetFault(WorkerFault::kSilent);
+  TestNode* const node = world.AddNode("n1");
+  TestRequest request;
+  request.deadline_ms = 30000;
+  const auto running = world.Send(node, request);
+  REQUIRE(world.Wait([&] { return !world.workers[0]->runs().empty(); }));
+  node->gateway.Stop([&] { node->stopped = true; });
+  REQUIRE(world.Wait([&] { return node->stopped; }));
+  const std::vector<std::string> lines = node->LogLines();
+  const auto has = [&](const char* event, const char* text) {
+    return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+      return absl::StrContains(line, event) && absl::StrContains(line, text);
+    });
+  };
+  CHECK(has("\"stopping\"", "\"why\":\"asked\",\"open_requests\":\"1\""));
+  CHECK(has("\"stopped\"", "\"why\":\"limit\",\"open_requests\":\"0\""));
+  CHECK(has("\"stopped\"", "\"unsent_bytes\":\"0\""));
+  CHECK(has("\"stopped\"", "\"unread_bytes\":\"0\""));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -174,7 +174,11 @@
   GatewayMetrics metrics;
   metrics.requests_by_status[200] = 3;
   metrics.first_byte.Record(absl::Milliseconds(30));
+  metrics.connections.sending = 2;
+  metrics.connections.unsent_bytes = 70;
   const std::string text = MetricsText(metrics);
+  CHECK(text.find("hingespan_connections{state=\"sending\"} 2") != std::string::npos);
+  CHECK(text.find("hingespan_unsent_bytes 70") != std::string::npos);
   CHECK(text.find("hingespan_requests_total{status=\"200\"} 3") != std::string::npos);
   CHECK(text.find("hingespan_first_byte_seconds_bucket{le=\"0.05\"} 1") != std::string::npos);
   CHECK(text.find("hingespan_first_byte_seconds_count 1") != std::string::npos);
