--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -18,7 +18,7 @@
 constexpr absl::Duration kWaitLimit = absl::Seconds(20);
 
 GatewaySettings SettingsOf(const std::string& name, const std::string& store_address,
-                           const std::string& metrics_address) {
+                           const std::string& metrics_address, absl::Duration stop_time) {
   GatewaySettings settings;
   settings.node = name;
   settings.zone = "zone-a";
@@ -28,7 +28,7 @@
   settings.store_address = store_address;
   settings.metrics_listen = metrics_address;
   settings.lease = absl::Milliseconds(400);
-  settings.stop_time = absl::Milliseconds(1500);
+  settings.stop_time = stop_time;
   return settings;
 }
 
@@ -58,13 +58,13 @@
 }  // namespace
 
 TestNode::TestNode(EventLoop* loop, const std::string& name, const std::string& store_address,
-                   const std::string& metrics_address)
+                   const std::string& metrics_address, absl::Duration stop_time)
     : log_descriptor(memfd_create("log", 0)),
       log(log_descriptor, &SystemClock(), DecisionLogLimits{}),
       client(loop, ClientLimits{}),
       store(loop, &client, store_address, &metrics),
       control(loop, &client),
-      gateway(SettingsOf(name, store_address, metrics_address),
+      gateway(SettingsOf(name, store_address, metrics_address, stop_time),
               {loop, &dialect, &reader, &store, &control, &client, &log, &metrics}) {
   log.SetSource("hingespan-gateway", name, "zone-a");
 }
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -40,10 +40,12 @@
   std::unique_ptr<ClientExchange> exchange;
 };
 
+inline constexpr absl::Duration kTestStopTime = absl::Milliseconds(1500);
+
 // One node with all its parts.
 struct TestNode {
   TestNode(EventLoop* loop, const std::string& name, const std::string& store_address,
-           const std::string& metrics_address = "");
+           const std::string& metrics_address = "", absl::Duration stop_time = kTestStopTime);
 
   ~TestNode();
   // The lines logged so far.
--- /dev/null
+++ b/tests/stop/http_server_stop_test.cc
@@ -0,0 +1,47 @@
+// Ends a server as the end of its process does: its event loop is destroyed without running on.
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "hingespan/http/http_server.h"
+#include "tests/net/raw_client.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr absl::Duration kLimit = absl::Seconds(10);
+
+struct Server {
+  explicit Server(HttpServer::Handler handler) : http(&loop, std::move(handler)) {
+    REQUIRE(!http.Listen("127.0.0.1:0"));
+  }
+  bool Wait(const std::function<bool()>& done) { return loop.RunUntil(done, kLimit); }
+
+  EventLoop loop;
+  HttpServer http;
+};
+
+// Guards against a process that ends with the tail of an answer still behind a write under way.
+TEST_CASE("an answer counts as open until all of its bytes have left the process") {
+  bool answered = false;
+  auto server = std::make_unique<Server>([&](std::shared_ptr<ServerExchange> exchange) {
+    exchange->StartChunked(200, "OK", {});
+    exchange->WriteChunk("abc");
+    exchange->FinishChunked();
+    exchange.reset();
+    answered = true;
+  });
+  RawClient caller(server->http.address());
+  REQUIRE(caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+  REQUIRE(server->Wait([&] { return answered; }));
+  CHECK(server->http.open_exchanges() == 1);
+  REQUIRE(server->Wait([&] { return server->http.open_exchanges() == 0; }));
+  server.reset();
+  CHECK(caller.ReadAll().ends_with("\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
