A process ends only when every answer has left it

Cause: a request counted as answered when its answer was handed to the connection, not when it was delivered. The count of open exchanges fell with the Exchange object, while the end of the answer stood in waiting_ behind a write under way; that is written by the write's handler only. The stop's check, due in between, found no open request and ended the loop, and the bytes with it. The header promised "or has not left this process". Class: something counted as done when it was handed on, not when it was delivered.

Change: the count that went with the object is gone. open_exchanges() is read off the connections: those whose answer isn't whole, or hasn't left. The forced end shortly before the stop time is unchanged.

Why it works: the state of the connection, unsent bytes included, is what the check looks at; there is no instant between "answered" and "sent" in which nothing counts.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -39,6 +39,9 @@
   std::size_t unsent_bytes = 0;
   // Received by the system or by this process, but not parsed.
   std::size_t unread_bytes = 0;
+
+  // Connections whose caller would lose an answer, or its end, with this process.
+  std::size_t unfinished() const { return answering + sending + closing; }
 };
 
 // One request and its answer. Kept alive by whoever answers. Once `Finish` or `Abort` was called,
--- a/include/hingespan/http/server_connection.h
+++ b/include/hingespan/http/server_connection.h
@@ -24,7 +24,6 @@
   ServerLimits limits;
   bool ask_to_close = false;
   absl::flat_hash_set<const ServerConnection*> connections;
-  std::size_t open_exchanges = 0;
 };
 
 // Reads requests from `socket` and hands them to the handler until the connection ends.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -103,6 +103,9 @@
   }
   return activity;
 }
-std::size_t HttpServer::open_exchanges() const { return implementation_->shared->open_exchanges; }
+std::size_t HttpServer::open_exchanges() const {
+  const ServerActivity current = activity();
+  return current.answering + current.sending;
+}
 
 }  // namespace hingespan::gateway
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -27,9 +27,7 @@
         server_(std::move(server)),
         head_(std::move(head)),
         body_(std::move(body)),
-        received_(received) {
-    ++server_->open_exchanges;
-  }
+        received_(received) {}
   ~Exchange() override;
 
   const RequestHead& head() const override { return head_; }
@@ -337,7 +335,6 @@
 };
 
 Exchange::~Exchange() {
-  --server_->open_exchanges;
   if (connection_ != nullptr) {
     connection_->Abort();
   }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -340,7 +340,7 @@
 
 void Gateway::CheckStopped() {
   const absl::Time now = parts_.loop->Now();
-  const bool idle = now - stop_began_ >= kLeastStopTime && requests_.open_exchanges() == 0;
+  const bool idle = now - stop_began_ >= kLeastStopTime && requests_.activity().unfinished() == 0;
   if (idle || now - stop_began_ >= settings_.stop_time - kStopMargin) {
     LogStop("stopped", idle ? "idle" : "limit");
     stopped_();
