A worker that the other nodes have left has no load of theirs any more

What callers saw: refusals (all_busy) while workers stood idle. A node that had last heard that the other nodes run as many requests at a worker as it has slots took that worker for full until some node ran a request there again.

Cause: reports and news name only workers that run something. A worker at which all requests of all nodes have ended is in none of them, and each node kept the count of its last news: a view that is partial was taken as if what it leaves out had not changed. WorkerState::peers_running and peers_unread_tokens had no other way down.

WorkerDirectory::SetPeersLoads takes them as a whole: workers that are not named have no load of the others. A new holder tells loads only once the others' reports to it are due; before, its first news named none, which was harmless only since they were not believed. Without that wait the second test fails: fleet_coordinator_test.cc:162: ERROR: CHECK( node->peers_running() == 3 ) is NOT correct! 0 == 3

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -74,7 +74,8 @@
   std::uint64_t token = 0;
   std::uint64_t number = 0;
   std::vector<ReplicaNews> replicas;
-  std::vector<WorkerLoad> loads;
+  // All workers with load; absent: these news don't tell.
+  std::optional<std::vector<WorkerLoad>> loads;
 };
 
 using FleetMessage = std::variant<DemandReport, PlacementNews>;
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -82,6 +82,12 @@
   bool Holds(const ModelKey& key, absl::Time now) const;
 };
 
+// What the other nodes run at a worker.
+struct PeersLoad {
+  int running = 0;
+  int unread_tokens = 0;
+};
+
 // What a request asks of a worker.
 struct WorkerDemand {
   std::string service;
@@ -138,6 +144,9 @@
   void NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
                    absl::Time until);
 
+  // By worker; at those not named the other nodes run nothing.
+  void SetPeersLoads(const std::map<std::string, PeersLoad>& loads);
+
   void MarkEnded(const std::string& worker_id);
 
   WorkerState* Find(const std::string& worker_id);
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -231,6 +231,8 @@
     parts_.log->Write(LogLevel::kInfo, "lease_acquired",
                       {{"token", absl::StrCat(lease_.token())},
                        {"loads_at_once", absl::StrCat(placer_.weight_store().estimate().limit)}});
+    // The other nodes' reports have gone to the former holder.
+    last_load_news_ = now + settings_.report_interval;
     SendNews({});
     ScheduleReport(absl::ZeroDuration());
     SchedulePlacement(now);
--- a/src/fleet/fleet_coordinator_placement.cc
+++ b/src/fleet/fleet_coordinator_placement.cc
@@ -57,14 +57,14 @@
         break;
     }
   }
-  for (const WorkerLoad& load : news.loads) {
-    WorkerState* const worker = parts_.workers->Find(load.worker_id);
-    if (worker == nullptr) {
-      continue;
+  if (news.loads.has_value()) {
+    std::map<std::string, PeersLoad> loads;
+    for (const WorkerLoad& load : *news.loads) {
+      loads[load.worker_id] = {
+          std::max(0, load.running - own_running_reported_[load.worker_id]),
+          std::max(0, load.unread_tokens - own_tokens_reported_[load.worker_id])};
     }
-    worker->peers_running = std::max(0, load.running - own_running_reported_[load.worker_id]);
-    worker->peers_unread_tokens =
-        std::max(0, load.unread_tokens - own_tokens_reported_[load.worker_id]);
+    parts_.workers->SetPeersLoads(loads);
   }
   parts_.on_news();
 }
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -82,7 +82,7 @@
                                     static_cast<int>(replica.state), replica.expected_in_ms}));
   }
   return Json::array({kPlacementNews, news.holder, news.token, news.number, std::move(replicas),
-                      EncodeLoads(news.loads), news.address});
+                      news.loads.has_value() ? EncodeLoads(*news.loads) : Json(), news.address});
 }
 
 PlacementNews DecodeNews(const Json& json) {
@@ -99,7 +99,9 @@
                              entry.at(2).get<std::string>(), static_cast<ReplicaState>(state),
                              entry.at(4).get<int>()});
   }
-  news.loads = DecodeLoads(json.at(5));
+  if (!json.at(5).is_null()) {
+    news.loads = DecodeLoads(json.at(5));
+  }
   news.address = json.at(6).get<std::string>();
   return news;
 }
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -297,6 +297,14 @@
   }
 }
 
+void WorkerDirectory::SetPeersLoads(const std::map<std::string, PeersLoad>& loads) {
+  for (auto& [id, worker] : workers_) {
+    const auto load = loads.find(id);
+    worker.peers_running = load == loads.end() ? 0 : load->second.running;
+    worker.peers_unread_tokens = load == loads.end() ? 0 : load->second.unread_tokens;
+  }
+}
+
 void WorkerDirectory::NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
                                   absl::Time until) {
   WorkerState* const worker = Find(worker_id);
--- /dev/null
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -0,0 +1,168 @@
+#include "hingespan/fleet/fleet_coordinator.h"
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "hingespan/common/clock.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr absl::Duration kLimit = absl::Seconds(10);
+
+// One table in memory.
+class MemoryStore : public SharedStore {
+ public:
+  explicit MemoryStore(EventLoop* loop) : loop_(loop) {}
+  void Read(const std::string&, RowsCallback callback) override {
+    StoreRows rows{{}, version_};
+    for (const auto& [key, row] : rows_) {
+      rows.rows.push_back(row);
+    }
+    loop_->Post([callback, rows] { callback(rows); });
+  }
+  void Watch(const std::string&, std::uint64_t, absl::Duration, RowsCallback) override {}
+  void Commit(std::vector<RowCondition> conditions, std::vector<RowWrite> writes,
+              CommitCallback callback) override {
+    for (const RowCondition& condition : conditions) {
+      const auto row = rows_.find(condition.key);
+      if ((row == rows_.end() ? 0 : row->second.version) != condition.version) {
+        loop_->Post([callback] { callback(Error::kConflict); });
+        return;
+      }
+    }
+    ++version_;
+    for (const RowWrite& write : writes) {
+      if (write.value.has_value()) {
+        rows_[write.key] = {write.table, write.key, *write.value, version_, false};
+      } else {
+        rows_.erase(write.key);
+      }
+    }
+    loop_->Post([callback, version = version_] { callback(version); });
+  }
+
+ private:
+  EventLoop* loop_;
+  std::map<std::string, StoreRow> rows_;
+  std::uint64_t version_ = 0;
+};
+
+class NoControl : public WorkerControl {
+ public:
+  void SendOrder(const WorkerOrder&, std::function<void(OrderOutcome)>) override {}
+  void ReadReport(const std::string&, const std::string&,
+                  std::function<void(Result<WorkerReport>)>) override {}
+};
+
+struct Fleet;
+
+struct Node {
+  Node(Fleet* fleet, const std::string& name);
+  // Attempts under way at the one worker "w".
+  void Run(int count) {
+    running = count;
+    coordinator->DemandChanged();
+  }
+  int peers_running() { return workers.Find("w")->peers_running; }
+
+  int running = 0;
+  WorkerDirectory workers;
+  DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
+  GatewayMetrics metrics;
+  NoControl control;
+  std::unique_ptr<FleetCoordinator> coordinator;
+};
+
+struct Fleet {
+  Node* Add(const std::string& name) {
+    nodes[name] = std::make_unique<Node>(this, name);
+    nodes[name]->coordinator->Start();
+    return nodes[name].get();
+  }
+  bool Wait(const std::function<bool()>& done) { return loop.RunUntil(done, kLimit); }
+
+  EventLoop loop;
+  MemoryStore store{&loop};
+  // By name, which is the address too.
+  std::map<std::string, std::unique_ptr<Node>> nodes;
+};
+
+Node::Node(Fleet* fleet, const std::string& name) : workers(name, "zone") {
+  WorkerRecord record;
+  record.id = "w";
+  record.service = "s";
+  workers.Update(record, 1, fleet->loop.Now());
+  FleetCoordinatorSettings settings;
+  settings.node = name;
+  settings.address = name;
+  settings.lease.node = name;
+  settings.lease.address = name;
+  settings.store_interval = absl::Milliseconds(50);
+  FleetCoordinatorParts parts;
+  parts.loop = &fleet->loop;
+  parts.store = &fleet->store;
+  parts.control = &control;
+  parts.workers = &workers;
+  parts.log = &log;
+  parts.metrics = &metrics;
+  parts.reads_store = [] { return true; };
+  parts.reads_for_others = [] { return true; };
+  parts.send = [fleet](const std::string& address, absl::string_view bytes) {
+    fleet->loop.Post([fleet, address, datagram = std::string(bytes)] {
+      fleet->nodes.at(address)->coordinator->OnDatagram(datagram);
+    });
+  };
+  parts.fill_report = [this](DemandReport* report) {
+    if (running > 0) {
+      report->loads.push_back({"w", running, 0, {}});
+    }
+  };
+  parts.on_news = [] {};
+  parts.on_nodes = [](const std::vector<FleetNode>&) {};
+  coordinator = std::make_unique<FleetCoordinator>(std::move(settings), std::move(parts));
+  coordinator->SetConfiguration(std::make_shared<const Configuration>());
+}
+
+// Guards against: a worker counts as full at a node for ever, since news name only workers with
+// load, and the other nodes' last requests there have ended.
+TEST_CASE("a worker that the other nodes have left has no load of theirs any more") {
+  Fleet fleet;
+  Node* const holder = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return holder->coordinator->holds_lease(); }));
+  Node* const other = fleet.Add("n2");
+  holder->Run(1);
+  other->Run(3);
+  REQUIRE(fleet.Wait([&] { return holder->peers_running() == 3 && other->peers_running() == 1; }));
+  holder->Run(0);
+  other->Run(0);
+  CHECK(fleet.Wait([&] { return holder->peers_running() == 0 && other->peers_running() == 0; }));
+}
+
+// Guards against: a new holder tells that nobody runs anything, since nobody has reported to it
+// yet.
+TEST_CASE("a node that becomes the holder keeps the loads that it knew") {
+  Fleet fleet;
+  Node* const node = fleet.Add("n1");
+  PlacementNews news;
+  news.holder = "n0";
+  news.address = "n1";
+  news.token = 1;
+  news.number = 1;
+  news.loads = {{"w", 3, 0, {}}};
+  node->coordinator->OnDatagram(EncodeFleetMessage(news));
+  REQUIRE(node->peers_running() == 3);
+  REQUIRE(fleet.Wait([&] { return node->coordinator->holds_lease(); }));
+  CHECK(node->peers_running() == 3);
+  // Nobody reports any load.
+  CHECK(fleet.Wait([&] { return node->peers_running() == 0; }));
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -41,6 +41,21 @@
   REQUIRE(same->replicas.size() == 1);
   CHECK(same->replicas[0].state == ReplicaState::kLoading);
   CHECK(same->replicas[0].expected_in_ms == 40);
+  CHECK(!same->loads.has_value());
+}
+
+TEST_CASE("news without loads differ from news that nobody has any") {
+  PlacementNews news;
+  news.loads.emplace();
+  const auto none = DecodeFleetMessage(EncodeFleetMessage(news));
+  REQUIRE(none.has_value());
+  REQUIRE(std::get<PlacementNews>(*none).loads.has_value());
+  CHECK(std::get<PlacementNews>(*none).loads->empty());
+  news.loads = {{"w1", 2, 30, {}}};
+  const auto some = DecodeFleetMessage(EncodeFleetMessage(news));
+  REQUIRE(some.has_value());
+  REQUIRE(std::get<PlacementNews>(*some).loads.has_value());
+  CHECK(std::get<PlacementNews>(*some).loads->at(0).running == 2);
 }
 
 TEST_CASE("a length beyond all memory is no message") {
