Attempts under way count when the row of their worker is back

What callers saw: answers 503 of a worker that has no room, and repeats for them, after a worker's row had been away, which the platform allows while its store is down, and after three silent heartbeats of a worker that goes on. The node sent that worker as many requests as it has slots beside those that still ran there.

Cause: WorkerDirectory dropped a worker's state with its row, its count of attempts under way included. When the row came back under the same id, the count began at 0; ends of the earlier attempts were then taken off the count of later ones, which is why it stayed too low.

Change: the state of a worker without a row is kept, out of every choice, until the attempts there have ended; a row of the same id takes the counts over. An id names one life of a worker, so they are its own.

Why it works: every attempt's end finds the count that its start raised.

--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -156,6 +156,10 @@
  private:
   // Estimated milliseconds until a request's first event, or of plain services until its answer.
   double Cost(const WorkerState& worker, const WorkerDemand& demand, absl::Time now) const;
+  // Also among the departed; null: unknown.
+  WorkerState* FindKnown(const std::string& worker_id);
+  std::map<std::string, WorkerState>::iterator Erase(
+      std::map<std::string, WorkerState>::iterator entry);
   static bool IsFull(const WorkerState& worker, const WorkerDemand& demand, const Service* service);
 
   ChoicePolicy policy_;
@@ -165,6 +169,9 @@
   double preference_ms_ = 0;
   // By id. Ordered, so that equal costs are resolved alike in every run.
   std::map<std::string, WorkerState> workers_;
+  // Workers without a row at which attempts still run. A row can come back: the store may drop it
+  // during an outage while its worker goes on.
+  std::map<std::string, WorkerState> departed_;
 };
 
 // The key under which a part of a prompt is kept at a worker.
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -75,7 +75,15 @@
 }
 
 bool WorkerDirectory::Update(WorkerRecord record, std::uint64_t row_version, absl::Time now) {
-  WorkerState& worker = workers_[record.id];
+  const auto [entry, added] = workers_.try_emplace(record.id);
+  WorkerState& worker = entry->second;
+  const auto departed = added ? departed_.find(record.id) : departed_.end();
+  if (departed != departed_.end()) {
+    worker.running = departed->second.running;
+    worker.unread_tokens = departed->second.unread_tokens;
+    worker.running_by_model = std::move(departed->second.running_by_model);
+    departed_.erase(departed);
+  }
   if (worker.row_version >= row_version) {
     return false;
   }
@@ -100,15 +108,23 @@
   if (entry == workers_.end() || entry->second.row_version >= row_version) {
     return false;
   }
-  workers_.erase(entry);
+  Erase(entry);
   return true;
 }
 
 void WorkerDirectory::RetainOnly(const std::set<std::string>& worker_ids, std::uint64_t version) {
   for (auto entry = workers_.begin(); entry != workers_.end();) {
     const bool stays = worker_ids.contains(entry->first) || entry->second.row_version > version;
-    entry = stays ? std::next(entry) : workers_.erase(entry);
+    entry = stays ? std::next(entry) : Erase(entry);
+  }
+}
+
+std::map<std::string, WorkerState>::iterator WorkerDirectory::Erase(
+    std::map<std::string, WorkerState>::iterator entry) {
+  if (entry->second.running > 0) {
+    departed_.emplace(entry->first, std::move(entry->second));
   }
+  return workers_.erase(entry);
 }
 
 WorkerState* WorkerDirectory::Find(const std::string& worker_id) {
@@ -116,6 +132,15 @@
   return entry == workers_.end() ? nullptr : &entry->second;
 }
 
+WorkerState* WorkerDirectory::FindKnown(const std::string& worker_id) {
+  WorkerState* const worker = Find(worker_id);
+  if (worker != nullptr) {
+    return worker;
+  }
+  const auto departed = departed_.find(worker_id);
+  return departed == departed_.end() ? nullptr : &departed->second;
+}
+
 int WorkerDirectory::CountOfService(const std::string& service) const {
   int count = 0;
   for (const auto& [id, worker] : workers_) {
@@ -237,7 +262,7 @@
 
 void WorkerDirectory::AttemptBegan(const std::string& worker_id, double unread_tokens,
                                    absl::Duration latency, absl::Time) {
-  WorkerState* const worker = Find(worker_id);
+  WorkerState* const worker = FindKnown(worker_id);
   if (worker == nullptr) {
     return;
   }
@@ -251,7 +276,7 @@
 
 void WorkerDirectory::AttemptEnded(const std::string& worker_id, const std::string& model,
                                    double unread_tokens, AttemptOutcome outcome, absl::Time now) {
-  WorkerState* const worker = Find(worker_id);
+  WorkerState* const worker = FindKnown(worker_id);
   if (worker == nullptr) {
     return;
   }
@@ -261,6 +286,9 @@
     worker->running_by_model.erase(count);
   }
   worker->unread_tokens = std::max(0.0, worker->unread_tokens - unread_tokens);
+  if (worker->running == 0 && departed_.erase(worker_id) > 0) {
+    return;
+  }
   if (outcome == AttemptOutcome::kCancelled) {
     return;
   }
