Where tokens are not checked, a restarted process lets its predecessor's orders arrive first

What could be seen: at a worker that checks no tokens, an order with a lower fencing token after one with a higher token, when the holder's process was killed and started again within the time that an order takes. No run of a fleet has shown it; it was found by reading, and shown in the lease's logic.

Cause: the lease of another machine is taken over only after its last order has arrived or never will (TakeoverWait counts order_transit). The lease of an earlier process of the same machine was taken over with the first read, since that process is gone for certain. Its orders are not: what a process has handed to its sockets is still delivered after its end.

Change: LeaseSettings::RestartWait, order_transit (500 ms) where tokens are not checked, else none, counted from the first read of the row.

Why it works: the predecessor had ended before this process started, so by then each of its orders is at least as old as the bound that the takeover from another machine relies on. Where tokens are checked nothing changes: a worker refuses the older token.

--- a/include/hingespan/fleet/lease_manager.h
+++ b/include/hingespan/fleet/lease_manager.h
@@ -57,6 +57,9 @@
   // How long another machine's row must have been seen unchanged before it is taken over. Where
   // tokens are not checked, the former holder's last order is by then `duration` old.
   absl::Duration TakeoverWait() const;
+  // The same for the row of an earlier process on this machine: it has ended, its orders may be
+  // under way.
+  absl::Duration RestartWait() const;
 };
 
 // Pure: the time and the store's answers are arguments. Not thread-safe.
--- a/src/fleet/lease_manager.cc
+++ b/src/fleet/lease_manager.cc
@@ -19,6 +19,10 @@
   return workers_check_tokens ? wait : wait + OrderLimit() + order_transit;
 }
 
+absl::Duration LeaseSettings::RestartWait() const {
+  return workers_check_tokens ? absl::ZeroDuration() : order_transit;
+}
+
 bool LeaseManager::IsMine(const LeaseRecord& record) const {
   return record.holder == settings_.node && record.incarnation == settings_.incarnation;
 }
@@ -78,9 +82,9 @@
     // Another process on this machine is gone for certain; another machine may only be silent.
     const bool same_machine =
         record_->holder == settings_.node && record_->incarnation != settings_.incarnation;
-    const absl::Duration wait = settings_.TakeoverWait() + extra_wait_;
-    if (!same_machine &&
-        (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < wait)) {
+    const absl::Duration wait =
+        same_machine ? settings_.RestartWait() : settings_.TakeoverWait() + extra_wait_;
+    if (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < wait) {
       return std::nullopt;
     }
   } else if (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < extra_wait_) {
--- a/tests/fleet/lease_manager_test.cc
+++ b/tests/fleet/lease_manager_test.cc
@@ -182,6 +182,19 @@
   CHECK(lease.NextWrite(At(6)).has_value());
 }
 
+// Guards against: an order of the process before this one reaches a worker after a newer one.
+TEST_CASE("where they don't, a restarted process lets its predecessor's orders arrive first") {
+  LeaseSettings settings = UncheckedSettingsOf("n1", 2);
+  settings.order_transit = absl::Milliseconds(500);
+  LeaseManager lease(settings);
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 5}, 8, At(0));
+  CHECK(!lease.NextWrite(At(0)).has_value());
+  CHECK(!lease.NextWrite(At(0.4)).has_value());
+  const auto write = lease.NextWrite(At(0.5));
+  REQUIRE(write.has_value());
+  CHECK(write->condition_version == 8);
+}
+
 TEST_CASE("a renewal without an answer is repeated soon, and confirms the lease again") {
   LeaseManager lease(UncheckedSettingsOf("n1"));
   lease.OnRead(std::nullopt, 0, At(0));
