A new holder begins with no loads on top of the weight store's rate

What could be seen: more loads from the weight store within a window than its rate allows, when the placement lease changed hands several times within it; e.g. the holder's process killed again and again, since a restarted process takes its machine's lease over at once. With the rates of the deployments (3.3 a second and more) it takes more than one change of the holder within five seconds.

Cause: the rate is kept by a bucket in the holder's memory. Each new holder began with one load in it, whatever its predecessor had just begun: a common bound, of which each life of a process had a part of its own.

Change: first_load_burst goes; a new holder's bucket is empty.

Why it works: a holder can have begun at most what its bucket held and the rate since; what a change of the holder leaves in the old bucket is lost, and the new one adds only the rate from its own beginning. All holders together stay within one burst and the rate. The price is a part of a second (one load's time at the store's rate) before a new holder's first load.

--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -45,10 +45,9 @@
 
 struct FleetPlacerSettings {
   PlacementPolicy policy;
-  // Loads that may begin at once, on top of the rate of the weight store.
+  // Loads that may begin at once, on top of the rate of the weight store. A new holder begins with
+  // none: its predecessor may just have ordered.
   double load_burst = 3.5;
-  // Of them, how many a new holder may begin at once: its predecessor may just have ordered.
-  double first_load_burst = 1;
   // Part of the weight store's rate that is used.
   double load_rate_part = 1.0;
   // A model gets one more replica when this many requests run or wait for each replica.
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -354,7 +354,7 @@
 bool FleetPlacer::TakeLoadToken(const Service& service, absl::Time now) {
   const double rate = service.engine->loads_per_second * settings_.load_rate_part;
   const auto [entry, fresh] = load_tokens_updated_.try_emplace(service.name, began_);
-  double& tokens = load_tokens_.try_emplace(service.name, settings_.first_load_burst).first->second;
+  double& tokens = load_tokens_.try_emplace(service.name, 0.0).first->second;
   const double elapsed = absl::ToDoubleSeconds(now - entry->second);
   tokens = std::min(settings_.load_burst, tokens + elapsed * rate);
   entry->second = now;
--- a/tests/fleet/fleet_placer_test.cc
+++ b/tests/fleet/fleet_placer_test.cc
@@ -271,6 +271,38 @@
   }));
 }
 
+// Guards against: each new holder begins with loads of its own on top of the store's rate.
+TEST_CASE("property: the store's rate holds over changes of the holder") {
+  CHECK(rc::check("holders in a row", [] {
+    PlacerWorld world(8, 0.3);
+    std::vector<double> loads;
+    double now = 3;
+    const int steps = *rc::gen::inRange(20, 120);
+    for (int step = 0; step < steps; ++step) {
+      now += *rc::gen::element(0.02, 0.1, 0.3, 0.7);
+      if (*rc::gen::inRange(0, 3) == 0) {
+        world.placer.Begin(world.placer.weight_store().estimate(), At(now));
+      }
+      const std::string model = *rc::gen::element<std::string>("m1", "m2", "m3", "m4");
+      world.Demand(now, model, "", *rc::gen::inRange(0, 12), *rc::gen::inRange(0, 20),
+                   *rc::gen::inRange(0, 5));
+      for (const PlannedOrder& planned : world.Plan(now)) {
+        if (planned.order.kind == OrderKind::kLoad) {
+          loads.push_back(now);
+        }
+        world.Accept(planned.order, now);
+      }
+    }
+    for (const double begin : loads) {
+      int count = 0;
+      for (const double load : loads) {
+        count += load >= begin && load < begin + 5.0 ? 1 : 0;
+      }
+      RC_ASSERT(count <= 2 * 5 + 3);
+    }
+  }));
+}
+
 TEST_CASE("a busy model without a replica comes before a rare one") {
   PlacerWorld world(1);
   DemandReport report;
