A gateway that ends waits for the reader of its log

What operators saw: the last lines of a process that stopped could be missing, "stopped" among them, when whoever reads its standard output was behind.

Cause: lines that the reader's pipe does not take wait in the process. At the end they were offered once more without waiting, and went with the process: written counted as handed on.

Change: DecisionLog::FlushWithin waits until the pipe takes more, for 100 ms at the end of the gateway: the margin before the platform's kill is 250 ms.

--- a/include/hingespan/serving/decision_log.h
+++ b/include/hingespan/serving/decision_log.h
@@ -34,6 +34,8 @@
   void Write(LogLevel level, absl::string_view event, std::initializer_list<LogField> fields);
   // Writes what waits, as far as the reader takes it.
   void Flush();
+  // Waits for the reader for so long at most: for a process that ends.
+  void FlushWithin(absl::Duration limit);
   // Lines left out since the start.
   std::uint64_t left_out() const { return left_out_; }
 
--- a/programs/hingespan_gateway.cc
+++ b/programs/hingespan_gateway.cc
@@ -22,6 +22,8 @@
 
 constexpr int kExitListen = 3;
 constexpr int kExitSettings = 2;
+// How long the reader of the log is waited for at the end; less than the margin that a stop keeps.
+constexpr absl::Duration kLastLinesLimit = absl::Milliseconds(100);
 constexpr const char* kSettingsVariable = "HINGESPAN_SETTINGS";
 
 struct Flags {
@@ -73,7 +75,7 @@
               {{"findings", FormatFindings(findings)}});
   });
   loop.Run();
-  log.Flush();
+  log.FlushWithin(kLastLinesLimit);
   return 0;
 }
 
--- a/src/serving/decision_log.cc
+++ b/src/serving/decision_log.cc
@@ -1,6 +1,7 @@
 #include "hingespan/serving/decision_log.h"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -78,4 +79,21 @@
   }
 }
 
+void DecisionLog::FlushWithin(absl::Duration limit) {
+  const absl::Time end = clock_->Now() + limit;
+  Flush();
+  while (!buffer_.empty() && descriptor_ >= 0) {
+    const absl::Duration left = end - clock_->Now();
+    if (left <= absl::ZeroDuration()) {
+      return;
+    }
+    pollfd entry{descriptor_, POLLOUT, 0};
+    poll(&entry, 1, static_cast<int>(absl::ToInt64Milliseconds(left)) + 1);
+    if ((entry.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0) {
+      return;
+    }
+    Flush();
+  }
+}
+
 }  // namespace hingespan::gateway
