A node's row is taken away by the process that wrote it, and written again when it is gone

What could be seen: a node that serves and is in no other node's table for the rest of its life. It gets no news of replicas and of the others' loads, its zone reads from fewer readers, and every other node takes its part of the common budget of repeats for one node fewer than send. And a node that stopped for good and counts for ever, with an address that nobody answers. No run of a fleet has shown it; it was found by reading, and shown with the coordinator and a store in memory.

Cause: at a stop the row was removed by one call without a condition, whose answer nobody awaited. The store may do a call that got no answer seconds later: then it takes the row of the process that runs by now under the same name. That one had announced itself once, counted that as done, and never looked again. If the call failed, the row stayed.

Change: the removal has the version of the row that this process wrote as its condition, and is repeated every 500 ms while the loop runs and its outcome is unknown. Each table that is read is looked through for the node's own row: if it is not there, or of another incarnation, in a table no older than the row that was written, the node announces itself anew.

Why it works: the successor's announcement changes the row's version, so that a late removal of the earlier process's row finds its condition gone. Whatever else takes the row is noticed at the next look at the table.

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -84,7 +84,7 @@
   FleetCoordinator(FleetCoordinatorSettings settings, FleetCoordinatorParts parts);
 
   void Start();
-  // Acquires and renews no more; takes its own row away.
+  // Acquires and renews no more; takes its own row away, while the loop runs.
   void Stop();
   void SetConfiguration(std::shared_ptr<const Configuration> configuration);
   // A request began to wait for a replica that is not there.
@@ -106,6 +106,10 @@
   void OnTable(const StoreRows& rows);
   void WriteLease();
   void AnnounceNode();
+  // Takes the row away that this process wrote, and no other.
+  void WithdrawNode();
+  // The row may be gone, or be an earlier process's, written late.
+  void CheckOwnRow(const StoreRows& rows);
   void NoteLeaseChange(bool held_before);
   void ScheduleReport(absl::Duration within);
   void SendReport();
@@ -128,6 +132,7 @@
   std::unique_ptr<LoopTimer> report_timer_;
   std::unique_ptr<LoopTimer> placement_timer_;
   std::unique_ptr<LoopTimer> pause_timer_;
+  std::unique_ptr<LoopTimer> withdraw_timer_;
   // Datagram addresses of the other nodes, by name.
   std::map<std::string, std::string> peers_;
   std::map<ModelKey, absl::Time> expected_ready_;
@@ -142,6 +147,8 @@
   std::uint64_t news_number_ = 0;
   // Of the holder, as its news tell.
   std::string holder_address_;
+  // Of the node's own row, as this process wrote it; 0: not known.
+  std::uint64_t own_row_version_ = 0;
   int store_ticks_ = 0;
   std::uint64_t news_token_seen_ = 0;
   std::uint64_t news_number_seen_ = 0;
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -14,6 +14,8 @@
 constexpr char kLeaseKey[] = "lease/placement";
 constexpr absl::string_view kNodePrefix = "node/";
 constexpr absl::Duration kPauseTick = absl::Milliseconds(400);
+// After a removal of the node's row that may not have been done.
+constexpr absl::Duration kWithdrawAgain = absl::Milliseconds(500);
 std::string EncodeLease(const LeaseRecord& record) {
   return Json{{"holder", record.holder},
               {"incarnation", record.incarnation},
@@ -39,6 +41,11 @@
   }
 }
 
+std::uint64_t IncarnationOf(const std::string& node_row) {
+  const Json json = Json::parse(node_row, nullptr, false);
+  return json.is_object() ? json.value("incarnation", std::uint64_t{0}) : 0;
+}
+
 }  // namespace
 
 FleetCoordinator::FleetCoordinator(FleetCoordinatorSettings settings, FleetCoordinatorParts parts)
@@ -49,7 +56,8 @@
       store_timer_(parts_.loop->MakeTimer()),
       report_timer_(parts_.loop->MakeTimer()),
       placement_timer_(parts_.loop->MakeTimer()),
-      pause_timer_(parts_.loop->MakeTimer()) {}
+      pause_timer_(parts_.loop->MakeTimer()),
+      withdraw_timer_(parts_.loop->MakeTimer()) {}
 
 void FleetCoordinator::Start() {
   last_tick_ = parts_.loop->Now();
@@ -60,9 +68,7 @@
 void FleetCoordinator::Stop() {
   stopped_ = true;
   lease_.Resign();
-  parts_.store->Commit({},
-                       {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), std::nullopt}},
-                       [](Result<std::uint64_t>) {});
+  WithdrawNode();
 }
 
 void FleetCoordinator::SetConfiguration(std::shared_ptr<const Configuration> configuration) {
@@ -115,6 +121,7 @@
 
 void FleetCoordinator::AnnounceNode() {
   announced_ = true;
+  own_row_version_ = 0;
   const std::string value = Json{
       {"address", settings_.address},
       {"copies", settings_.copies_address},
@@ -126,10 +133,47 @@
                        [this](Result<std::uint64_t> result) {
                          if (!result.ok()) {
                            announced_ = false;
+                           return;
+                         }
+                         own_row_version_ = *result;
+                         if (stopped_) {
+                           WithdrawNode();
                          }
                        });
 }
 
+void FleetCoordinator::WithdrawNode() {
+  if (own_row_version_ == 0) {
+    return;
+  }
+  const std::string key = absl::StrCat(kNodePrefix, settings_.node);
+  // A removal without an answer may be done when the next process has announced itself.
+  parts_.store->Commit(
+      {{settings_.table, key, own_row_version_}}, {{settings_.table, key, std::nullopt}},
+      [this](Result<std::uint64_t> result) {
+        if (!result.ok() && result.error() != make_error_code(Error::kConflict)) {
+          withdraw_timer_->Set(parts_.loop->Now() + kWithdrawAgain, [this] { WithdrawNode(); });
+        }
+      });
+}
+
+void FleetCoordinator::CheckOwnRow(const StoreRows& rows) {
+  const std::string key = absl::StrCat(kNodePrefix, settings_.node);
+  // A copy of the table may be older than this node's row.
+  if (own_row_version_ == 0 || rows.version < own_row_version_) {
+    return;
+  }
+  const auto own = std::find_if(rows.rows.begin(), rows.rows.end(),
+                                [&](const StoreRow& row) { return row.key == key; });
+  if (own != rows.rows.end() && IncarnationOf(own->value) == settings_.incarnation) {
+    own_row_version_ = std::max(own_row_version_, own->version);
+    return;
+  }
+  if (!stopped_ && announced_) {
+    AnnounceNode();
+  }
+}
+
 void FleetCoordinator::ReadTable() {
   if (read_under_way_) {
     return;
@@ -151,6 +195,7 @@
 }
 
 void FleetCoordinator::OnTable(const StoreRows& rows) {
+  CheckOwnRow(rows);
   std::optional<LeaseRecord> lease;
   std::uint64_t lease_version = 0;
   std::map<std::string, std::string> peers;
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -30,13 +31,42 @@
   void Watch(const std::string&, std::uint64_t, absl::Duration, RowsCallback) override {}
   void Commit(std::vector<RowCondition> conditions, std::vector<RowWrite> writes,
               CommitCallback callback) override {
-    for (const RowCondition& condition : conditions) {
-      const auto row = rows_.find(condition.key);
-      if ((row == rows_.end() ? 0 : row->second.version) != condition.version) {
-        loop_->Post([callback] { callback(Error::kConflict); });
-        return;
+    if (unanswered > 0) {
+      --unanswered;
+      late_.emplace_back(std::move(conditions), std::move(writes));
+      loop_->Post([callback] { callback(Error::kTimeout); });
+      return;
+    }
+    if (!Holds(conditions)) {
+      loop_->Post([callback] { callback(Error::kConflict); });
+      return;
+    }
+    Apply(writes);
+    loop_->Post([callback, version = version_] { callback(version); });
+  }
+
+  bool Has(const std::string& key) const { return rows_.contains(key); }
+  // The next calls that write get no answer; the writes are done later, by ApplyLate.
+  int unanswered = 0;
+  int late() const { return static_cast<int>(late_.size()); }
+  void ApplyLate() {
+    for (const auto& [conditions, writes] : std::exchange(late_, {})) {
+      if (Holds(conditions)) {
+        Apply(writes);
       }
     }
+  }
+
+ private:
+  using Call = std::pair<std::vector<RowCondition>, std::vector<RowWrite>>;
+
+  bool Holds(const std::vector<RowCondition>& conditions) const {
+    return std::all_of(conditions.begin(), conditions.end(), [this](const RowCondition& condition) {
+      const auto row = rows_.find(condition.key);
+      return (row == rows_.end() ? 0 : row->second.version) == condition.version;
+    });
+  }
+  void Apply(const std::vector<RowWrite>& writes) {
     ++version_;
     for (const RowWrite& write : writes) {
       if (write.value.has_value()) {
@@ -45,11 +75,10 @@
         rows_.erase(write.key);
       }
     }
-    loop_->Post([callback, version = version_] { callback(version); });
   }
 
- private:
   EventLoop* loop_;
+  std::vector<Call> late_;
   std::map<std::string, StoreRow> rows_;
   std::uint64_t version_ = 0;
 };
@@ -64,7 +93,7 @@
 struct Fleet;
 
 struct Node {
-  Node(Fleet* fleet, const std::string& name);
+  Node(Fleet* fleet, const std::string& name, std::uint64_t incarnation);
   // Attempts under way at the one worker "w".
   void Run(int count) {
     running = count;
@@ -81,20 +110,24 @@
 };
 
 struct Fleet {
+  // Takes the place of an earlier one of the name.
   Node* Add(const std::string& name) {
-    nodes[name] = std::make_unique<Node>(this, name);
+    nodes[name] = std::make_unique<Node>(this, name, ++incarnation);
     nodes[name]->coordinator->Start();
     return nodes[name].get();
   }
   bool Wait(const std::function<bool()>& done) { return loop.RunUntil(done, kLimit); }
 
+  std::uint64_t incarnation = 0;
   EventLoop loop;
   MemoryStore store{&loop};
+  std::vector<std::unique_ptr<Node>> ended;
   // By name, which is the address too.
   std::map<std::string, std::unique_ptr<Node>> nodes;
 };
 
-Node::Node(Fleet* fleet, const std::string& name) : workers(name, "zone") {
+Node::Node(Fleet* fleet, const std::string& name, std::uint64_t incarnation)
+    : workers(name, "zone") {
   WorkerRecord record;
   record.id = "w";
   record.service = "s";
@@ -102,6 +135,8 @@
   FleetCoordinatorSettings settings;
   settings.node = name;
   settings.address = name;
+  settings.incarnation = incarnation;
+  settings.lease.incarnation = incarnation;
   settings.lease.node = name;
   settings.lease.address = name;
   settings.store_interval = absl::Milliseconds(50);
@@ -164,5 +199,44 @@
   CHECK(fleet.Wait([&] { return node->peers_running() == 0; }));
 }
 
+// Guards against: a node is unknown to all others for the rest of its life, since the removal of
+// its row by the process before it, which got no answer, was done only now.
+TEST_CASE("a late removal of a node's row does not take the row of the next process") {
+  Fleet fleet;
+  Node* const earlier = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return earlier->coordinator->holds_lease(); }));
+  fleet.store.unanswered = 1;
+  earlier->coordinator->Stop();
+  REQUIRE(fleet.Wait([&] { return fleet.store.late() == 1; }));
+  // The successor starts before the removal is done.
+  fleet.ended.push_back(std::move(fleet.nodes["n1"]));
+  Node* const later = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return later->coordinator->holds_lease(); }));
+  REQUIRE(fleet.store.Has("node/n1"));
+  fleet.store.ApplyLate();
+  CHECK(fleet.store.Has("node/n1"));
+}
+
+// Guards against: a node whose row is gone is unknown to all others for the rest of its life.
+TEST_CASE("a node whose row is gone announces itself again") {
+  Fleet fleet;
+  Node* const node = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return node->coordinator->holds_lease(); }));
+  fleet.store.Commit({}, {{"hingespan", "node/n1", std::nullopt}}, [](Result<std::uint64_t>) {});
+  REQUIRE(!fleet.store.Has("node/n1"));
+  CHECK(fleet.Wait([&] { return fleet.store.Has("node/n1"); }));
+}
+
+// Guards against: a node that stopped counts as one of the fleet for ever, since the only call that
+// takes its row away failed.
+TEST_CASE("a node that stops takes its row away although the first call fails") {
+  Fleet fleet;
+  Node* const node = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return node->coordinator->holds_lease(); }));
+  fleet.store.unanswered = 1;
+  node->coordinator->Stop();
+  CHECK(fleet.Wait([&] { return !fleet.store.Has("node/n1"); }));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
