--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -82,6 +82,12 @@
   bool Holds(const ModelKey& key, absl::Time now) const;
 };
 
+// What the other nodes run at a worker.
+struct PeersLoad {
+  int running = 0;
+  int unread_tokens = 0;
+};
+
 // What a request asks of a worker.
 struct WorkerDemand {
   std::string service;
@@ -138,6 +144,9 @@
   void NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
                    absl::Time until);
 
+  // By worker; at those not named the other nodes run nothing.
+  void SetPeersLoads(const std::map<std::string, PeersLoad>& loads);
+
   void MarkEnded(const std::string& worker_id);
 
   WorkerState* Find(const std::string& worker_id);
@@ -147,6 +156,10 @@
  private:
   // Estimated milliseconds until a request's first event, or of plain services until its answer.
   double Cost(const WorkerState& worker, const WorkerDemand& demand, absl::Time now) const;
+  // Also among the departed; null: unknown.
+  WorkerState* FindKnown(const std::string& worker_id);
+  std::map<std::string, WorkerState>::iterator Erase(
+      std::map<std::string, WorkerState>::iterator entry);
   static bool IsFull(const WorkerState& worker, const WorkerDemand& demand, const Service* service);
 
   ChoicePolicy policy_;
@@ -156,6 +169,9 @@
   double preference_ms_ = 0;
   // By id. Ordered, so that equal costs are resolved alike in every run.
   std::map<std::string, WorkerState> workers_;
+  // Workers without a row at which attempts still run. A row can come back: the store may drop it
+  // during an outage while its worker goes on.
+  std::map<std::string, WorkerState> departed_;
 };
 
 // The key under which a part of a prompt is kept at a worker.
