A request is read only by the handler that counts it

Found by reading, not seen in a run.

Cause: async_read_some reads in the reactor, or at once when it is started; its handler, which parses the request and opens the exchange, waits in the queue. A stop's check ahead of it finds nothing open.

Evidence: the test, on the code before:

test-stop, "a request is read only by the handler that opens its exchange": http_server_stop_test.cc:63: ERROR: CHECK( !read_uncounted ) is NOT correct!

Change: connections wait until they are readable and read within the handler. Bytes that no handler has taken stay in the system: a process that ends then has not read the request. The buffer for reading is on the stack and no longer one for each connection. The reading on of a connection that closes in order is the same loop; before, it ended after one read when one was under way already. Cost: one epoll_ctl for each wait.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -71,6 +71,7 @@
     server_->connections.insert(this);
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
   }
   ~Connection() override { server_->connections.erase(this); }
 
@@ -150,27 +151,42 @@
   }
 
   void Read() {
-    if (reading_ || closed_ || close_when_written_ || input_.size() >= kMaxBufferedAhead) {
+    if (reading_ || closed_ || (close_when_written_ && !ending_) ||
+        input_.size() >= kMaxBufferedAhead) {
       return;
     }
     reading_ = true;
-    socket_.async_read_some(
-        boost::asio::buffer(read_buffer_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
-          self->reading_ = false;
-          self->OnRead(error, count);
-        });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code& error) {
+                         self->reading_ = false;
+                         self->OnReadable(error);
+                       });
   }
 
-  void OnRead(const boost::system::error_code& error, std::size_t count) {
+  // Reads here and not in the reactor: a request that was read is counted before any other handler
+  // runs.
+  void OnReadable(boost::system::error_code error) {
     if (closed_) {
       return;
     }
+    std::array<char, kReadSize> buffer;
+    std::size_t count = 0;
+    if (!error) {
+      count = socket_.read_some(boost::asio::buffer(buffer), error);
+    }
+    if (error == boost::asio::error::would_block) {
+      Read();
+      return;
+    }
     if (error) {
       Close();
       return;
     }
-    input_.append(read_buffer_.data(), count);
+    if (close_when_written_) {
+      Read();
+      return;
+    }
+    input_.append(buffer.data(), count);
     if (!exchange_open_) {
       Parse();
     }
@@ -281,24 +297,8 @@
         self->Close();
       }
     });
-    Discard();
-  }
-
-  void Discard() {
-    if (reading_ || closed_) {
-      return;
-    }
-    reading_ = true;
-    socket_.async_read_some(
-        boost::asio::buffer(read_buffer_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-          self->reading_ = false;
-          if (error) {
-            self->Close();
-            return;
-          }
-          self->Discard();
-        });
+    input_.clear();
+    Read();
   }
 
   void Close() {
@@ -319,7 +319,6 @@
   tcp::socket socket_;
   std::unique_ptr<LoopTimer> timer_;
   std::unique_ptr<RequestParser> parser_;
-  std::array<char, kReadSize> read_buffer_;
   // Read but not parsed yet.
   std::string input_;
   std::string writing_;
--- a/tests/stop/http_server_stop_test.cc
+++ b/tests/stop/http_server_stop_test.cc
@@ -43,5 +43,26 @@
   CHECK(caller.ReadAll().ends_with("\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
 }
 
+// Guards against a process that ends between the reading of a request and the handler that counts
+// it.
+TEST_CASE("a request is read only by the handler that opens its exchange") {
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  std::shared_ptr<ServerExchange> held;
+  auto server = std::make_unique<Server>(
+      [&](std::shared_ptr<ServerExchange> exchange) { held = std::move(exchange); });
+  RawClient caller(server->http.address());
+  REQUIRE(caller.Send(request));
+  REQUIRE(server->Wait([&] { return server->http.connections() == 1; }));
+  bool read_uncounted = false;
+  REQUIRE(server->Wait([&] {
+    const ServerActivity activity = server->http.activity();
+    read_uncounted =
+        read_uncounted || (activity.unfinished() == 0 && activity.unread_bytes != request.size());
+    return held != nullptr;
+  }));
+  CHECK(!read_uncounted);
+  held.reset();
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
