A request read behind another counts before it is parsed

Found by reading, not seen in a run.

Cause: bytes read ahead are parsed in a posted task; until it runs, the connection counted as idle once the first answer had left.

Evidence: the test, on the code before:

test-stop, "a request read behind another counts until it is answered": http_server_stop_test.cc:83: ERROR: CHECK( !uncounted ) is NOT correct!

Change: a connection with bytes to parse counts as answering. Part of a request does not stay there: the parser takes it.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -28,7 +28,7 @@
 
 // What a server's connections are at; each counts once. Bytes are of all of them together.
 struct ServerActivity {
-  // A whole request was read, and its answer isn't whole.
+  // A whole request was read, and its answer isn't whole; or bytes read behind it are to be parsed.
   std::size_t answering = 0;
   // The last answer is whole, but not all of it has left this process.
   std::size_t sending = 0;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -89,7 +89,8 @@
     activity->unsent_bytes += pending_bytes();
     boost::system::error_code ignored;
     activity->unread_bytes += input_.size() + socket_.available(ignored);
-    if (exchange_open_) {
+    const bool to_parse = !input_.empty() && !close_when_written_;
+    if (exchange_open_ || to_parse) {
       ++activity->answering;
     } else if (pending_bytes() > 0) {
       ++activity->sending;
--- a/tests/stop/http_server_stop_test.cc
+++ b/tests/stop/http_server_stop_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "hingespan/http/http_server.h"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr absl::Duration kLimit = absl::Seconds(10);
+constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 
 struct Server {
   explicit Server(HttpServer::Handler handler) : http(&loop, std::move(handler)) {
@@ -35,7 +37,7 @@
     answered = true;
   });
   RawClient caller(server->http.address());
-  REQUIRE(caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n"));
+  REQUIRE(caller.Send(kRequest));
   REQUIRE(server->Wait([&] { return answered; }));
   CHECK(server->http.open_exchanges() == 1);
   REQUIRE(server->Wait([&] { return server->http.open_exchanges() == 0; }));
@@ -46,23 +48,40 @@
 // Guards against a process that ends between the reading of a request and the handler that counts
 // it.
 TEST_CASE("a request is read only by the handler that opens its exchange") {
-  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
   std::shared_ptr<ServerExchange> held;
   auto server = std::make_unique<Server>(
       [&](std::shared_ptr<ServerExchange> exchange) { held = std::move(exchange); });
   RawClient caller(server->http.address());
-  REQUIRE(caller.Send(request));
+  REQUIRE(caller.Send(kRequest));
   REQUIRE(server->Wait([&] { return server->http.connections() == 1; }));
   bool read_uncounted = false;
   REQUIRE(server->Wait([&] {
     const ServerActivity activity = server->http.activity();
     read_uncounted =
-        read_uncounted || (activity.unfinished() == 0 && activity.unread_bytes != request.size());
+        read_uncounted || (activity.unfinished() == 0 && activity.unread_bytes != kRequest.size());
     return held != nullptr;
   }));
   CHECK(!read_uncounted);
   held.reset();
 }
 
+// Guards against a process that ends between an answer and the parsing of a request read behind it.
+TEST_CASE("a request read behind another counts until it is answered") {
+  int answered = 0;
+  auto server = std::make_unique<Server>([&](const std::shared_ptr<ServerExchange>& exchange) {
+    exchange->Answer(200, "OK", {}, "");
+    ++answered;
+  });
+  RawClient caller(server->http.address());
+  REQUIRE(caller.Send(std::string(kRequest).append(kRequest)));
+  REQUIRE(server->Wait([&] { return answered == 1; }));
+  bool uncounted = false;
+  REQUIRE(server->Wait([&] {
+    uncounted = uncounted || (answered == 1 && server->http.activity().unfinished() == 0);
+    return answered == 2;
+  }));
+  CHECK(!uncounted);
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
