A request already read is answered before its connection is asked to close

What callers could see: of two requests sent at once to a node that stops, the first was answered with "Connection: close" and the second, already read, was dropped. Found by reading.

Change: while bytes of the caller wait to be parsed, an answer of a stopping server doesn't ask for the end yet. A caller that itself asked for the end gets it with that answer, as before. The stop's limit is unchanged.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -89,7 +89,8 @@
   std::string address() const;
   // Holds for messages that begin after this call.
   void SetLimits(const ServerLimits& limits);
-  // From now on every answer asks the caller to close its connection.
+  // From now on every answer asks the caller to close its connection, unless more of its requests
+  // were read before.
   void AskToClose();
   std::size_t connections() const;
   ServerActivity activity() const;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -80,6 +80,7 @@
     Read();
   }
 
+  bool has_input() const { return !input_.empty(); }
   std::size_t pending_bytes() const { return writing_.size() + waiting_.size(); }
 
   void AddTo(ServerActivity* activity) const override {
@@ -345,7 +346,8 @@
 }
 
 std::string Exchange::HeadText(int status, absl::string_view reason, const HeaderFields& fields) {
-  close_after_ = !head_.keep_alive || server_->ask_to_close;
+  // Requests behind an answer that closes are dropped: those already read are answered before.
+  close_after_ = !head_.keep_alive || (server_->ask_to_close && !connection_->has_input());
   std::string text = absl::StrCat("HTTP/1.1 ", status, " ", reason, "\r\n");
   for (const HeaderField& field : fields) {
     absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
--- a/tests/stop/http_server_stop_test.cc
+++ b/tests/stop/http_server_stop_test.cc
@@ -83,5 +83,19 @@
   CHECK(!uncounted);
 }
 
+// Guards against a request that is read, then dropped because the answer before it closes.
+TEST_CASE("a request read before the connection is asked to close is answered first") {
+  Server server([](const std::shared_ptr<ServerExchange>& exchange) {
+    exchange->Answer(200, "OK", {}, exchange->head().target);
+  });
+  RawClient caller(server.http.address());
+  REQUIRE(caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"));
+  server.http.AskToClose();
+  REQUIRE(server.Wait([&] { return server.http.activity().closing == 1; }));
+  const std::string answers = caller.ReadAll();
+  CHECK(answers.find("/1") != std::string::npos);
+  CHECK(answers.ends_with("Connection: close\r\nContent-Length: 2\r\n\r\n/2"));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
