Test: a refused request counts until its refusal has left

400, 408, 413 and 431 are written by the connection itself, without an exchange; the count that went with the exchange never had them.

--- a/tests/stop/http_server_stop_test.cc
+++ b/tests/stop/http_server_stop_test.cc
@@ -97,5 +97,19 @@
   CHECK(answers.ends_with("Connection: close\r\nContent-Length: 2\r\n\r\n/2"));
 }
 
+// Guards against a refusal that is lost with its process: no exchange was opened for it.
+TEST_CASE("a refused request counts until its refusal has left") {
+  const std::string noise = "GARBAGE\r\n\r\n";
+  auto server = std::make_unique<Server>([](const std::shared_ptr<ServerExchange>&) {});
+  RawClient caller(server->http.address());
+  REQUIRE(caller.Send(noise));
+  REQUIRE(server->Wait([&] { return server->http.activity().unread_bytes == noise.size(); }));
+  REQUIRE(server->Wait([&] { return server->http.activity().unread_bytes == 0; }));
+  CHECK(server->http.open_exchanges() == 1);
+  REQUIRE(server->Wait([&] { return server->http.open_exchanges() == 0; }));
+  server.reset();
+  CHECK(caller.ReadAll().starts_with("HTTP/1.1 400 "));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
