--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -71,6 +71,7 @@
     server_->connections.insert(this);
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
   }
   ~Connection() override { server_->connections.erase(this); }
 
@@ -79,6 +80,7 @@
     Read();
   }
 
+  bool has_input() const { return !input_.empty(); }
   std::size_t pending_bytes() const { return writing_.size() + waiting_.size(); }
 
   void AddTo(ServerActivity* activity) const override {
@@ -88,7 +90,8 @@
     activity->unsent_bytes += pending_bytes();
     boost::system::error_code ignored;
     activity->unread_bytes += input_.size() + socket_.available(ignored);
-    if (exchange_open_) {
+    const bool to_parse = !input_.empty() && !close_when_written_;
+    if (exchange_open_ || to_parse) {
       ++activity->answering;
     } else if (pending_bytes() > 0) {
       ++activity->sending;
@@ -150,27 +153,42 @@
   }
 
   void Read() {
-    if (reading_ || closed_ || close_when_written_ || input_.size() >= kMaxBufferedAhead) {
+    if (reading_ || closed_ || (close_when_written_ && !ending_) ||
+        input_.size() >= kMaxBufferedAhead) {
       return;
     }
     reading_ = true;
-    socket_.async_read_some(
-        boost::asio::buffer(read_buffer_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
-          self->reading_ = false;
-          self->OnRead(error, count);
-        });
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code& error) {
+                         self->reading_ = false;
+                         self->OnReadable(error);
+                       });
   }
 
-  void OnRead(const boost::system::error_code& error, std::size_t count) {
+  // Reads here and not in the reactor: a request that was read is counted before any other handler
+  // runs.
+  void OnReadable(boost::system::error_code error) {
     if (closed_) {
       return;
     }
+    std::array<char, kReadSize> buffer;
+    std::size_t count = 0;
+    if (!error) {
+      count = socket_.read_some(boost::asio::buffer(buffer), error);
+    }
+    if (error == boost::asio::error::would_block) {
+      Read();
+      return;
+    }
     if (error) {
       Close();
       return;
     }
-    input_.append(read_buffer_.data(), count);
+    if (close_when_written_) {
+      Read();
+      return;
+    }
+    input_.append(buffer.data(), count);
     if (!exchange_open_) {
       Parse();
     }
@@ -281,24 +299,8 @@
         self->Close();
       }
     });
-    Discard();
-  }
-
-  void Discard() {
-    if (reading_ || closed_) {
-      return;
-    }
-    reading_ = true;
-    socket_.async_read_some(
-        boost::asio::buffer(read_buffer_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
-          self->reading_ = false;
-          if (error) {
-            self->Close();
-            return;
-          }
-          self->Discard();
-        });
+    input_.clear();
+    Read();
   }
 
   void Close() {
@@ -319,7 +321,6 @@
   tcp::socket socket_;
   std::unique_ptr<LoopTimer> timer_;
   std::unique_ptr<RequestParser> parser_;
-  std::array<char, kReadSize> read_buffer_;
   // Read but not parsed yet.
   std::string input_;
   std::string writing_;
@@ -345,7 +346,8 @@
 }
 
 std::string Exchange::HeadText(int status, absl::string_view reason, const HeaderFields& fields) {
-  close_after_ = !head_.keep_alive || server_->ask_to_close;
+  // Requests behind an answer that closes are dropped: those already read are answered before.
+  close_after_ = !head_.keep_alive || (server_->ask_to_close && !connection_->has_input());
   std::string text = absl::StrCat("HTTP/1.1 ", status, " ", reason, "\r\n");
   for (const HeaderField& field : fields) {
     absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
