--- /dev/null
+++ b/tests/soak/soak_faults.cc
@@ -0,0 +1,215 @@
+// What the plan of a run does to gateways, store and workers.
+#include <csignal>
+
+#include "absl/strings/str_cat.h"
+#include "tests/soak/soak_run.h"
+
+namespace hingespan::soak {
+namespace {
+
+using emulator::StoreFault;
+using emulator::WorkerFault;
+
+// After its row said so, until it answers nobody.
+constexpr absl::Duration kServesAfterLeave = absl::Seconds(7);
+// A crashed worker's row stays for so long.
+constexpr absl::Duration kRowAfterCrash = absl::Seconds(2);
+constexpr absl::Duration kLinkDelay = absl::Milliseconds(120);
+
+WorkerFault WorkerFaultOf(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kWorkerFails:
+      return WorkerFault::kFails;
+    case FaultKind::kWorkerSheds:
+      return WorkerFault::kSheds;
+    case FaultKind::kWorkerLosesAnswers:
+      return WorkerFault::kLosesAnswer;
+    case FaultKind::kWorkerMixesAnswers:
+      return WorkerFault::kOtherRequest;
+    case FaultKind::kWorkerBreaksStreams:
+      return WorkerFault::kBreaksStream;
+    case FaultKind::kWorkerSilent:
+      return WorkerFault::kSilent;
+    default:
+      return WorkerFault::kNone;
+  }
+}
+
+LinkFault LinkFaultOf(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kStoreLinkDelay:
+    case FaultKind::kWorkerLinkDelay:
+      return LinkFault::kDelay;
+    case FaultKind::kStoreLinkReset:
+    case FaultKind::kWorkerLinkReset:
+      return LinkFault::kReset;
+    case FaultKind::kStoreLinkCutTowards:
+      return LinkFault::kCutTowardsTarget;
+    case FaultKind::kStoreLinkCutFrom:
+      return LinkFault::kCutFromTarget;
+    case FaultKind::kStoreLinkSilent:
+    case FaultKind::kWorkerLinkSilent:
+      return LinkFault::kSilent;
+    default:
+      return LinkFault::kNone;
+  }
+}
+
+StoreFault StoreFaultOf(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kStoreUnavailable:
+      return StoreFault::kUnavailable;
+    case FaultKind::kStoreSilent:
+      return StoreFault::kSilent;
+    case FaultKind::kStoreLosesAnswers:
+      return StoreFault::kLoseAnswers;
+    case FaultKind::kStoreActsLate:
+      return StoreFault::kActsLate;
+    default:
+      return StoreFault::kNone;
+  }
+}
+
+}  // namespace
+
+void SoakRun::Begin(const PlannedFault& fault) {
+  if (fault.kind <= FaultKind::kGatewayReload) {
+    HarmGateway(fault);
+  } else if (fault.kind <= FaultKind::kStoreForgetsHistory) {
+    HarmStore(fault);
+  } else {
+    HarmWorker(fault);
+  }
+}
+
+void SoakRun::StopGateway(std::size_t index) {
+  Gateway& gateway = gateways_[index];
+  if (!gateway.process->running() || gateway.stopping || gateway.paused) {
+    return;
+  }
+  const bool undisturbed = !records_.Disturbed(Disturbance::Of::kGateway, index,
+                                               loop_.Now() - absl::Seconds(3), loop_.Now());
+  if (undisturbed) {
+    records_.stops.push_back({index, gateway.process->lives(), loop_.Now()});
+  }
+  Note(Disturbance::Of::kGateway, index, absl::Seconds(kStopSeconds + 3));
+  gateway.stopping = true;
+  gateway.process->Signal(SIGTERM);
+  const int life = gateway.process->lives();
+  At(absl::Seconds(kStopSeconds + 1), [this, index, life] {
+    Gateway& late = gateways_[index];
+    if (late.process->running() && late.process->lives() == life && late.stopping) {
+      records_.odd_ends.push_back(
+          absl::StrCat(late.process->name(), " life ", life, " does not end in time"));
+      late.process->Signal(SIGKILL);
+    }
+  });
+}
+
+void SoakRun::HarmGateway(const PlannedFault& fault) {
+  const std::size_t index = fault.target % gateways_.size();
+  Gateway& gateway = gateways_[index];
+  switch (fault.kind) {
+    case FaultKind::kGatewayKill:
+      Note(Disturbance::Of::kGateway, index, absl::Seconds(4));
+      gateway.process->Signal(SIGKILL);
+      return;
+    case FaultKind::kGatewayKillAll:
+      for (std::size_t each = 0; each < gateways_.size(); ++each) {
+        Note(Disturbance::Of::kGateway, each, absl::Seconds(4));
+        gateways_[each].process->Signal(SIGKILL);
+      }
+      return;
+    case FaultKind::kGatewayPause: {
+      if (gateway.paused || gateway.stopping || !gateway.process->running()) {
+        return;
+      }
+      gateway.paused = true;
+      Note(Disturbance::Of::kGateway, index, fault.duration + absl::Seconds(1));
+      gateway.process->Signal(SIGSTOP);
+      const int life = gateway.process->lives();
+      At(fault.duration, [this, index, life] {
+        Gateway& paused = gateways_[index];
+        if (paused.process->lives() == life && paused.paused) {
+          paused.paused = false;
+          paused.process->Signal(SIGCONT);
+        }
+      });
+      return;
+    }
+    case FaultKind::kGatewayStop:
+      StopGateway(index);
+      return;
+    default:
+      gateway.process->Signal(SIGHUP);
+      return;
+  }
+}
+
+void SoakRun::HarmStore(const PlannedFault& fault) {
+  if (fault.kind == FaultKind::kStoreForgetsHistory) {
+    Note(Disturbance::Of::kStore, 0, absl::Seconds(1));
+    store_.Compact();
+    return;
+  }
+  const StoreFault store_fault = StoreFaultOf(fault.kind);
+  if (store_fault != StoreFault::kNone) {
+    Note(Disturbance::Of::kStore, 0, fault.duration + absl::Seconds(2));
+    store_.SetFault(store_fault);
+    At(fault.duration, [this] { store_.SetFault(StoreFault::kNone); });
+    return;
+  }
+  const std::size_t index = fault.target % gateways_.size();
+  Note(Disturbance::Of::kStoreLink, index, fault.duration);
+  gateways_[index].store_link->SetFault(LinkFaultOf(fault.kind), kLinkDelay);
+  At(fault.duration, [this, index] { gateways_[index].store_link->SetFault(LinkFault::kNone); });
+}
+
+void SoakRun::TakeWorkerAway(Worker* worker, bool announced, absl::Duration duration) {
+  worker->present = false;
+  if (announced) {
+    worker->worker->SetDraining();
+    records_.leaves.push_back({worker->id, loop_.Now()});
+  } else {
+    worker->link->SetFault(LinkFault::kReset);
+  }
+  At(announced ? kServesAfterLeave : kRowAfterCrash, [this, worker] {
+    store_.Remove("servers", worker->id);
+    worker->link->SetFault(LinkFault::kReset);
+  });
+  // Another one comes in its place.
+  At(duration, [this, service = worker->service] { AddWorker(service, ""); });
+}
+
+void SoakRun::HarmWorker(const PlannedFault& fault) {
+  std::vector<Worker*> present;
+  for (const auto& worker : workers_) {
+    if (worker->present) {
+      present.push_back(worker.get());
+    }
+  }
+  if (present.empty()) {
+    return;
+  }
+  Worker* const worker = present[fault.target % present.size()];
+  Note(Disturbance::Of::kWorker, 0, fault.duration + absl::Seconds(2));
+  const bool crash = fault.kind == FaultKind::kWorkerCrash;
+  if (crash || fault.kind == FaultKind::kWorkerLeaves) {
+    TakeWorkerAway(worker, !crash, fault.duration);
+    return;
+  }
+  const WorkerFault worker_fault = WorkerFaultOf(fault.kind);
+  if (worker_fault != WorkerFault::kNone) {
+    worker->worker->SetFault(worker_fault);
+    At(fault.duration, [worker] { worker->worker->SetFault(WorkerFault::kNone); });
+    return;
+  }
+  worker->link->SetFault(LinkFaultOf(fault.kind), kLinkDelay);
+  At(fault.duration, [worker] {
+    if (worker->present) {
+      worker->link->SetFault(LinkFault::kNone);
+    }
+  });
+}
+
+}  // namespace hingespan::soak
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -22,6 +22,9 @@
 
 namespace hingespan::soak {
 
+// From SIGTERM to SIGKILL.
+constexpr int kStopSeconds = 6;
+
 struct SoakOptions {
   std::uint64_t seed = 1;
   absl::Duration length = absl::Seconds(20);
