Soak: callers on kept connections, and planned work in series that overlap

Callers: three for each gateway keep a connection of their own and send one request after another on it until it ends, also to a process that is stopping.

Plans: series (rolls, SIGTERM twice, SIGHUP in a stop, quick changes, SIGTERM just after the start, all at once, kills and failing workers in a roll) are drawn from a random stream of their own and overlap. Gateways are started without holding up the loop.

Read is what reached a worker, what an answer began for, or what was followed, over 1 s later, by an end in good order (the kernel resets a connection that closes with bytes unread). A kept connection that ends unread breaks nothing, in the earlier checks too.

--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -6,7 +6,8 @@
 namespace hingespan::soak {
 namespace {
 
-constexpr int kKinds = static_cast<int>(FaultKind::kWorkerSilent) + 1;
+constexpr int kKinds = static_cast<int>(FaultKind::kWorkersBreakStreams) + 1;
+constexpr int kDrawnKinds = static_cast<int>(FaultKind::kWorkerSilent) + 1;
 constexpr double kLeastSeconds = 0.3;
 constexpr double kMostSeconds = 5.0;
 
@@ -22,7 +23,9 @@
       "worker_link_delay",    "worker_link_reset",      "worker_link_silent",
       "worker_fails",         "worker_sheds",           "worker_loses_answers",
       "worker_mixes_answers", "worker_breaks_streams",  "worker_crash",
-      "worker_leaves",        "worker_silent"};
+      "worker_leaves",        "worker_silent",          "gateway_stop_again",
+      "gateway_stop_fresh",   "gateway_stop_all",       "configuration_change",
+      "workers_shed",         "workers_lose_answers",   "workers_break_streams"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -38,7 +41,7 @@
       return plan;
     }
     PlannedFault fault;
-    fault.kind = static_cast<FaultKind>(random() % kKinds);
+    fault.kind = static_cast<FaultKind>(random() % kDrawnKinds);
     fault.at = at;
     const double part = fraction();
     fault.duration = absl::Seconds(kLeastSeconds + (kMostSeconds - kLeastSeconds) * part * part);
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -40,8 +40,19 @@
   kWorkerBreaksStreams,
   kWorkerCrash,
   kWorkerLeaves,
-  // The last one.
+  // The last one that is drawn by itself.
   kWorkerSilent,
+  // Steps of a series. SIGTERM, also to a gateway that is stopping.
+  kGatewayStopAgain,
+  // SIGTERM as soon as the gateway has been started the next time.
+  kGatewayStopFresh,
+  kGatewayStopAll,
+  kConfigurationChange,
+  // Of all workers of a service.
+  kWorkersShed,
+  kWorkersLoseAnswers,
+  // The last one.
+  kWorkersBreakStreams,
 };
 
 struct PlannedFault {
@@ -60,9 +71,22 @@
   absl::Duration mean_gap = absl::Milliseconds(1200);
 };
 
+struct SeriesPlanOptions {
+  std::uint64_t seed = 0;
+  absl::Duration length = absl::Seconds(20);
+  std::uint32_t gateways = 4;
+  // Kills and failing workers too.
+  bool unplanned = false;
+};
+
 const char* FaultName(FaultKind kind);
 // In order of `at`.
 std::vector<PlannedFault> MakeFaultPlan(const FaultPlanOptions& options);
+// Rolling restarts, repeated signals and quick changes, one over the other. In order of `at`.
+std::vector<PlannedFault> MakeSeriesPlan(const SeriesPlanOptions& options);
+// Both, in order of `at`.
+std::vector<PlannedFault> Merged(std::vector<PlannedFault> left,
+                                 const std::vector<PlannedFault>& right);
 
 }  // namespace hingespan::soak
 
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -1,7 +1,6 @@
 #include "tests/soak/gateway_process.h"
 
 #include <fcntl.h>
-#include <poll.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -13,14 +12,12 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "hingespan/common/clock.h"
 
 namespace hingespan::soak {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr int kPollMilliseconds = 5;
 constexpr int kNotStarted = 127;
 
 }  // namespace
@@ -39,7 +36,7 @@
   return absl::StrCat(options_.folder, "/", options_.name, "-", lives_, ".log");
 }
 
-bool GatewayProcess::Start(absl::Duration limit) {
+void GatewayProcess::Launch() {
   ++lives_;
   request_address_.clear();
   const std::string settings = absl::StrCat(options_.folder, "/", options_.name, ".toml");
@@ -49,7 +46,11 @@
                           << "address = \"" << options_.store_address << "\"\n[stop]\n"
                           << "time_s = " << options_.stop_seconds << "\n[placement]\n"
                           << "workers_check_tokens = "
-                          << (options_.workers_check_tokens ? "true" : "false") << "\n";
+                          << (options_.workers_check_tokens ? "true" : "false")
+                          << "\n[retries]\nratio = " << options_.repeats.ratio
+                          << "\nextra = " << options_.repeats.extra
+                          << "\nwindow_s = " << absl::ToInt64Seconds(options_.repeats.window)
+                          << "\n";
   const std::string log = log_file();
   const pid_t parent = getpid();
   const pid_t child = fork();
@@ -68,17 +69,16 @@
     _exit(kNotStarted);
   }
   pid_ = child;
-  const absl::Time end = SystemClock().Now() + limit;
-  while (!ReadAddress()) {
-    if (SystemClock().Now() > end) {
-      return false;
-    }
-    poll(nullptr, 0, kPollMilliseconds);
+}
+
+bool GatewayProcess::Listens() {
+  if (running() && request_address_.empty()) {
+    ReadAddress();
   }
-  return true;
+  return serving();
 }
 
-bool GatewayProcess::ReadAddress() {
+void GatewayProcess::ReadAddress() {
   std::ifstream log(log_file());
   for (std::string line; std::getline(log, line);) {
     if (!absl::StrContains(line, "\"event\":\"started\"")) {
@@ -87,10 +87,8 @@
     const Json json = Json::parse(line, nullptr, false);
     if (json.is_object()) {
       request_address_ = json.value("requests", "");
-      return !request_address_.empty();
     }
   }
-  return false;
 }
 
 void GatewayProcess::Signal(int signal) {
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "tests/soak/soak_records.h"
 
 namespace hingespan::soak {
 
@@ -19,6 +20,7 @@
   std::string folder;
   int stop_seconds = 6;
   bool workers_check_tokens = true;
+  RepeatLimits repeats;
 };
 
 // Not thread-safe. Destroying it kills the process by its id.
@@ -29,20 +31,24 @@
   GatewayProcess(const GatewayProcess&) = delete;
   GatewayProcess& operator=(const GatewayProcess&) = delete;
 
-  // Starts a life. False when it does not listen within `limit`.
-  bool Start(absl::Duration limit);
+  // Starts a life; it listens some time later.
+  void Launch();
+  // Whether it takes requests, as its log says.
+  bool Listens();
   void Signal(int signal);
   // Takes note of an end. `exit_code` is of the wait status; true once, when it has ended.
   bool Reap(int* wait_status);
 
   const std::string& name() const { return options_.name; }
   bool running() const { return pid_ > 0; }
+  // Running, and found to listen.
+  bool serving() const { return running() && !request_address_.empty(); }
   int lives() const { return lives_; }
   std::string request_address() const { return request_address_; }
   std::string log_file() const;
 
  private:
-  bool ReadAddress();
+  void ReadAddress();
 
   GatewayProcessOptions options_;
   pid_t pid_ = -1;
--- /dev/null
+++ b/tests/soak/planned_work.h
@@ -0,0 +1,17 @@
+// The promise that planned work costs no request that was read.
+#ifndef TESTS_SOAK_PLANNED_WORK_H_
+#define TESTS_SOAK_PLANNED_WORK_H_
+
+#include <vector>
+
+#include "tests/soak/promises.h"
+#include "tests/soak/run_index.h"
+
+namespace hingespan::soak {
+
+void CheckPlannedWork(const SoakRecords& records, const RunIndex& runs,
+                      std::vector<BrokenPromise>* broken);
+
+}  // namespace hingespan::soak
+
+#endif  // TESTS_SOAK_PLANNED_WORK_H_
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -7,6 +7,8 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "tests/soak/planned_work.h"
+#include "tests/soak/run_index.h"
 
 namespace hingespan::soak {
 namespace {
@@ -26,20 +28,13 @@
 constexpr absl::Duration kTakenAfterStop = absl::Seconds(1);
 // Once all is in order again; a stream takes 0.4 s.
 constexpr absl::Duration kSlowInGoodTimes = absl::Seconds(5);
+constexpr std::size_t kShownBytes = 80;
 constexpr double kServedAfterFaults = 0.9;
-constexpr int kEvents = 12;
-
-using Runs = std::map<std::string, std::vector<std::pair<std::string, const PlatformWorker::Run*>>>;
 
 class Checker {
  public:
   Checker(const SoakRecords& records, const std::vector<SoakWorkerView>& workers)
-      : records_(records), workers_(workers) {
-    for (const SoakWorkerView& view : workers) {
-      for (const PlatformWorker::Run& run : view.worker->runs()) {
-        runs_[run.id].emplace_back(view.id, &run);
-      }
-    }
+      : records_(records), workers_(workers), runs_(records, workers) {
     for (const auto& request : records.requests) {
       by_id_[request->id] = request.get();
     }
@@ -53,6 +48,7 @@
       CheckCallerGone(*request);
     }
     CheckStops();
+    CheckPlannedWork(records_, runs_, &broken_);
     CheckConfiguration();
     CheckLeaves();
     CheckOrders();
@@ -68,21 +64,11 @@
     broken_.push_back({std::move(promise), std::move(what)});
   }
 
-  std::string Describe(const RequestRecord& request) const {
-    std::string text = absl::StrCat(
-        "request ", request.id, " at gateway ", request.gateway, " life ", request.life, " sent ",
-        absl::FormatDuration(request.sent - records_.traffic_began), " status ",
-        request.head.status, " result ", static_cast<int>(request.result), " after ",
-        request.ended() ? absl::FormatDuration(request.ended_at - request.sent) : "never");
-    const auto entry = runs_.find(request.id);
-    if (entry != runs_.end()) {
-      for (const auto& [worker, run] : entry->second) {
-        absl::StrAppend(&text, ", run at ", worker, " ",
-                        absl::FormatDuration(run->began - records_.traffic_began),
-                        run->ended ? " ended" : "", run->caller_left ? " caller left" : "");
-      }
-    }
-    return text;
+  std::string Describe(const RequestRecord& request) const { return runs_.Describe(request); }
+
+  // A caller that keeps its connection may find that it has been closed: then nothing was read.
+  bool MayBeUnread(const RequestRecord& request) const {
+    return request.on_kept_connection && !runs_.WasRead(request);
   }
 
   bool InTouch(std::size_t gateway, absl::Time from, absl::Time to) const {
@@ -94,6 +80,9 @@
 
   // Each caller receives the whole answer to its own request.
   void CheckAnswer(const RequestRecord& request) {
+    if (request.surplus) {
+      Broken("no bytes behind an answer", Describe(request));
+    }
     const bool success = request.head.status / 100 == 2;
     if (!success || request.kind == RequestKind::kProbe) {
       return;
@@ -119,24 +108,24 @@
     const std::vector<std::string> events = absl::StrSplit(request.body, "\n\n", absl::SkipEmpty());
     const bool complete = request.result == ExchangeResult::kComplete;
     for (std::size_t index = 0; index < events.size(); ++index) {
-      const std::string wanted =
-          absl::StrCat("id: ", next, "\ndata: event ", next, " of ", request.id);
+      const std::string wanted = absl::StrCat("id: ", next, "\ndata: event ", next, " of ",
+                                              request.id, std::string(request.padding, '.'));
       const bool cut_off = !complete && index + 1 == events.size();
       if (events[index] != wanted && !cut_off) {
-        Broken("events in order", absl::StrCat(Describe(request), " event ", events[index]));
+        Broken("events in order",
+               absl::StrCat(Describe(request), " event ", events[index].substr(0, kShownBytes)));
         return;
       }
       ++next;
     }
-    if (complete && next != kEvents + 1) {
+    if (complete && next != request.events + 1) {
       Broken("a broken stream does not look complete", Describe(request));
     }
   }
 
   // A request marked as not repeatable runs at most once, and a refusal is true.
   void CheckRuns(const RequestRecord& request) {
-    const auto entry = runs_.find(request.id);
-    const std::size_t count = entry == runs_.end() ? 0 : entry->second.size();
+    const std::size_t count = runs_.RunsOf(request).size();
     if (request.MayRunAgain() || request.kind == RequestKind::kProbe) {
       return;
     }
@@ -162,14 +151,13 @@
     }
     const bool kept = request.result == ExchangeResult::kComplete ||
                       (request.IsStream() && request.head.status == 200);
-    if (!kept) {
+    if (!kept && !MayBeUnread(request)) {
       Broken("none is silently dropped", Describe(request));
     }
   }
 
   void CheckCallerGone(const RequestRecord& request) {
-    const auto entry = runs_.find(request.id);
-    if (!request.cancelled() || entry == runs_.end()) {
+    if (!request.cancelled()) {
       return;
     }
     const absl::Time limit = request.cancelled_at + kCallerGoneTime;
@@ -177,7 +165,7 @@
         records_.Disturbed(Disturbance::Of::kWorker, 0, request.sent, limit)) {
       return;
     }
-    for (const auto& [worker, run] : entry->second) {
+    for (const auto& [worker, run] : runs_.RunsOf(request)) {
       if (!run->ended && run->caller_left_at > limit) {
         Broken("a caller that left ends its run",
                absl::StrCat(Describe(request), " at worker ", worker));
@@ -185,13 +173,14 @@
     }
   }
 
-  // A planned stop cuts off no request in progress.
+  // A planned stop cuts off no request in progress. Slow callers may outlast it: CheckPlannedWork
+  // tells theirs apart.
   void CheckStops() {
     for (const PlannedStop& stop : records_.stops) {
       for (const auto& request : records_.requests) {
         if (request->gateway != stop.gateway || request->life != stop.life ||
             request->cancelled() || request->sent > stop.at + kTakenAfterStop ||
-            request->ended_at < stop.at) {
+            request->ended_at < stop.at || request->read_slowly || MayBeUnread(*request)) {
           continue;
         }
         const absl::Time end = std::min(request->ended_at, stop.at + absl::Seconds(10));
@@ -314,7 +303,7 @@
 
   const SoakRecords& records_;
   const std::vector<SoakWorkerView>& workers_;
-  Runs runs_;
+  RunIndex runs_;
   std::map<std::string, const RequestRecord*> by_id_;
   std::vector<BrokenPromise> broken_;
 };
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -21,6 +21,7 @@
 struct SoakWorkerView {
   std::string id;
   const emulator::PlatformWorker* worker = nullptr;
+  std::string service;
 };
 
 // Pure: `records` and the workers' own notes are all it looks at.
--- /dev/null
+++ b/tests/soak/run_index.cc
@@ -0,0 +1,62 @@
+#include "tests/soak/run_index.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::soak {
+namespace {
+
+// A request may cross the end of its connection; the driver may be late to see that end.
+constexpr absl::Duration kCrossingTime = absl::Seconds(1);
+
+}  // namespace
+
+RunIndex::RunIndex(const SoakRecords& records, const std::vector<SoakWorkerView>& workers)
+    : records_(records) {
+  for (const SoakWorkerView& view : workers) {
+    for (const Run& run : view.worker->runs()) {
+      runs_[run.id].emplace_back(view.id, &run);
+    }
+    for (const auto& arrival : view.worker->arrivals()) {
+      arrived_.insert(arrival.id);
+    }
+  }
+}
+
+const RunIndex::RunList& RunIndex::RunsOf(const RequestRecord& request) const {
+  static const RunList none;
+  const auto entry = runs_.find(request.id);
+  return entry == runs_.end() ? none : entry->second;
+}
+
+bool RunIndex::WasRead(const RequestRecord& request) const {
+  if (request.head.status != 0 || request.result == gateway::ExchangeResult::kMalformed ||
+      arrived_.contains(request.id)) {
+    return true;
+  }
+  // The kernel resets a connection that is closed with bytes unread: after an end in good order
+  // nothing was left. A reset without an answer says nothing, nor does an end that the request may
+  // have crossed: the gateway closes kept connections that are idle.
+  return request.ended_in_order && request.ended_at - request.sent > kCrossingTime;
+}
+
+std::string RunIndex::Describe(const RequestRecord& request) const {
+  std::string text = absl::StrCat(
+      "request ", request.id, " at gateway ", request.gateway, " life ", request.life, " sent ",
+      absl::FormatDuration(request.sent - records_.traffic_began),
+      request.on_kept_connection ? " on a kept connection" : "",
+      request.read_slowly ? " read slowly" : "", " status ", request.head.status, " result ",
+      static_cast<int>(request.result), " body ", request.body.size(), " bytes after ",
+      request.ended() ? absl::FormatDuration(request.ended_at - request.sent) : "never");
+  for (const auto& [worker, run] : RunsOf(request)) {
+    absl::StrAppend(&text, ", run at ", worker, " ",
+                    absl::FormatDuration(run->began - records_.traffic_began),
+                    run->ended ? " ended" : "");
+    if (run->caller_left) {
+      absl::StrAppend(&text, " caller left ",
+                      absl::FormatDuration(run->caller_left_at - records_.traffic_began));
+    }
+  }
+  return text;
+}
+
+}  // namespace hingespan::soak
--- /dev/null
+++ b/tests/soak/soak_callers.cc
@@ -0,0 +1,145 @@
+// The callers of a run: single requests, probes, and callers that keep their connections.
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "tests/soak/soak_run.h"
+
+namespace hingespan::soak {
+namespace {
+
+constexpr absl::Duration kCancelAfter = absl::Milliseconds(150);
+constexpr double kCancelledPart = 0.04;
+constexpr int kQuickCallers = 2;
+constexpr double kLargePart = 0.3;
+// Added to the seed: the draws of kept callers leave those of the others as they were.
+constexpr std::uint64_t kKeptStream = 0x6e9ca11;
+// Between requests of a quick caller, for each gateway: the load of a run does not grow with it.
+constexpr absl::Duration kPauseForEachGateway = absl::Milliseconds(8);
+constexpr CallerPace kSlowPace{absl::Milliseconds(20), 4096, 4096, absl::Milliseconds(12)};
+
+double FractionOf(std::mt19937_64* random) {
+  return static_cast<double>((*random)() >> 11) * 0x1.0p-53;
+}
+
+}  // namespace
+
+RequestRecord* SoakRun::AddRecord(std::size_t index, RequestKind kind) {
+  auto record = std::make_unique<RequestRecord>();
+  record->loop = &loop_;
+  record->id = absl::StrCat("s", options_.seed, "-", ++next_request_);
+  record->kind = kind;
+  record->gateway = index;
+  record->life = gateways_[index].process->lives();
+  record->sent = loop_.Now();
+  record->deadline = record->IsStream() ? absl::Seconds(8) : absl::Milliseconds(1500);
+  records_.requests.push_back(std::move(record));
+  return records_.requests.back().get();
+}
+
+std::string SoakRun::RequestBytes(const RequestRecord& record, const std::string& target,
+                                  std::mt19937_64* random) {
+  gateway::HeaderFields fields = {
+      {"Attempt-Id", record.id},
+      {"Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(record.deadline))}};
+  if (record.IsStream()) {
+    const double choice = FractionOf(random);
+    const int model = 1 + static_cast<int>(choice * choice * kModels);
+    const bool with_adapter = FractionOf(random) < 0.15;
+    fields.push_back({"Model", absl::StrCat("m", model, with_adapter ? "/a1" : "")});
+    fields.push_back({"Token-Count", absl::StrCat("200,", 2 * record.events)});
+  }
+  return gateway::RequestText("POST", target, kHost, fields, "body");
+}
+
+void SoakRun::Send(std::size_t index, RequestKind kind, const std::string& target) {
+  const Gateway& gateway = gateways_[index];
+  if (!gateway.process->serving()) {
+    return;
+  }
+  RequestRecord* const record = AddRecord(index, kind);
+  record->exchange = client_.Send(gateway.process->request_address(),
+                                  RequestBytes(*record, target, &random_), record);
+  if (kind != RequestKind::kProbe && FractionOf(&random_) < kCancelledPart) {
+    At(kCancelAfter, [this, record] {
+      if (!record->ended()) {
+        record->cancelled_at = loop_.Now();
+        record->ended_at = loop_.Now();
+        record->exchange.reset();
+      }
+    });
+  }
+}
+
+void SoakRun::SendRequest() {
+  static constexpr std::pair<RequestKind, const char*> kKinds[] = {
+      {RequestKind::kAct, "/act/x"},
+      {RequestKind::kRead, "/read/x"},
+      {RequestKind::kResumableStream, "/resumable/x"},
+      {RequestKind::kStream, "/once/x"}};
+  if (!sending_) {
+    return;
+  }
+  const auto& [kind, target] = kKinds[random_() % std::size(kKinds)];
+  Send(random_() % gateways_.size(), kind, target);
+}
+
+void SoakRun::SendProbes() {
+  for (std::size_t index = 0; sending_ && index < gateways_.size(); ++index) {
+    for (const int version : {version_, version_ - 1}) {
+      if (version < 1) {
+        continue;
+      }
+      const std::size_t before = records_.requests.size();
+      Send(index, RequestKind::kProbe, absl::StrCat("/v", version, "/x"));
+      if (records_.requests.size() > before) {
+        records_.requests.back()->probed_version = version;
+      }
+    }
+  }
+}
+
+void SoakRun::AddKeptCallers() {
+  kept_random_.seed(options_.seed ^ kKeptStream);
+  CallerPace quick;
+  quick.pause = kPauseForEachGateway * static_cast<double>(gateways_.size());
+  for (std::size_t index = 0; index < gateways_.size(); ++index) {
+    const auto address = [this, index] {
+      const GatewayProcess& process = *gateways_[index].process;
+      return process.serving() ? process.request_address() : std::string();
+    };
+    for (int number = 0; number <= kQuickCallers; ++number) {
+      const bool slow = number == kQuickCallers;
+      kept_callers_.push_back(std::make_unique<KeptCaller>(
+          &loop_, slow ? kSlowPace : quick, address,
+          [this, index, slow](std::string* bytes) { return NextKeptRequest(index, slow, bytes); }));
+    }
+  }
+}
+
+RequestRecord* SoakRun::NextKeptRequest(std::size_t index, bool slow, std::string* bytes) {
+  static constexpr std::pair<RequestKind, const char*> kKinds[] = {
+      {RequestKind::kAct, "/act/x"},
+      {RequestKind::kRead, "/read/x"},
+      {RequestKind::kResumableStream, "/resumable/x"},
+      {RequestKind::kStream, "/once/x"}};
+  if (!sending_) {
+    return nullptr;
+  }
+  const bool large = slow || FractionOf(&kept_random_) < kLargePart;
+  // Large answers are streams.
+  const std::size_t choice = large ? 2 + kept_random_() % 2 : kept_random_() % std::size(kKinds);
+  const RequestKind kind = kKinds[choice].first;
+  std::string target = kKinds[choice].second;
+  RequestRecord* const record = AddRecord(index, kind);
+  record->on_kept_connection = true;
+  record->read_slowly = slow;
+  if (large) {
+    record->events = kLargeStreamEvents;
+    record->padding = kLargeStreamPadding;
+    target = kind == RequestKind::kStream ? kLargeOnceTarget : kLargeStreamTarget;
+  }
+  *bytes = RequestBytes(*record, target, &kept_random_);
+  return record;
+}
+
+}  // namespace hingespan::soak
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -21,12 +21,15 @@
     case FaultKind::kWorkerFails:
       return WorkerFault::kFails;
     case FaultKind::kWorkerSheds:
+    case FaultKind::kWorkersShed:
       return WorkerFault::kSheds;
     case FaultKind::kWorkerLosesAnswers:
+    case FaultKind::kWorkersLoseAnswers:
       return WorkerFault::kLosesAnswer;
     case FaultKind::kWorkerMixesAnswers:
       return WorkerFault::kOtherRequest;
     case FaultKind::kWorkerBreaksStreams:
+    case FaultKind::kWorkersBreakStreams:
       return WorkerFault::kBreaksStream;
     case FaultKind::kWorkerSilent:
       return WorkerFault::kSilent;
@@ -77,14 +80,26 @@
     HarmGateway(fault);
   } else if (fault.kind <= FaultKind::kStoreForgetsHistory) {
     HarmStore(fault);
-  } else {
+  } else if (fault.kind <= FaultKind::kWorkerSilent) {
     HarmWorker(fault);
+  } else {
+    TakeStep(fault);
   }
 }
 
+bool SoakRun::SignalAsOperator(std::size_t index, int signal) {
+  GatewayProcess& process = *gateways_[index].process;
+  if (!process.serving()) {
+    return false;
+  }
+  records_.signals.push_back({signal, index, process.lives(), loop_.Now()});
+  process.Signal(signal);
+  return true;
+}
+
 void SoakRun::StopGateway(std::size_t index) {
   Gateway& gateway = gateways_[index];
-  if (!gateway.process->running() || gateway.stopping || gateway.paused) {
+  if (!gateway.process->serving() || gateway.stopping || gateway.paused) {
     return;
   }
   const bool undisturbed = !records_.Disturbed(Disturbance::Of::kGateway, index,
@@ -93,8 +108,9 @@
     records_.stops.push_back({index, gateway.process->lives(), loop_.Now()});
   }
   Note(Disturbance::Of::kGateway, index, absl::Seconds(kStopSeconds + 3));
+  records_.disturbances.back().planned = true;
   gateway.stopping = true;
-  gateway.process->Signal(SIGTERM);
+  (void)SignalAsOperator(index, SIGTERM);
   const int life = gateway.process->lives();
   At(absl::Seconds(kStopSeconds + 1), [this, index, life] {
     Gateway& late = gateways_[index];
@@ -121,7 +137,7 @@
       }
       return;
     case FaultKind::kGatewayPause: {
-      if (gateway.paused || gateway.stopping || !gateway.process->running()) {
+      if (gateway.paused || gateway.stopping || !gateway.process->serving()) {
         return;
       }
       gateway.paused = true;
@@ -141,8 +157,48 @@
       StopGateway(index);
       return;
     default:
-      gateway.process->Signal(SIGHUP);
+      (void)SignalAsOperator(index, SIGHUP);
+      return;
+  }
+}
+
+void SoakRun::TakeStep(const PlannedFault& fault) {
+  const std::size_t index = fault.target % gateways_.size();
+  switch (fault.kind) {
+    case FaultKind::kGatewayStopAgain:
+      if (gateways_[index].stopping) {
+        (void)SignalAsOperator(index, SIGTERM);
+      } else {
+        StopGateway(index);
+      }
+      return;
+    case FaultKind::kGatewayStopFresh:
+      gateways_[index].stop_when_started = true;
       return;
+    case FaultKind::kGatewayStopAll:
+      for (std::size_t each = 0; each < gateways_.size(); ++each) {
+        StopGateway(each);
+      }
+      return;
+    case FaultKind::kConfigurationChange:
+      PutConfiguration();
+      return;
+    default:
+      HarmService(fault);
+      return;
+  }
+}
+
+void SoakRun::HarmService(const PlannedFault& fault) {
+  const std::string service = fault.target % 2 == 0 ? "plain" : "models";
+  Note(Disturbance::Of::kWorker, 0, fault.duration + absl::Seconds(2));
+  for (const auto& each : workers_) {
+    Worker* const worker = each.get();
+    if (!worker->present || worker->service != service) {
+      continue;
+    }
+    worker->worker->SetFault(WorkerFaultOf(fault.kind));
+    At(fault.duration, [worker] { worker->worker->SetFault(WorkerFault::kNone); });
   }
 }
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,9 @@
 namespace {
 
 constexpr int kExitBroken = 1;
+constexpr int kMostGateways = 64;
+const std::map<std::string, Style> kStyles = {
+    {"single", Style::kSingle}, {"mixed", Style::kMixed}, {"planned", Style::kPlanned}};
 
 struct Flags {
   std::vector<std::uint64_t> seeds;
@@ -20,6 +24,8 @@
   std::size_t gateways = 4;
   std::string folder = "soak-logs";
   std::string program = HINGESPAN_PROGRAM_DIRECTORY "/hingespan-gateway";
+  // Empty: by the seed.
+  std::string style;
   bool show_plan = false;
 };
 
@@ -36,6 +42,7 @@
   options.seed = seed;
   options.length = absl::Seconds(flags.seconds);
   options.gateways = flags.gateways;
+  options.style = flags.style.empty() ? SoakRun::StyleOf(seed) : kStyles.at(flags.style);
   options.program = flags.program;
   options.folder = absl::StrCat(flags.folder, "/seed-", seed);
   // Of an earlier run: its addresses would be taken for those of this one.
@@ -62,7 +69,9 @@
   Flags flags;
   app.add_option("seeds", flags.seeds, "Seeds to play, one run each")->required();
   app.add_option("--seconds", flags.seconds, "How long faults come in each run");
-  app.add_option("--gateways", flags.gateways, "Gateways")->check(CLI::Range(1, 12));
+  app.add_option("--gateways", flags.gateways, "Gateways")->check(CLI::Range(1, kMostGateways));
+  app.add_option("--style", flags.style, "single, mixed or planned; by the seed if not given")
+      ->check(CLI::IsMember(kStyles));
   app.add_option("--logs", flags.folder, "Folder for settings and logs; those of kept runs go");
   app.add_option("--program", flags.program, "The gateway's program");
   app.add_flag("--plan", flags.show_plan, "Print the plan of each run");
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -2,6 +2,7 @@
 #ifndef TESTS_SOAK_SOAK_RECORDS_H_
 #define TESTS_SOAK_SOAK_RECORDS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -12,6 +13,9 @@
 
 namespace hingespan::soak {
 
+// Of a stream that is not said to be larger.
+constexpr int kStreamEvents = 12;
+
 enum class RequestKind {
   // Plain, may run once.
   kAct,
@@ -62,6 +66,17 @@
   std::unique_ptr<gateway::ClientExchange> exchange;
   // Of a probe: the version whose route it asks for.
   int probed_version = 0;
+  int events = kStreamEvents;
+  // Further bytes in each event of the stream.
+  std::size_t padding = 0;
+  // Sent by a caller that keeps a connection for many requests.
+  bool on_kept_connection = false;
+  // Its caller takes the answer more slowly than it comes.
+  bool read_slowly = false;
+  // Without an answer: the connection ended in good order, not by a reset.
+  bool ended_in_order = false;
+  // Bytes came behind the whole answer.
+  bool surplus = false;
 };
 
 // A time in which something was out of order.
@@ -71,6 +86,8 @@
   std::size_t target = 0;
   absl::Time begin;
   absl::Time end;
+  // An operator's doing: a stop with notice.
+  bool planned = false;
 };
 
 // A planned stop of a gateway's process.
@@ -80,6 +97,21 @@
   absl::Time at;
 };
 
+// A signal of the operator, SIGTERM or SIGHUP.
+struct OperatorSignal {
+  int signal = 0;
+  std::size_t gateway = 0;
+  int life = 0;
+  absl::Time at;
+};
+
+// What all gateways together may send beyond the first send of each request.
+struct RepeatLimits {
+  double ratio = 0.2;
+  double extra = 10;
+  absl::Duration window = absl::Seconds(10);
+};
+
 struct ConfigurationChange {
   int version = 0;
   absl::Time at;
@@ -104,13 +136,26 @@
     return false;
   }
 
+  // Whether anything unplanned was out of order between the two instants.
+  bool DisturbedUnplanned(absl::Time begin, absl::Time end) const {
+    return std::any_of(disturbances.begin(), disturbances.end(), [&](const Disturbance& each) {
+      return !each.planned && each.begin <= end && each.end >= begin;
+    });
+  }
+
   std::vector<std::unique_ptr<RequestRecord>> requests;
   std::vector<Disturbance> disturbances;
   std::vector<PlannedStop> stops;
+  std::vector<OperatorSignal> signals;
   std::vector<ConfigurationChange> changes;
   std::vector<WorkerLeave> leaves;
   // Processes that ended otherwise than they should have, and other remarks of the driver.
   std::vector<std::string> odd_ends;
+  // Nothing but planned work is done for the whole run.
+  bool planned_only = false;
+  // From SIGTERM to SIGKILL.
+  absl::Duration grace = absl::Seconds(6);
+  RepeatLimits repeats;
   absl::Time traffic_began;
   absl::Time faults_over;
   absl::Time recovery_began = absl::InfiniteFuture();
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -24,14 +24,15 @@
 constexpr absl::Duration kChangeInterval = absl::Seconds(4);
 constexpr absl::Duration kLookInterval = absl::Milliseconds(50);
 constexpr absl::Duration kDownTime = absl::Milliseconds(400);
-constexpr absl::Duration kCancelAfter = absl::Milliseconds(150);
 constexpr absl::Duration kHeartbeat = absl::Milliseconds(1200);
-constexpr double kCancelledPart = 0.04;
-constexpr int kModels = 4;
 constexpr double kModelMemoryMb = 100;
 constexpr double kWorkerMemoryMb = 250;
-constexpr int kEvents = 12;
-constexpr const char* kHost = "soak.example";
+
+constexpr double kExtraRepeatsOfGateway = 3;
+// Large fleets have more workers.
+constexpr std::size_t kGatewaysOfFurtherWorker = 8;
+constexpr emulator::StreamShape kLargeStream{kLargeStreamEvents, absl::Milliseconds(2),
+                                             kLargeStreamPadding};
 
 Json RouteJson(const std::string& prefix, const std::string& kind, const std::string& service,
                int attempts, bool resumable) {
@@ -49,21 +50,38 @@
       store_(&loop_),
       client_(&loop_, gateway::ClientLimits{}),
       gateways_(options_.gateways) {
-  FaultPlanOptions plan;
-  plan.seed = options_.seed;
-  plan.length = options_.length;
-  plan_ = MakeFaultPlan(plan);
+  if (options_.style != Style::kPlanned) {
+    FaultPlanOptions plan;
+    plan.seed = options_.seed;
+    plan.length = options_.length;
+    plan_ = MakeFaultPlan(plan);
+  }
+  if (options_.style != Style::kSingle) {
+    SeriesPlanOptions series;
+    series.seed = options_.seed;
+    series.length = options_.length;
+    series.gateways = static_cast<std::uint32_t>(options_.gateways);
+    series.unplanned = options_.style == Style::kMixed;
+    plan_ = Merged(std::move(plan_), MakeSeriesPlan(series));
+    records_.repeats.extra = kExtraRepeatsOfGateway * static_cast<double>(options_.gateways);
+  }
+  records_.planned_only = options_.style == Style::kPlanned;
+  records_.grace = absl::Seconds(kStopSeconds);
 }
 
 SoakRun::~SoakRun() = default;
 
+Style SoakRun::StyleOf(std::uint64_t seed) {
+  static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed, Style::kPlanned,
+                                      Style::kMixed, Style::kSingle};
+  return kStyles[seed % std::size(kStyles)];
+}
+
 bool SoakRun::WorkersCheckTokens() const {
   // A quarter of the seeds; the seeds that were kept before this was played are none of them.
   return options_.seed % 4 != 2;
 }
 
-double SoakRun::Fraction() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
-
 void SoakRun::At(absl::Duration after, std::function<void()> task) {
   timers_.push_back(loop_.MakeTimer());
   timers_.back()->Set(loop_.Now() + after, std::move(task));
@@ -92,8 +110,10 @@
   options.service = service;
   options.zone = absl::StrCat("zone-", next_worker_ % 2);
   options.slots = 16;
-  options.events = kEvents;
+  options.events = kStreamEvents;
   options.event_interval = absl::Milliseconds(30);
+  options.shapes[kLargeStreamTarget] = kLargeStream;
+  options.shapes[kLargeOnceTarget] = kLargeStream;
   options.load_time = absl::Milliseconds(300);
   options.names_request = true;
   options.checks_tokens = WorkersCheckTokens();
@@ -139,73 +159,6 @@
   records_.changes.push_back({version_, loop_.Now()});
 }
 
-void SoakRun::Send(std::size_t index, RequestKind kind, const std::string& target) {
-  const Gateway& gateway = gateways_[index];
-  if (!gateway.process->running()) {
-    return;
-  }
-  auto record = std::make_unique<RequestRecord>();
-  record->loop = &loop_;
-  record->id = absl::StrCat("s", options_.seed, "-", ++next_request_);
-  record->kind = kind;
-  record->gateway = index;
-  record->life = gateway.process->lives();
-  record->sent = loop_.Now();
-  record->deadline = record->IsStream() ? absl::Seconds(8) : absl::Milliseconds(1500);
-  gateway::HeaderFields fields = {
-      {"Attempt-Id", record->id},
-      {"Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(record->deadline))}};
-  if (record->IsStream()) {
-    const double choice = Fraction();
-    const int model = 1 + static_cast<int>(choice * choice * kModels);
-    const bool with_adapter = Fraction() < 0.15;
-    fields.push_back({"Model", absl::StrCat("m", model, with_adapter ? "/a1" : "")});
-    fields.push_back({"Token-Count", "200,24"});
-  }
-  record->exchange =
-      client_.Send(gateway.process->request_address(),
-                   gateway::RequestText("POST", target, kHost, fields, "body"), record.get());
-  RequestRecord* const sent = record.get();
-  records_.requests.push_back(std::move(record));
-  if (kind != RequestKind::kProbe && Fraction() < kCancelledPart) {
-    At(kCancelAfter, [this, sent] {
-      if (!sent->ended()) {
-        sent->cancelled_at = loop_.Now();
-        sent->ended_at = loop_.Now();
-        sent->exchange.reset();
-      }
-    });
-  }
-}
-
-void SoakRun::SendRequest() {
-  static constexpr std::pair<RequestKind, const char*> kKinds[] = {
-      {RequestKind::kAct, "/act/x"},
-      {RequestKind::kRead, "/read/x"},
-      {RequestKind::kResumableStream, "/resumable/x"},
-      {RequestKind::kStream, "/once/x"}};
-  if (!sending_) {
-    return;
-  }
-  const auto& [kind, target] = kKinds[random_() % std::size(kKinds)];
-  Send(random_() % gateways_.size(), kind, target);
-}
-
-void SoakRun::SendProbes() {
-  for (std::size_t index = 0; sending_ && index < gateways_.size(); ++index) {
-    for (const int version : {version_, version_ - 1}) {
-      if (version < 1) {
-        continue;
-      }
-      const std::size_t before = records_.requests.size();
-      Send(index, RequestKind::kProbe, absl::StrCat("/v", version, "/x"));
-      if (records_.requests.size() > before) {
-        records_.requests.back()->probed_version = version;
-      }
-    }
-  }
-}
-
 void SoakRun::KeepGatewaysRunning() {
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     Gateway& gateway = gateways_[index];
@@ -221,11 +174,28 @@
       gateway.paused = false;
       gateway.down_until = loop_.Now() + kDownTime;
     }
-    if (!gateway.process->running() && !over_ && loop_.Now() >= gateway.down_until &&
-        !gateway.process->Start(kStartLimit)) {
+    if (!gateway.process->running() && !over_ && loop_.Now() >= gateway.down_until) {
+      gateway.process->Launch();
+      gateway.listens_by = loop_.Now() + kStartLimit;
+    }
+    if (gateway.process->running() && !gateway.process->serving()) {
+      AwaitStart(index);
+    }
+  }
+}
+
+void SoakRun::AwaitStart(std::size_t index) {
+  Gateway& gateway = gateways_[index];
+  if (!gateway.process->Listens()) {
+    if (loop_.Now() > gateway.listens_by) {
       records_.odd_ends.push_back(absl::StrCat(gateway.process->name(), " does not start"));
-      gateway.down_until = loop_.Now() + kStartLimit;
+      gateway.process->Signal(SIGKILL);
+      gateway.listens_by = absl::InfiniteFuture();
     }
+    return;
+  }
+  if (std::exchange(gateway.stop_when_started, false)) {
+    StopGateway(index);
   }
 }
 
@@ -236,22 +206,37 @@
   for (int number = 1; number <= 3; ++number) {
     AddWorker("models", absl::StrCat("m", number));
   }
+  for (std::size_t number = 0; number < options_.gateways / kGatewaysOfFurtherWorker; ++number) {
+    AddWorker("plain", "");
+    AddWorker("models", absl::StrCat("m", 1 + number % kModels));
+  }
   PutConfiguration();
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     Gateway& gateway = gateways_[index];
     gateway.store_link = std::make_unique<FaultProxy>(&loop_, store_.address());
     gateway.process = std::make_unique<GatewayProcess>(GatewayProcessOptions{
         options_.program, absl::StrCat("gateway-", index), absl::StrCat("zone-", index % 2),
-        gateway.store_link->address(), options_.folder, kStopSeconds, WorkersCheckTokens()});
-    if (!gateway.process->Start(kStartLimit)) {
-      return {{"processes start", gateway.process->name()}};
-    }
+        gateway.store_link->address(), options_.folder, kStopSeconds, WorkersCheckTokens(),
+        records_.repeats});
+    gateway.process->Launch();
+  }
+  const bool all_started = loop_.RunUntil(
+      [this] {
+        return std::all_of(gateways_.begin(), gateways_.end(),
+                           [](const Gateway& gateway) { return gateway.process->Listens(); });
+      },
+      kStartLimit);
+  if (!all_started) {
+    return {{"processes start", "not all listen"}};
   }
   At(kSettleTime, [this] {
     records_.traffic_began = loop_.Now();
     Every(kRequestInterval, [this] { SendRequest(); });
     Every(kProbeInterval, [this] { SendProbes(); });
     Every(kChangeInterval, [this] { PutConfiguration(); });
+    if (options_.style != Style::kSingle) {
+      AddKeptCallers();
+    }
     for (const PlannedFault& fault : plan_) {
       At(fault.at, [this, fault] { Begin(fault); });
     }
@@ -269,11 +254,23 @@
   loop_.Run();
   std::vector<SoakWorkerView> views;
   for (const auto& worker : workers_) {
-    views.push_back({worker->id, worker->worker.get()});
+    views.push_back({worker->id, worker->worker.get(), worker->service});
   }
   return CheckPromises(records_, views);
 }
 
+const char* StyleName(Style style) {
+  switch (style) {
+    case Style::kSingle:
+      return "single";
+    case Style::kMixed:
+      return "mixed";
+    case Style::kPlanned:
+      return "planned";
+  }
+  return "";
+}
+
 std::string SoakRun::Summary() const {
   std::map<std::string, int> counts;
   for (const auto& request : records_.requests) {
@@ -281,8 +278,8 @@
       ++counts[request->cancelled() ? "cancelled" : absl::StrCat("status ", request->head.status)];
     }
   }
-  std::string text = absl::StrCat(records_.requests.size(), " requests with probes, ",
-                                  records_.stops.size(), " planned stops");
+  std::string text = absl::StrCat(StyleName(options_.style), ", ", records_.requests.size(),
+                                  " requests with probes, ", records_.signals.size(), " signals");
   for (const auto& [name, count] : counts) {
     absl::StrAppend(&text, ", ", name, ": ", count);
   }
--- a/tests/soak_checks/promises_test.cc
+++ b/tests/soak_checks/promises_test.cc
@@ -3,79 +3,16 @@
 
 #include <doctest/doctest.h>
 
-#include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "emulator/platform_store.h"
 #include "tests/soak/fault_plan.h"
+#include "tests/soak_checks/fixture.h"
 
 namespace hingespan::soak {
 namespace {
 
-absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
-
-// Workers of the stand-in that are really asked, and records as a run would have them.
-struct Fixture {
-  Fixture() {
-    options.id = "w1";
-    options.service = "plain";
-    options.names_request = true;
-    options.model_memory_mb = 100;
-    options.memory_mb = 150;
-    worker = std::make_unique<emulator::PlatformWorker>(&loop, &store, options);
-    views.push_back({"w1", worker.get()});
-    records.traffic_began = At(0);
-  }
-
-  RequestRecord* Add(RequestKind kind, int status, const std::string& body) {
-    auto record = std::make_unique<RequestRecord>();
-    record->loop = &loop;
-    record->id = absl::StrCat("r", records.requests.size());
-    record->kind = kind;
-    record->life = 1;
-    record->sent = At(1);
-    record->deadline = absl::Seconds(1);
-    record->ended_at = At(1.1);
-    record->head.status = status;
-    record->head.fields = {{"Attempt-Id", record->id},
-                           {"Server-Seal", absl::StrCat("seal-", record->id)}};
-    record->body = body;
-    record->result = gateway::ExchangeResult::kComplete;
-    records.requests.push_back(std::move(record));
-    return records.requests.back().get();
-  }
-
-  // Sends to the worker itself.
-  void Run(const std::string& id, const std::string& target, const std::string& body) {
-    RequestRecord call;
-    call.loop = &loop;
-    call.exchange =
-        client.Send(worker->address(),
-                    gateway::RequestText("POST", target, "h", {{"Attempt-Id", id}}, body), &call);
-    REQUIRE(loop.RunUntil([&] { return call.ended(); }, absl::Seconds(10)));
-  }
-
-  std::vector<std::string> Broken() {
-    std::vector<std::string> names;
-    for (const BrokenPromise& broken : CheckPromises(records, views)) {
-      names.push_back(broken.promise);
-    }
-    return names;
-  }
-
-  gateway::EventLoop loop;
-  emulator::PlatformStore store{&loop};
-  gateway::HttpClient client{&loop, gateway::ClientLimits{}};
-  emulator::PlatformWorkerOptions options;
-  std::unique_ptr<emulator::PlatformWorker> worker;
-  std::vector<SoakWorkerView> views;
-  SoakRecords records;
-};
-
-using Names = std::vector<std::string>;
-
 std::string Events(const std::string& id, int first, int last) {
   std::string text;
   for (int event = first; event <= last; ++event) {
