Soak: the budget of repeats is checked over all gateways

All gateways together may send ratio * requests + extra repeats in every window; nothing looked at the sum.

--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "tests/soak/planned_work.h"
+#include "tests/soak/repeat_budget.h"
 #include "tests/soak/run_index.h"
 
 namespace hingespan::soak {
@@ -49,6 +50,7 @@
     }
     CheckStops();
     CheckPlannedWork(records_, runs_, &broken_);
+    CheckRepeatBudget(records_, workers_, &broken_);
     CheckConfiguration();
     CheckLeaves();
     CheckOrders();
