--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -29,11 +29,13 @@
   bool show_plan = false;
 };
 
-void ShowPlan(const std::vector<PlannedFault>& plan) {
+std::string PlanText(const std::vector<PlannedFault>& plan) {
+  std::string text;
   for (const PlannedFault& fault : plan) {
-    std::cout << "  " << absl::FormatDuration(fault.at) << " " << FaultName(fault.kind) << " for "
-              << absl::FormatDuration(fault.duration) << " target " << fault.target << "\n";
+    absl::StrAppend(&text, "  ", absl::FormatDuration(fault.at), " ", FaultName(fault.kind),
+                    " for ", absl::FormatDuration(fault.duration), " target ", fault.target, "\n");
   }
+  return text;
 }
 
 // Returns whether all promises were kept.
@@ -50,14 +52,16 @@
   std::filesystem::create_directories(options.folder);
   SoakRun run(options);
   const std::vector<BrokenPromise> broken = run.Play();
-  std::cout << "seed " << seed << ": " << (broken.empty() ? "kept" : "BROKEN") << "; "
-            << run.plan().size() << " faults, " << run.Summary() << std::endl;
+  std::string report = absl::StrCat("seed ", seed, ": ", broken.empty() ? "kept" : "BROKEN", "; ",
+                                    run.plan().size(), " faults, ", run.Summary(), "\n");
   for (const BrokenPromise& promise : broken) {
-    std::cout << "  " << promise.promise << ": " << promise.what << "\n";
+    absl::StrAppend(&report, "  ", promise.promise, ": ", promise.what, "\n");
   }
   if (flags.show_plan || !broken.empty()) {
-    ShowPlan(run.plan());
+    absl::StrAppend(&report, PlanText(run.plan()));
   }
+  // In one piece: other runs write to the same place.
+  std::cout << report << std::flush;
   if (broken.empty()) {
     std::filesystem::remove_all(options.folder);
   }
