Soak: a kill in a planned stop is no fault of the stop

The check was wrong for these alone: a request is excused only when its own gateway was harmed otherwise than by a planned stop between the stop and the request's end. Before the kill, beside harm to another gateway and after harm that came later it counts as it did; the test says so. The driver marks what a stop itself disturbs as planned, and the test's record does now too.

--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -189,7 +189,8 @@
         const bool worker_harmed =
             records_.Disturbed(Disturbance::Of::kWorker, 0, request->sent, end);
         const bool excused = request->IsStream() && worker_harmed;
-        if (request->result != ExchangeResult::kComplete && !excused) {
+        const bool killed = records_.Harmed(stop.gateway, stop.at, request->ended_at);
+        if (request->result != ExchangeResult::kComplete && !excused && !killed) {
           Broken("a planned stop cuts off nothing", Describe(*request));
         }
       }
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -136,6 +136,13 @@
     return false;
   }
 
+  // Whether a gateway was harmed, e.g. killed, between the two instants, other than by a stop.
+  bool Harmed(std::size_t gateway, absl::Time begin, absl::Time end) const {
+    return std::any_of(disturbances.begin(), disturbances.end(), [&](const Disturbance& each) {
+      return each.of == Disturbance::Of::kGateway && each.target == gateway && !each.planned &&
+             each.begin <= end && each.end >= begin;
+    });
+  }
   // Whether anything unplanned was out of order between the two instants.
   bool DisturbedUnplanned(absl::Time begin, absl::Time end) const {
     return std::any_of(disturbances.begin(), disturbances.end(), [&](const Disturbance& each) {
--- a/tests/soak_checks/promises_test.cc
+++ b/tests/soak_checks/promises_test.cc
@@ -81,7 +81,21 @@
   cut->result = gateway::ExchangeResult::kBroken;
   fixture.records.stops.push_back({0, 1, At(1.05)});
   fixture.records.disturbances.push_back({Disturbance::Of::kGateway, 0, At(1.05), At(9)});
+  fixture.records.disturbances.back().planned = true;
   CHECK(fixture.Broken() == Names{"a planned stop cuts off nothing"});
+  fixture.records.disturbances.push_back({Disturbance::Of::kGateway, 1, At(1.08), At(5)});
+  fixture.records.disturbances.push_back({Disturbance::Of::kGateway, 0, At(1.2), At(5)});
+  CHECK(fixture.Broken() == Names{"a planned stop cuts off nothing"});
+}
+
+TEST_CASE("a request that a kill during a planned stop cuts off is no fault of the stop") {
+  Fixture fixture;
+  RequestRecord* const cut = fixture.Add(RequestKind::kAct, 0, "");
+  cut->result = gateway::ExchangeResult::kBroken;
+  fixture.records.stops.push_back({0, 1, At(1.05)});
+  fixture.records.disturbances.push_back({Disturbance::Of::kGateway, 0, At(1.05), At(9), true});
+  fixture.records.disturbances.push_back({Disturbance::Of::kGateway, 0, At(1.08), At(5)});
+  CHECK(fixture.Broken().empty());
 }
 
 TEST_CASE("a change that reverts, and one that does not take effect, are seen") {
