What the other nodes ran at a worker is forgotten when nobody tells of it any more

What callers saw: refusals while workers stood idle, at a node that got no news: cut off from the holder of the placement lease, or while the holder had gone and the store let nobody take over.

Cause: each node kept the last told loads of the others without limit, so that a worker which was full when the last news came stayed full in that node's view.

Change: the loads that were told count for ten seconds after the news. A takeover of the lease takes less, so in a takeover the last known loads still count; after it the new holder tells them anew.

--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -144,8 +144,8 @@
   void NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
                    absl::Time until);
 
-  // By worker; at those not named the other nodes run nothing.
-  void SetPeersLoads(const std::map<std::string, PeersLoad>& loads);
+  // By worker; at those not named the other nodes run nothing. Forgotten when not told again.
+  void SetPeersLoads(const std::map<std::string, PeersLoad>& loads, absl::Time now);
 
   void MarkEnded(const std::string& worker_id);
 
@@ -167,6 +167,7 @@
   std::string zone_;
   // The most that this node's preference adds to a worker's cost, in milliseconds.
   double preference_ms_ = 0;
+  absl::Time peers_loads_until_ = absl::InfiniteFuture();
   // By id. Ordered, so that equal costs are resolved alike in every run.
   std::map<std::string, WorkerState> workers_;
   // Workers without a row at which attempts still run. A row can come back: the store may drop it
--- a/src/fleet/fleet_coordinator_placement.cc
+++ b/src/fleet/fleet_coordinator_placement.cc
@@ -64,7 +64,7 @@
           std::max(0, load.running - own_running_reported_[load.worker_id]),
           std::max(0, load.unread_tokens - own_tokens_reported_[load.worker_id])};
     }
-    parts_.workers->SetPeersLoads(loads);
+    parts_.workers->SetPeersLoads(loads, now);
   }
   parts_.on_news();
 }
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -33,6 +33,8 @@
 // Doubles with each further failure in a row, up to this.
 constexpr absl::Duration kAvoidLongest = absl::Seconds(4);
 constexpr int kMostDoublings = 7;
+// Longer than a takeover of the placement lease, during which nobody tells of loads.
+constexpr absl::Duration kPeersLoadsLifetime = absl::Seconds(10);
 // Kept prompts are assumed to be there for this long.
 constexpr absl::Duration kPromptPartMemory = absl::Seconds(20);
 constexpr std::size_t kMaxPromptParts = 2000;
@@ -193,6 +195,9 @@
 
 WorkerChoice WorkerDirectory::Choose(const WorkerDemand& demand, const Configuration& configuration,
                                      absl::Time now) {
+  if (now >= peers_loads_until_) {
+    SetPeersLoads({}, now);
+  }
   const Service* const service = configuration.FindService(demand.service);
   WorkerChoice choice;
   bool any_worker = false;
@@ -325,12 +330,13 @@
   }
 }
 
-void WorkerDirectory::SetPeersLoads(const std::map<std::string, PeersLoad>& loads) {
+void WorkerDirectory::SetPeersLoads(const std::map<std::string, PeersLoad>& loads, absl::Time now) {
   for (auto& [id, worker] : workers_) {
     const auto load = loads.find(id);
     worker.peers_running = load == loads.end() ? 0 : load->second.running;
     worker.peers_unread_tokens = load == loads.end() ? 0 : load->second.unread_tokens;
   }
+  peers_loads_until_ = loads.empty() ? absl::InfiniteFuture() : now + kPeersLoadsLifetime;
 }
 
 void WorkerDirectory::NoteReplica(const std::string& worker_id, const ModelKey& key, bool present,
--- a/tests/serving/worker_counts_test.cc
+++ b/tests/serving/worker_counts_test.cc
@@ -59,6 +59,20 @@
   CHECK(workers.Find("w1")->running_by_model.empty());
 }
 
+// Guards against: a worker counts as full for as long as this node gets no news, e.g. while the
+// holder and the store are out of reach.
+TEST_CASE("what the other nodes ran there is forgotten when nobody tells of it any more") {
+  const Configuration configuration = OneService();
+  WorkerDirectory workers("n", "z");
+  workers.Update(RecordOf("w1", 2), 1, kNow);
+  workers.SetPeersLoads({{"w1", {2, 30}}}, kNow);
+  const WorkerDemand demand = DemandOf(30);
+  // A takeover of the lease is no reason yet.
+  CHECK(workers.Choose(demand, configuration, kNow + absl::Seconds(8)).problem ==
+        ChoiceProblem::kAllBusy);
+  CHECK(workers.Choose(demand, configuration, kNow + absl::Minutes(1)).worker != nullptr);
+}
+
 // Guards against: counts that drift, so that a worker looks busy or free for ever.
 TEST_CASE("property: what runs at a worker is what was started and has not ended") {
   CHECK(rc::check("rows and attempts in any order", [] {
