A node that cuts off an answer says so, and gives it the time that it has for writing

What callers saw: hingespand stopped, logged whole=true and exited with 0, and an answer that its caller was still reading ended in the middle: five seconds after the last request had ended, though an answer may take http.send_timeout (10 s by default) to be written. Found by reading; the cut itself is shown at the server, not with a node as a process.

Cause: the stop waits until the router has no request. A whole answer is handed to the HTTP server after that, so a request counts as ended while its answer has still to be written; the bound for the last writes was shorter than the one that writes have, and HttpServer::Stop did not tell whether it broke connections, so that the node took them for ended.

Evidence: with Stop returning true, which is what the node assumed, build/test-net -tc="a stop tells*" http_server_stop_test.cc:136: ERROR: CHECK( !server.Stop(absl::ZeroDuration()) ) is NOT correct! An earlier form of the second case, with a body of 64 MB and a client that reads slowly, failed since the write itself took longer than the send timeout; it reads 4 MB now. The first case keeps 64 MB.

Change: HttpServer::Stop tells whether all connections ended by themselves; Daemon::Run returns that, as its header says, and waits for the send timeout and a second.

--- a/include/hingespan/net/http_connections.h
+++ b/include/hingespan/net/http_connections.h
@@ -45,7 +45,7 @@
   // Idle connections end; others end after their present request.
   void BeginStop() ABSL_LOCKS_EXCLUDED(mutex_);
   // Waits up to `grace` for all to end, then breaks those that are left.
-  void EndAll(absl::Duration grace) ABSL_LOCKS_EXCLUDED(mutex_);
+  bool EndAll(absl::Duration grace) ABSL_LOCKS_EXCLUDED(mutex_);
 
   HttpServerCounters counters() const ABSL_LOCKS_EXCLUDED(mutex_);
   static DeadlineStream* CurrentStream();
--- a/include/hingespan/net/http_server.h
+++ b/include/hingespan/net/http_server.h
@@ -70,8 +70,9 @@
   // From now on idle connections end, and others after their present request: clients make new
   // ones, elsewhere if they can.
   void BeginDrain();
-  // Accepts no more, ends idle connections, gives others `grace` to end, then ends all.
-  void Stop(absl::Duration grace);
+  // Accepts no more, ends idle connections, gives others `grace` to end, then ends all. False: some
+  // were cut off.
+  bool Stop(absl::Duration grace);
 
   HttpServerCounters counters() const;
 
--- a/src/net/http_connections.cc
+++ b/src/net/http_connections.cc
@@ -258,15 +258,16 @@
 
 void HttpConnections::BeginStop() { stopping_ = true; }
 
-void HttpConnections::EndAll(absl::Duration grace) {
+bool HttpConnections::EndAll(absl::Duration grace) {
   absl::MutexLock lock(&mutex_);
   const auto none_open = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return open_.empty(); };
   if (mutex_.AwaitWithTimeout(absl::Condition(&none_open), grace)) {
-    return;
+    return true;
   }
   for (const auto& [socket, open] : open_) {
     shutdown(socket, SHUT_RDWR);
   }
+  return false;
 }
 
 HttpServerCounters HttpConnections::counters() const {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -148,15 +148,16 @@
 
 void HttpServer::BeginDrain() { state_->connections.BeginDrain(); }
 
-void HttpServer::Stop(absl::Duration grace) {
+bool HttpServer::Stop(absl::Duration grace) {
   if (!state_->thread.joinable()) {
-    return;
+    return true;
   }
   state_->acceptor->EmptyBacklog();
   state_->connections.BeginStop();
   routes().stop();
-  state_->connections.EndAll(grace);
+  const bool whole = state_->connections.EndAll(grace);
   state_->thread.join();
+  return whole;
 }
 
 HttpServerCounters HttpServer::counters() const { return state_->connections.counters(); }
--- a/src/node/daemon.cc
+++ b/src/node/daemon.cc
@@ -24,8 +24,8 @@
 
 // How often Run looks whether the node is ready or has stopped.
 constexpr absl::Duration kWatchInterval = absl::Milliseconds(20);
-// Answers that are being written when the last request has ended.
-constexpr absl::Duration kLastWrites = absl::Seconds(5);
+// Beyond the send timeout: connections look at a stop now and then, and linger after an answer.
+constexpr absl::Duration kStopSlack = absl::Seconds(1);
 constexpr absl::Duration kLeaveAnnouncement = absl::Seconds(1);
 
 HttpServerOptions ServerOptions(const HttpSettings& settings) {
@@ -228,9 +228,11 @@
       break;
     }
   }
-  const bool whole = WaitForStop();
-  parts_->server.Stop(whole ? kLastWrites : absl::ZeroDuration());
-  parts_->announcer->WaitTaken(whole ? kLeaveAnnouncement : absl::ZeroDuration());
+  const bool ended = WaitForStop();
+  // Answers are being written when the last request has ended: each within the send timeout.
+  const absl::Duration last_writes = settings_.http.send_timeout + kStopSlack;
+  const bool whole = parts_->server.Stop(ended ? last_writes : absl::ZeroDuration()) && ended;
+  parts_->announcer->WaitTaken(ended ? kLeaveAnnouncement : absl::ZeroDuration());
   parts_->announcer->Stop();
   parts_->driver->Stop();
   Log(LogLevel::kInfo, "stopped", {{"whole", whole ? "true" : "false"}});
--- a/tests/net/http_server_stop_test.cc
+++ b/tests/net/http_server_stop_test.cc
@@ -112,5 +112,39 @@
   CHECK(absl::EndsWith(answer, "stopping body"));
 }
 
+// Guards against: a node says that it stopped in order while it cut off an answer that its caller
+// was still reading.
+TEST_CASE("a stop tells whether it cut off an answer that was being written") {
+  HttpServerOptions options;
+  options.receive_timeout = kLong;
+  HttpServer server(options);
+  std::size_t size = 0;
+  server.routes().Get("/large", [&](const httplib::Request&, httplib::Response& response) {
+    response.set_content(std::string(size, 'x'), "text/plain");
+  });
+  const std::string address = *server.Bind("127.0.0.1:0");
+  server.Start();
+  RawClient caller(address);
+  const auto ask = [&] {
+    caller.Send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(caller.Readable(kRawClientLimitMs));
+  };
+  SUBCASE("the caller reads no more") {
+    // More than the connection holds while nobody reads.
+    size = 64 << 20;
+    ask();
+    CHECK(!server.Stop(absl::ZeroDuration()));
+  }
+  SUBCASE("the caller reads on") {
+    size = 4 << 20;
+    ask();
+    bool whole = false;
+    std::thread stopper([&] { whole = server.Stop(kLong); });
+    CHECK(caller.ReadAll().size() > size);
+    stopper.join();
+    CHECK(whole);
+  }
+}
+
 }  // namespace
 }  // namespace hingespan
