A stop answers what is due before its last check ends the process

Cause: requests get their last answer by timers of their own, the process ends by another; after a delay all are due at once and run in the order of their instants. A check due before the requests' limit ran first and ended the loop. Same class as: what stands queued behind the check is lost.

Change: a check that runs past the requests' limit has them answer what is due, before it looks at what is open.

Why it works: the order of timers no longer matters, the answers are made within the check itself. A write that the system does not take at once is still left, as before.

Not tried: a process with a limited share of a core.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -86,6 +86,8 @@
   }
   // The node stops: what can't end in time gets its answer before.
   void OnStopping() { SetTimer(context_->loop->Now()); }
+  // The node is about to end: what is due is done now, also if its timer has not run yet.
+  void OnStopLimit() { OnTimer(); }
 
   std::uint64_t number() const { return place_.number; }
   const std::string& service() const { return service_; }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -340,6 +340,13 @@
 
 void Gateway::CheckStopped() {
   const absl::Time now = parts_.loop->Now();
+  if (now >= StopLimit()) {
+    // After a delay this check may run ahead of timers that are due. A copy: answering removes.
+    const auto open_requests = open_requests_;
+    for (const auto& [number, request] : open_requests) {
+      request->OnStopLimit();
+    }
+  }
   const bool idle = now - stop_began_ >= kLeastStopTime && requests_.activity().unfinished() == 0;
   if (idle || now - stop_began_ >= settings_.stop_time - kStopMargin) {
     LogStop("stopped", idle ? "idle" : "limit");
