Retry budget: its state by service in metrics and in the log

An excess over the budget that all nodes share couldn't be attributed: the metrics told repeats sent and denied in sum, and nothing of what a node took for its allowance.

Metrics: by service the repeats sent and denied and the allowance in force; the number of nodes that the fixed part is divided by; whether the process is in its first window. Log: a line for each repeat and each denied one with the same. Repeats denied before the request was queued again are counted now; only those denied at the worker's door were.

RetryBudget is told the names of the nodes and when that table was asked for, and its own name and start; it divides by their number as before. No change of what is sent.

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -96,6 +96,9 @@
   // When a replica is expected to be ready; InfiniteFuture: nothing is known.
   absl::Time ExpectedReady(const ModelKey& model) const;
   bool holds_lease() const { return lease_.holding(); }
+  // The nodes whose rows the table held when it was read last, and when that read was begun.
+  std::vector<std::string> node_names() const;
+  absl::Time table_asked() const { return table_asked_; }
   int nodes() const { return static_cast<int>(std::max<std::size_t>(1, peers_.size())); }
 
  private:
@@ -138,6 +141,7 @@
   absl::Time last_placement_ = absl::InfinitePast();
   absl::Time last_load_news_ = absl::InfinitePast();
   absl::Time last_tick_;
+  absl::Time table_asked_ = absl::InfinitePast();
   std::uint64_t report_number_ = 0;
   std::uint64_t news_number_ = 0;
   // Of the holder, as its news tell.
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "hingespan/serving/retry_budget.h"
 
 namespace hingespan::gateway {
 
@@ -51,6 +52,10 @@
   std::uint64_t waiting_now = 0;
   std::uint64_t configuration_version = 0;
   bool holds_lease = false;
+  // By service.
+  std::map<std::string, RetryCounts> retries;
+  int retry_divisor = 0;
+  bool in_first_retry_window = false;
 };
 
 // The text exposition format of Prometheus.
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -118,6 +118,9 @@
   absl::Time FirstStallLimit() const;
   bool AnotherWorkerIsFree(absl::Time now) const;
   bool MayTryAnother(absl::Time now) const;
+  // The same, counting a repeat that is denied for want of budget.
+  bool TakesAnother(absl::Time now) const;
+  void LogRepeat(absl::string_view event, absl::Time now) const;
   void EndAttempt(AttemptOutcome outcome);
   void OnNotExecuted();
   void OnWholeAnswer();
--- a/include/hingespan/serving/retry_budget.h
+++ b/include/hingespan/serving/retry_budget.h
@@ -2,8 +2,12 @@
 #ifndef HINGESPAN_SERVING_RETRY_BUDGET_H_
 #define HINGESPAN_SERVING_RETRY_BUDGET_H_
 
+#include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -17,28 +21,53 @@
   absl::Duration window = absl::Seconds(10);
 };
 
+// A service's repeats at this node.
+struct RetryCounts {
+  // Since the start.
+  std::uint64_t sent = 0;
+  std::uint64_t denied = 0;
+  // Within the last window: allowed, and sent.
+  double allowed = 0;
+  int in_window = 0;
+};
+
 // Pure; not thread-safe.
 class RetryBudget {
  public:
-  explicit RetryBudget(const RetryBudgetLimits& limits) : limits_(limits) {}
+  RetryBudget(const RetryBudgetLimits& limits, std::string node, absl::Time started)
+      : limits_(limits), node_(std::move(node)), started_(started) {}
 
-  // The number of nodes among which `extra` is divided; at least 1.
-  void SetNodes(int nodes);
+  // The nodes whose rows the fleet's table held. The read was begun at `asked`.
+  void SetFleet(const std::vector<std::string>& nodes, absl::Time asked, absl::Time now);
   void RecordRequest(const std::string& service, absl::Time now);
   // Takes one repeat when the budget allows it.
   bool TryTake(const std::string& service, absl::Time now);
+  // A repeat was not sent for want of budget.
+  void RecordDenied(const std::string& service);
   // Repeats that may be sent now.
   double Available(const std::string& service, absl::Time now);
 
+  // The number of nodes among which `extra` is divided.
+  int divisor() const { return divisor_; }
+  // Whether the process started less than a window ago.
+  bool InFirstWindow(absl::Time now) const { return now - started_ < limits_.window; }
+  RetryCounts CountsOf(const std::string& service, absl::Time now);
+  std::map<std::string, RetryCounts> AllCounts(absl::Time now);
+
  private:
   struct Counts {
     std::deque<absl::Time> requests;
     std::deque<absl::Time> repeats;
+    std::uint64_t sent = 0;
+    std::uint64_t denied = 0;
   };
   Counts& Pruned(const std::string& service, absl::Time now);
+  double Allowed(const Counts& counts) const;
 
   RetryBudgetLimits limits_;
-  int nodes_ = 1;
+  std::string node_;
+  absl::Time started_;
+  int divisor_ = 1;
   absl::flat_hash_map<std::string, Counts> counts_;
 };
 
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -69,6 +69,15 @@
   configuration_ = std::move(configuration);
 }
 
+std::vector<std::string> FleetCoordinator::node_names() const {
+  std::vector<std::string> names;
+  names.reserve(peers_.size());
+  for (const auto& [name, address] : peers_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 void FleetCoordinator::PauseTick() {
   NotePause();
   pause_timer_->Set(last_tick_ + kPauseTick, [this] { PauseTick(); });
@@ -135,13 +144,14 @@
     return;
   }
   read_under_way_ = true;
-  parts_.store->Read(settings_.table, [this](Result<StoreRows> result) {
+  parts_.store->Read(settings_.table, [this, asked = parts_.loop->Now()](Result<StoreRows> result) {
     read_under_way_ = false;
     const absl::Time now = parts_.loop->Now();
     if (!result.ok()) {
       lease_.OnReadFailed(now);
       return;
     }
+    table_asked_ = asked;
     OnTable(*result);
     // At the first look the others' rows are not there yet.
     if (store_ticks_ > 1 || lease_.record().has_value()) {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -67,7 +67,8 @@
     : settings_(std::move(settings)),
       parts_(parts),
       workers_(settings_.node, settings_.zone, WorkerPreferences(settings_.serving)),
-      budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window}),
+      budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window},
+              settings_.node, parts_.loop->Now()),
       requests_(parts_.loop,
                 [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
       status_(
@@ -233,6 +234,9 @@
     parts_.metrics->waiting_now = queue_.size();
     parts_.metrics->holds_lease = fleet_->holds_lease();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
+    parts_.metrics->retries = budget_.AllCounts(parts_.loop->Now());
+    parts_.metrics->retry_divisor = budget_.divisor();
+    parts_.metrics->in_first_retry_window = budget_.InFirstWindow(parts_.loop->Now());
     exchange->Answer(200, ReasonPhrase(200), {{"Content-Type", "text/plain; version=0.0.4"}},
                      MetricsText(*parts_.metrics));
     return;
--- a/src/serving/gateway_demand.cc
+++ b/src/serving/gateway_demand.cc
@@ -60,7 +60,7 @@
       report->unreachable.push_back(id);
     }
   }
-  budget_.SetNodes(fleet_->nodes());
+  budget_.SetFleet(fleet_->node_names(), fleet_->table_asked(), now);
   workers_.SetNodes(fleet_->nodes());
 }
 
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -56,6 +56,39 @@
   return family;
 }
 
+template <typename Value>
+MetricFamily ByService(const char* name, const char* help, MetricType type,
+                       const std::map<std::string, RetryCounts>& retries, Value value) {
+  MetricFamily family = Family(name, help, type);
+  for (const auto& [service, counts] : retries) {
+    ClientMetric metric;
+    const double number = static_cast<double>(value(counts));
+    (type == MetricType::Counter ? metric.counter.value : metric.gauge.value) = number;
+    metric.label.push_back({"service", service});
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+void AddRetryFamilies(const GatewayMetrics& metrics, std::vector<MetricFamily>* families) {
+  families->push_back(ByService("hingespan_retries_total", "Repeats sent", MetricType::Counter,
+                                metrics.retries,
+                                [](const RetryCounts& counts) { return counts.sent; }));
+  families->push_back(ByService(
+      "hingespan_retries_denied_total", "Repeats not sent for want of budget", MetricType::Counter,
+      metrics.retries, [](const RetryCounts& counts) { return counts.denied; }));
+  families->push_back(ByService("hingespan_retries_allowed",
+                                "Repeats that this node may send within a window, as of now",
+                                MetricType::Gauge, metrics.retries,
+                                [](const RetryCounts& counts) { return counts.allowed; }));
+  families->push_back(Gauge("hingespan_retry_divisor",
+                            "Nodes among which the fixed part of the budget is divided",
+                            static_cast<std::uint64_t>(metrics.retry_divisor)));
+  families->push_back(Gauge("hingespan_in_first_retry_window",
+                            "1 until the process is one window of the budget old",
+                            metrics.in_first_retry_window ? 1 : 0));
+}
+
 MetricFamily Histogram(const char* name, const char* help, const LatencyHistogram& histogram) {
   MetricFamily family = Family(name, help, MetricType::Histogram);
   ClientMetric metric;
@@ -135,6 +168,7 @@
                            "Version of the configuration in force", metrics.configuration_version));
   families.push_back(Gauge("hingespan_holds_placement_lease", "1 while this node holds the lease",
                            metrics.holds_lease ? 1 : 0));
+  AddRetryFamilies(metrics, &families);
   return prometheus::TextSerializer().Serialize(families);
 }
 
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -123,9 +123,13 @@
   }
   if (attempts_ > 0 && !context_->budget->TryTake(service_, now)) {
     ++context_->metrics->repeats_denied;
+    LogRepeat("repeat_denied", now);
     GiveUp(502, "retry_budget");
     return true;
   }
+  if (attempts_ > 0) {
+    LogRepeat("repeat", now);
+  }
   Dispatch(choice.worker, demand, now);
   return true;
 }
@@ -225,6 +229,29 @@
          context_->budget->Available(service_, now) >= 1.0 && now < deadline_;
 }
 
+bool RequestRelay::TakesAnother(absl::Time now) const {
+  if (MayTryAnother(now)) {
+    return true;
+  }
+  if (static_cast<int>(tried_.size()) < route_->max_attempts && now < deadline_) {
+    context_->budget->RecordDenied(service_);
+    ++context_->metrics->repeats_denied;
+    LogRepeat("repeat_denied", now);
+  }
+  return false;
+}
+
+void RequestRelay::LogRepeat(absl::string_view event, absl::Time now) const {
+  const RetryCounts counts = context_->budget->CountsOf(service_, now);
+  context_->log->Write(LogLevel::kInfo, event,
+                       {{"request", facts_.id},
+                        {"service", service_},
+                        {"in_window", absl::StrCat(counts.in_window)},
+                        {"allowed", absl::StrFormat("%.1f", counts.allowed)},
+                        {"divisor", absl::StrCat(context_->budget->divisor())},
+                        {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
+}
+
 bool RequestRelay::AnotherWorkerIsFree(absl::Time now) const {
   return context_->workers->Choose(Demand(), routes_->configuration(), now).worker != nullptr;
 }
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -127,7 +127,7 @@
     OnFailedAttempt("refused_to_resume");
     return;
   }
-  if (failed && route_->MayRunAgain() && MayTryAnother(now)) {
+  if (failed && route_->MayRunAgain() && TakesAnother(now)) {
     OnFailedAttempt(absl::StrCat("status_", answer_head_.status));
     return;
   }
@@ -151,7 +151,7 @@
     context_->workers->NoteReplica(worker_id_, model_, false, now + kDeniedReplica);
   }
   last_failure_ = misdirected ? "misdirected" : "worker_full";
-  if (stream_started_ || may_have_run_ || MayTryAnother(now)) {
+  if (stream_started_ || may_have_run_ || TakesAnother(now)) {
     OnFailedAttempt(last_failure_);
     return;
   }
@@ -174,7 +174,7 @@
                         {"attempt", absl::StrCat(attempts_)},
                         {"after_ms", Milliseconds(now - attempt_started_)}});
   const bool may_repeat = !may_have_run_ || route_->MayRunAgain();
-  if (may_repeat && MayTryAnother(now)) {
+  if (may_repeat && TakesAnother(now)) {
     if (stream_started_) {
       ++context_->metrics->streams_resumed;
     }
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -59,9 +59,14 @@
   CHECK(rc::check("repeats of several nodes", [] {
     const RetryBudgetLimits limits{0.2, 12, absl::Seconds(10)};
     const int nodes = *rc::gen::inRange(1, 5);
-    std::vector<RetryBudget> budgets(nodes, RetryBudget(limits));
-    for (RetryBudget& budget : budgets) {
-      budget.SetNodes(nodes);
+    std::vector<std::string> names;
+    for (int node = 0; node < nodes; ++node) {
+      names.push_back(absl::StrCat("n", node));
+    }
+    std::vector<RetryBudget> budgets;
+    for (const std::string& name : names) {
+      budgets.emplace_back(limits, name, At(0));
+      budgets.back().SetFleet(names, At(0), At(0));
     }
     std::vector<double> requests;
     std::vector<double> repeats;
@@ -180,6 +185,24 @@
   CHECK(text.find("hingespan_first_byte_seconds_count 1") != std::string::npos);
 }
 
+TEST_CASE("metrics: a service's repeats, and what its budget is divided by") {
+  RetryBudget budget({0.2, 10, absl::Seconds(10)}, "n1", At(0));
+  budget.SetFleet({"n1", "n2"}, At(0), At(0));
+  budget.RecordDenied("s");
+  GatewayMetrics metrics;
+  metrics.retries = budget.AllCounts(At(1));
+  metrics.retry_divisor = budget.divisor();
+  metrics.in_first_retry_window = budget.InFirstWindow(At(1));
+  const std::string text = MetricsText(metrics);
+  for (const char* line : {"hingespan_retries_total{service=\"s\"} 0",
+                           "hingespan_retries_denied_total{service=\"s\"} 1",
+                           "hingespan_retries_allowed{service=\"s\"} ", "hingespan_retry_divisor 2",
+                           "hingespan_in_first_retry_window 1"}) {
+    CHECK_MESSAGE(text.find(line) != std::string::npos, line);
+  }
+  CHECK(!budget.InFirstWindow(At(10)));
+}
+
 WorkerRecord RecordOf(const std::string& id, const std::string& model) {
   WorkerRecord record;
   record.id = id;
