--- /dev/null
+++ b/tests/retry_budget/retry_budget_test.cc
@@ -0,0 +1,251 @@
+// The budget of repeats before a fleet whose nodes start, are killed, stop and lose sight of each
+// other: what all send together, counted as the users count it.
+#include "hingespan/serving/retry_budget.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr char kService[] = "s";
+const RetryBudgetLimits kLimits{0.2, 24, absl::Seconds(10)};
+constexpr int kNodes = 6;
+constexpr double kNever = std::numeric_limits<double>::infinity();
+constexpr double kStep = 0.1;
+// Seconds until which the fleet runs undisturbed, and until which it runs.
+constexpr double kUndisturbed = 45;
+constexpr double kEnd = 100;
+constexpr double kStopTime = 8;
+constexpr double kLongestReadInterval = 7.5;
+constexpr double kOldestCopy = 2;
+constexpr double kRequestsEachSecond = 20;
+
+absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
+
+enum class EventKind { kKill, kStop, kBlind, kFailures, kMoveLoad };
+
+// Something that happens to `count` nodes from `node` on.
+struct Event {
+  EventKind kind = EventKind::kKill;
+  double at = 0;
+  int node = 0;
+  int count = 1;
+  double seconds = 0;
+};
+
+void showValue(const Event& event, std::ostream& out) {
+  out << "kind " << static_cast<int>(event.kind) << " at " << event.at << " node " << event.node
+      << " count " << event.count << " seconds " << event.seconds;
+}
+
+rc::Gen<std::vector<Event>> EventsOf(const std::vector<EventKind>& kinds) {
+  return rc::gen::container<std::vector<Event>>(rc::gen::build<Event>(
+      rc::gen::set(&Event::kind, rc::gen::elementOf(kinds)),
+      rc::gen::set(&Event::at,
+                   rc::gen::map(rc::gen::inRange(static_cast<int>(kUndisturbed * 10), 900),
+                                [](int tenths) { return tenths / 10.0; })),
+      rc::gen::set(&Event::node, rc::gen::inRange(0, kNodes)),
+      rc::gen::set(&Event::count, rc::gen::inRange(1, kNodes + 1)),
+      rc::gen::set(&Event::seconds, rc::gen::map(rc::gen::inRange(1, 25), [](int seconds) {
+        return static_cast<double>(seconds);
+      }))));
+}
+
+// Nodes with a table of rows, in virtual time. Requests come at a steady rate; while workers fail,
+// every node sends all repeats that its budget grants.
+class FleetOfBudgets {
+ public:
+  explicit FleetOfBudgets(unsigned seed) : random_(seed) {
+    for (int node = 0; node < kNodes; ++node) {
+      processes_.push_back(StartProcess(node));
+    }
+  }
+
+  void Play(std::vector<Event> events) {
+    std::stable_sort(events.begin(), events.end(),
+                     [](const Event& left, const Event& right) { return left.at < right.at; });
+    auto next = events.begin();
+    for (; now_ < kEnd; now_ += kStep) {
+      for (; next != events.end() && next->at <= now_; ++next) {
+        Happen(*next);
+      }
+      Step();
+    }
+  }
+
+  // The largest excess over what the users allow in any window; at most 0 when none is exceeded.
+  double WorstExcess() const {
+    double worst = -kNever;
+    const double window = absl::ToDoubleSeconds(kLimits.window);
+    for (const double end : repeats_) {
+      // The users count a window's requests, or those of one half a window or a window earlier.
+      const int most = std::max({Count(requests_, end - window, end),
+                                 Count(requests_, end - 1.5 * window, end - 0.5 * window),
+                                 Count(requests_, end - 2 * window, end - window)});
+      worst = std::max(worst,
+                       Count(repeats_, end - window, end) - (kLimits.ratio * most + kLimits.extra));
+    }
+    return worst;
+  }
+  int repeats_after(double begin) const { return Count(repeats_, begin, kNever); }
+
+ private:
+  struct Process {
+    RetryBudget budget;
+    double ends = kNever;
+    double next_read = 0;
+    double blind_until = 0;
+  };
+
+  static std::string NameOf(int node) { return absl::StrCat("n", node); }
+
+  static int Count(const std::vector<double>& sorted, double begin, double end) {
+    return static_cast<int>(std::upper_bound(sorted.begin(), sorted.end(), end) -
+                            std::upper_bound(sorted.begin(), sorted.end(), begin));
+  }
+
+  double Uniform(double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(random_);
+  }
+
+  Process StartProcess(int node) {
+    table_.insert(NameOf(node));
+    tables_[now_] = table_;
+    return {RetryBudget(kLimits, NameOf(node), At(now_)), kNever, now_ + Uniform(0, 2), 0};
+  }
+
+  void Happen(const Event& event) {
+    for (int number = 0; number < event.count; ++number) {
+      const int node = (event.node + number) % kNodes;
+      Process& process = processes_[node];
+      switch (event.kind) {
+        case EventKind::kKill:
+          process = StartProcess(node);
+          break;
+        case EventKind::kStop:
+          if (process.ends == kNever) {
+            process.ends = now_ + Uniform(3, kStopTime);
+            table_.erase(NameOf(node));
+            tables_[now_] = table_;
+          }
+          break;
+        case EventKind::kBlind:
+          process.blind_until = now_ + event.seconds;
+          break;
+        case EventKind::kFailures:
+          failing_until_ = now_ + event.seconds;
+          break;
+        case EventKind::kMoveLoad:
+          busiest_ = node;
+          break;
+      }
+    }
+  }
+
+  void Step() {
+    for (int node = 0; node < kNodes; ++node) {
+      Process& process = processes_[node];
+      if (process.ends <= now_) {
+        process = StartProcess(node);
+      }
+      if (process.next_read <= now_ && process.blind_until <= now_) {
+        Read(&process);
+      }
+    }
+    const double expected = kRequestsEachSecond * kStep;
+    for (int number = 0; number < static_cast<int>(expected); ++number) {
+      // The busiest node gets most of the load.
+      const int node =
+          busiest_ >= 0 && Uniform(0, 1) < 0.9 ? busiest_ : static_cast<int>(Uniform(0, kNodes));
+      processes_[node].budget.RecordRequest(kService, At(now_));
+      requests_.push_back(now_);
+    }
+    if (now_ < failing_until_) {
+      for (Process& process : processes_) {
+        while (process.budget.TryTake(kService, At(now_))) {
+          repeats_.push_back(now_);
+        }
+      }
+    }
+  }
+
+  // A copy of the table, as it stood a short while ago.
+  void Read(Process* process) {
+    process->next_read = now_ + Uniform(1, kLongestReadInterval);
+    const double of = std::max(0.0, now_ - Uniform(0, kOldestCopy));
+    const std::set<std::string>& copy = std::prev(tables_.upper_bound(of))->second;
+    process->budget.SetFleet({copy.begin(), copy.end()}, At(now_), At(now_));
+  }
+
+  std::mt19937 random_;
+  double now_ = 0;
+  std::set<std::string> table_;
+  // The table's states by the time from which they hold.
+  std::map<double, std::set<std::string>> tables_;
+  std::vector<Process> processes_;
+  double failing_until_ = 0;
+  int busiest_ = -1;
+  std::vector<double> requests_;
+  std::vector<double> repeats_;
+};
+
+// Plays `events` beside workers that fail at some time.
+void CheckBudget(std::vector<EventKind> kinds) {
+  kinds.push_back(EventKind::kFailures);
+  const std::vector<Event> events = *EventsOf(kinds);
+  FleetOfBudgets fleet(*rc::gen::arbitrary<unsigned>());
+  fleet.Play(events);
+  RC_ASSERT(fleet.WorstExcess() <= 0);
+}
+
+// Guards against a process that has its part of the budget again that its predecessor used up.
+TEST_CASE("killed and started again: a process does not spend its predecessor's repeats again") {
+  CHECK(rc::check("nodes are killed", [] { CheckBudget({EventKind::kKill}); }));
+}
+
+// Guards against dividing the budget by fewer nodes than still send repeats.
+TEST_CASE("nodes that stop slowly keep within the parts that the others leave them") {
+  CHECK(rc::check("nodes stop", [] { CheckBudget({EventKind::kStop}); }));
+}
+
+// Guards against a node that takes an old, or no, number of nodes for the fleet's.
+TEST_CASE("a node that can't read the table does not use a part that others may count on") {
+  CHECK(rc::check("nodes are blind", [] {
+    CheckBudget({EventKind::kBlind, EventKind::kStop, EventKind::kKill});
+  }));
+}
+
+// Guards against nodes that earn repeats in turn, each with the requests of another window.
+TEST_CASE("load that moves from node to node earns its repeats once") {
+  CHECK(rc::check("load moves", [] { CheckBudget({EventKind::kMoveLoad}); }));
+}
+
+// Guards against any mix of these.
+TEST_CASE("property: a fleet in trouble stays within the budget in any window") {
+  CHECK(rc::check("all together", [] {
+    CheckBudget({EventKind::kKill, EventKind::kStop, EventKind::kBlind, EventKind::kMoveLoad});
+  }));
+}
+
+// Guards against a budget that is kept by sending nothing.
+TEST_CASE("an undisturbed fleet may send most of its budget") {
+  FleetOfBudgets fleet(1);
+  fleet.Play({{EventKind::kFailures, kUndisturbed, 0, 1, 10}});
+  const double allowed = kLimits.ratio * kRequestsEachSecond * 10 + kLimits.extra;
+  CHECK(fleet.repeats_after(kUndisturbed - kStep) >= 0.7 * allowed);
+  CHECK(fleet.WorstExcess() <= 0);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
