Retry budget: the fixed part is a lease on a share, the ratio rests on the window before

A retry storm on workers that are failing already.

Cause, a limit held by many whose parts were not leases: - A node divided the fixed part by the rows that it saw: by 1 until its first report, by the others alone while nodes that had taken their rows away still served, by an old number while it couldn't read the table. - A process that starts again had forgotten its predecessor's repeats and had its whole part again in the same window. - The ratio part counted requests of the window that ends now at each node. Nodes' windows end at different instants, so repeats that rested on two windows of requests could fall into one as load moved between nodes.

FleetShare: the fixed part is divided by all nodes that may have used theirs within the window; a node uses its own only while a read of the last 10 s showed its row, and once that row has been there for a window, a read's validity and the age of a copy (23 s); one whose row is gone is counted as long. The number is taken from each read of the table, no longer from the next report of demand. RetryBudget: a node's repeats within any window rest on its own requests of the window before that one, which the users count too. A new process therefore sends none in its first window, and what its predecessor sent needs no memory. The 0.9 stays for delays between nodes, callers and workers.

Why it works: for two nodes that use their fixed parts within one window, either has read the table since the other's row came, or still counts it after it went; so each divides by at least the number of users.

Ratio as before, no repeat within the first window: load that moves still exceeds. Half of the ratio on the window that ends now: the bounds hold, but an undisturbed fleet sends less than 0.7 of its budget (our own check, left as it is).

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -74,8 +74,8 @@
   std::function<void(DemandReport*)> fill_report;
   // Replicas or loads have changed.
   std::function<void()> on_news;
-  // All nodes of the fleet.
-  std::function<void(const std::vector<FleetNode>&)> on_nodes;
+  // All nodes of the fleet, by a read that was begun at `asked`.
+  std::function<void(const std::vector<FleetNode>& nodes, absl::Time asked)> on_nodes;
 };
 
 // Not thread-safe; lives on its loop.
@@ -96,9 +96,6 @@
   // When a replica is expected to be ready; InfiniteFuture: nothing is known.
   absl::Time ExpectedReady(const ModelKey& model) const;
   bool holds_lease() const { return lease_.holding(); }
-  // The nodes whose rows the table held when it was read last, and when that read was begun.
-  std::vector<std::string> node_names() const;
-  absl::Time table_asked() const { return table_asked_; }
   int nodes() const { return static_cast<int>(std::max<std::size_t>(1, peers_.size())); }
 
  private:
@@ -106,7 +103,7 @@
   absl::Duration StoreInterval() const;
   absl::Duration LoadNewsInterval() const;
   void ReadTable();
-  void OnTable(const StoreRows& rows);
+  void OnTable(const StoreRows& rows, absl::Time asked);
   void WriteLease();
   void AnnounceNode();
   void NoteLeaseChange(bool held_before);
@@ -141,7 +138,6 @@
   absl::Time last_placement_ = absl::InfinitePast();
   absl::Time last_load_news_ = absl::InfinitePast();
   absl::Time last_tick_;
-  absl::Time table_asked_ = absl::InfinitePast();
   std::uint64_t report_number_ = 0;
   std::uint64_t news_number_ = 0;
   // Of the holder, as its news tell.
--- a/include/hingespan/serving/retry_budget.h
+++ b/include/hingespan/serving/retry_budget.h
@@ -7,10 +7,10 @@
 #include <map>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "hingespan/serving/fleet_share.h"
 
 namespace hingespan::gateway {
 
@@ -34,11 +34,11 @@
 // Pure; not thread-safe.
 class RetryBudget {
  public:
-  RetryBudget(const RetryBudgetLimits& limits, std::string node, absl::Time started)
-      : limits_(limits), node_(std::move(node)), started_(started) {}
+  // `share`: of `extra`.
+  RetryBudget(const RetryBudgetLimits& limits, FleetShare share, absl::Time started)
+      : limits_(limits), share_(std::move(share)), started_(started) {}
 
-  // The nodes whose rows the fleet's table held. The read was begun at `asked`.
-  void SetFleet(const std::vector<std::string>& nodes, absl::Time asked, absl::Time now);
+  FleetShare& share() { return share_; }
   void RecordRequest(const std::string& service, absl::Time now);
   // Takes one repeat when the budget allows it.
   bool TryTake(const std::string& service, absl::Time now);
@@ -47,8 +47,6 @@
   // Repeats that may be sent now.
   double Available(const std::string& service, absl::Time now);
 
-  // The number of nodes among which `extra` is divided.
-  int divisor() const { return divisor_; }
   // Whether the process started less than a window ago.
   bool InFirstWindow(absl::Time now) const { return now - started_ < limits_.window; }
   RetryCounts CountsOf(const std::string& service, absl::Time now);
@@ -56,18 +54,18 @@
 
  private:
   struct Counts {
+    // Of the last two windows.
     std::deque<absl::Time> requests;
     std::deque<absl::Time> repeats;
     std::uint64_t sent = 0;
     std::uint64_t denied = 0;
   };
   Counts& Pruned(const std::string& service, absl::Time now);
-  double Allowed(const Counts& counts) const;
+  double Allowed(const Counts& counts, absl::Time now) const;
 
   RetryBudgetLimits limits_;
-  std::string node_;
+  FleetShare share_;
   absl::Time started_;
-  int divisor_ = 1;
   absl::flat_hash_map<std::string, Counts> counts_;
 };
 
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -69,15 +69,6 @@
   configuration_ = std::move(configuration);
 }
 
-std::vector<std::string> FleetCoordinator::node_names() const {
-  std::vector<std::string> names;
-  names.reserve(peers_.size());
-  for (const auto& [name, address] : peers_) {
-    names.push_back(name);
-  }
-  return names;
-}
-
 void FleetCoordinator::PauseTick() {
   NotePause();
   pause_timer_->Set(last_tick_ + kPauseTick, [this] { PauseTick(); });
@@ -151,8 +142,7 @@
       lease_.OnReadFailed(now);
       return;
     }
-    table_asked_ = asked;
-    OnTable(*result);
+    OnTable(*result, asked);
     // At the first look the others' rows are not there yet.
     if (store_ticks_ > 1 || lease_.record().has_value()) {
       WriteLease();
@@ -160,7 +150,7 @@
   });
 }
 
-void FleetCoordinator::OnTable(const StoreRows& rows) {
+void FleetCoordinator::OnTable(const StoreRows& rows, absl::Time asked) {
   std::optional<LeaseRecord> lease;
   std::uint64_t lease_version = 0;
   std::map<std::string, std::string> peers;
@@ -183,7 +173,7 @@
     }
   }
   peers_ = std::move(peers);
-  parts_.on_nodes(nodes);
+  parts_.on_nodes(nodes, asked);
   const bool wider = std::any_of(nodes.begin(), nodes.end(), [this](const FleetNode& node) {
     return node.link_mbps > settings_.link_mbps;
   });
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -59,6 +59,13 @@
   return reading;
 }
 
+FleetShareTimes ShareTimes(const GatewaySettings& settings) {
+  FleetShareTimes times;
+  times.window = settings.retry_window;
+  times.settled = settings.settled_member;
+  return times;
+}
+
 HeaderFields RetryAfter(std::string seconds) { return {{"Retry-After", std::move(seconds)}}; }
 
 }  // namespace
@@ -68,7 +75,7 @@
       parts_(parts),
       workers_(settings_.node, settings_.zone, WorkerPreferences(settings_.serving)),
       budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window},
-              settings_.node, parts_.loop->Now()),
+              FleetShare(settings_.node, ShareTimes(settings_)), parts_.loop->Now()),
       requests_(parts_.loop,
                 [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
       status_(
@@ -142,7 +149,15 @@
   };
   fleet_parts.reads_store = [this] { return reading_.reads_itself(); };
   fleet_parts.reads_for_others = [this] { return reading_.reads_for_others(); };
-  fleet_parts.on_nodes = [this](const std::vector<FleetNode>& nodes) { reading_.SetNodes(nodes); };
+  fleet_parts.on_nodes = [this](const std::vector<FleetNode>& nodes, absl::Time asked) {
+    reading_.SetNodes(nodes);
+    std::vector<std::string> names;
+    names.reserve(nodes.size());
+    for (const FleetNode& node : nodes) {
+      names.push_back(node.name);
+    }
+    budget_.share().SetNodes(names, asked, parts_.loop->Now());
+  };
   const std::uint64_t seed = fleet.incarnation;
   fleet_ = std::make_unique<FleetCoordinator>(std::move(fleet), std::move(fleet_parts));
   const auto contact = [this](const char* table) {
@@ -182,6 +197,8 @@
   return {};
 }
 
+int Gateway::retry_divisor() { return budget_.share().Divisor(parts_.loop->Now()); }
+
 bool Gateway::ready() const { return routes_ != nullptr && workers_known_ && !stopping_; }
 
 void Gateway::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
@@ -235,7 +252,7 @@
     parts_.metrics->holds_lease = fleet_->holds_lease();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
     parts_.metrics->retries = budget_.AllCounts(parts_.loop->Now());
-    parts_.metrics->retry_divisor = budget_.divisor();
+    parts_.metrics->retry_divisor = retry_divisor();
     parts_.metrics->in_first_retry_window = budget_.InFirstWindow(parts_.loop->Now());
     exchange->Answer(200, ReasonPhrase(200), {{"Content-Type", "text/plain; version=0.0.4"}},
                      MetricsText(*parts_.metrics));
--- a/src/serving/gateway_demand.cc
+++ b/src/serving/gateway_demand.cc
@@ -60,7 +60,6 @@
       report->unreachable.push_back(id);
     }
   }
-  budget_.SetFleet(fleet_->node_names(), fleet_->table_asked(), now);
   workers_.SetNodes(fleet_->nodes());
 }
 
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -248,7 +248,7 @@
                         {"service", service_},
                         {"in_window", absl::StrCat(counts.in_window)},
                         {"allowed", absl::StrFormat("%.1f", counts.allowed)},
-                        {"divisor", absl::StrCat(context_->budget->divisor())},
+                        {"divisor", absl::StrCat(context_->budget->share().Divisor(now))},
                         {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
 }
 
