Retry budget: a token bucket, so that a new process may repeat at once

After a restart of many nodes beside failing workers they got more failures than before.

Change: each node has a token bucket for each service, empty when the process starts. A request earns 0.9 * ratio; time earns one half of the node's part of `extra`, and the bucket holds at most the other half (a whole repeat where the part has one). FleetShare now says how fast time earns; a node whose row is gone is counted, and a new one waits, for 13 s (a read's validity and the age of a copy), no window added.

Why it works: within any window a node sends at most what its bucket held at the window's begin and what it earned within it, so at most ratio times its requests of that window and its part. The sum over nodes, dead processes included, is the users' bound, whatever way load moves.

Tests: those of serving that need repeats let the node earn them by requests before there are workers; what they check is unchanged. With the workers there from the beginning, 'a repeatable request goes to a second worker' failed for the fault kOtherRequest (served 0 of 6, each time): requests that had been served before changed which worker is chosen. The test-only setting is gone.

Open: a bucket below one token grants nothing, so that with more nodes than 0.9 * extra nothing is repeated. A node with a new name isn't known to the others for up to 13 s, in which its bucket's content comes on top.

--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -56,8 +56,8 @@
   void Stop(std::function<void()> done);
 
   bool ready() const;
-  // Among how many nodes the fixed part of the budget of repeats is divided; 0: this one has none.
-  int retry_divisor();
+  // The number of nodes that have a part of the budget of repeats; 0: not known yet.
+  int fleet_size();
   std::string request_address() const { return requests_.address(); }
   std::string status_address() const { return status_.address(); }
   // Empty where the settings give none.
--- a/include/hingespan/serving/gateway_settings.h
+++ b/include/hingespan/serving/gateway_settings.h
@@ -60,8 +60,6 @@
   double retry_ratio = 0.2;
   double retry_extra = 10;
   absl::Duration retry_window = absl::Seconds(10);
-  // For tests: the process and its row in the fleet's table are taken to be old.
-  bool settled_member = false;
   int max_connections = 3000;
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/include/hingespan/serving/retry_budget.h
+++ b/include/hingespan/serving/retry_budget.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -26,11 +27,14 @@
   // Since the start.
   std::uint64_t sent = 0;
   std::uint64_t denied = 0;
-  // Within the last window: allowed, and sent.
-  double allowed = 0;
+  // May be sent now.
+  double available = 0;
+  // Sent within the last window.
   int in_window = 0;
 };
 
+// A token bucket for each service. It is empty when the process starts: the one before it may have
+// used what it held. Requests earn `ratio`, and time earns a part of `extra`.
 // Pure; not thread-safe.
 class RetryBudget {
  public:
@@ -38,7 +42,9 @@
   RetryBudget(const RetryBudgetLimits& limits, FleetShare share, absl::Time started)
       : limits_(limits), share_(std::move(share)), started_(started) {}
 
-  FleetShare& share() { return share_; }
+  // The nodes whose rows the fleet's table held, as a read begun at `asked` gave them.
+  void SetNodes(const std::vector<std::string>& nodes, absl::Time asked, absl::Time now);
+  const FleetShare& share() const { return share_; }
   void RecordRequest(const std::string& service, absl::Time now);
   // Takes one repeat when the budget allows it.
   bool TryTake(const std::string& service, absl::Time now);
@@ -54,17 +60,24 @@
 
  private:
   struct Counts {
-    // Of the last two windows.
-    std::deque<absl::Time> requests;
+    double tokens = 0;
+    absl::Time filled = absl::InfinitePast();
     std::deque<absl::Time> repeats;
     std::uint64_t sent = 0;
     std::uint64_t denied = 0;
   };
   Counts& Pruned(const std::string& service, absl::Time now);
-  double Allowed(const Counts& counts, absl::Time now) const;
+  // This node's part of `extra`.
+  double Part(absl::Time now) const;
+  // Of the bucket.
+  static double Capacity(double part);
+  void Fill(Counts* counts, absl::Time now) const;
 
   RetryBudgetLimits limits_;
   FleetShare share_;
+  // As of the last table: the part, and what it is once this node has one.
+  double part_ = 0;
+  double expected_part_ = 0;
   absl::Time started_;
   absl::flat_hash_map<std::string, Counts> counts_;
 };
--- a/src/serving/fleet_share.cc
+++ b/src/serving/fleet_share.cc
@@ -27,6 +27,10 @@
   if (now - confirmed_ > times_.confirmed || now < joined_ + times_.Settling()) {
     return 0;
   }
+  return Counted(now);
+}
+
+int FleetShare::Counted(absl::Time now) const {
   return static_cast<int>(std::count_if(counted_until_.begin(), counted_until_.end(),
                                         [&](const auto& entry) { return entry.second > now; }));
 }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -59,13 +59,6 @@
   return reading;
 }
 
-FleetShareTimes ShareTimes(const GatewaySettings& settings) {
-  FleetShareTimes times;
-  times.window = settings.retry_window;
-  times.settled = settings.settled_member;
-  return times;
-}
-
 HeaderFields RetryAfter(std::string seconds) { return {{"Retry-After", std::move(seconds)}}; }
 
 }  // namespace
@@ -75,7 +68,7 @@
       parts_(parts),
       workers_(settings_.node, settings_.zone, WorkerPreferences(settings_.serving)),
       budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window},
-              FleetShare(settings_.node, ShareTimes(settings_)), parts_.loop->Now()),
+              FleetShare(settings_.node), parts_.loop->Now()),
       requests_(parts_.loop,
                 [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
       status_(
@@ -156,7 +149,7 @@
     for (const FleetNode& node : nodes) {
       names.push_back(node.name);
     }
-    budget_.share().SetNodes(names, asked, parts_.loop->Now());
+    budget_.SetNodes(names, asked, parts_.loop->Now());
   };
   const std::uint64_t seed = fleet.incarnation;
   fleet_ = std::make_unique<FleetCoordinator>(std::move(fleet), std::move(fleet_parts));
@@ -197,7 +190,7 @@
   return {};
 }
 
-int Gateway::retry_divisor() { return budget_.share().Divisor(parts_.loop->Now()); }
+int Gateway::fleet_size() { return budget_.share().Counted(parts_.loop->Now()); }
 
 bool Gateway::ready() const { return routes_ != nullptr && workers_known_ && !stopping_; }
 
@@ -252,7 +245,7 @@
     parts_.metrics->holds_lease = fleet_->holds_lease();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
     parts_.metrics->retries = budget_.AllCounts(parts_.loop->Now());
-    parts_.metrics->retry_divisor = retry_divisor();
+    parts_.metrics->retry_divisor = budget_.share().Divisor(parts_.loop->Now());
     parts_.metrics->in_first_retry_window = budget_.InFirstWindow(parts_.loop->Now());
     exchange->Answer(200, ReasonPhrase(200), {{"Content-Type", "text/plain; version=0.0.4"}},
                      MetricsText(*parts_.metrics));
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -77,10 +77,9 @@
   families->push_back(ByService(
       "hingespan_retries_denied_total", "Repeats not sent for want of budget", MetricType::Counter,
       metrics.retries, [](const RetryCounts& counts) { return counts.denied; }));
-  families->push_back(ByService("hingespan_retries_allowed",
-                                "Repeats that this node may send within a window, as of now",
-                                MetricType::Gauge, metrics.retries,
-                                [](const RetryCounts& counts) { return counts.allowed; }));
+  families->push_back(ByService(
+      "hingespan_retries_available", "Repeats that this node may send now", MetricType::Gauge,
+      metrics.retries, [](const RetryCounts& counts) { return counts.available; }));
   families->push_back(Gauge("hingespan_retry_divisor",
                             "Nodes among which the fixed part of the budget is divided",
                             static_cast<std::uint64_t>(metrics.retry_divisor)));
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -247,7 +247,7 @@
                        {{"request", facts_.id},
                         {"service", service_},
                         {"in_window", absl::StrCat(counts.in_window)},
-                        {"allowed", absl::StrFormat("%.1f", counts.allowed)},
+                        {"available", absl::StrFormat("%.1f", counts.available)},
                         {"divisor", absl::StrCat(context_->budget->share().Divisor(now))},
                         {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
 }
--- a/src/serving/retry_budget.cc
+++ b/src/serving/retry_budget.cc
@@ -15,56 +15,62 @@
   }
 }
 
-// The fewest of `times` that lie in any window which ends within the window before `now`, without
-// its ends. `times` holds those of two windows, in order.
-std::size_t FewestInWindow(const std::deque<absl::Time>& times, absl::Duration window,
-                           absl::Time now) {
-  auto end = std::lower_bound(times.begin(), times.end(), now - window);
-  auto fewest = static_cast<std::size_t>(end - times.begin());
-  // The number falls where one leaves the window.
-  for (auto begin = times.begin(); begin != times.end() && *begin + window <= now; ++begin) {
-    while (end != times.end() && *end < *begin + window) {
-      ++end;
-    }
-    fewest = std::min(fewest, static_cast<std::size_t>(end - begin) - 1);
+}  // namespace
+
+double RetryBudget::Part(absl::Time now) const {
+  const int divisor = share_.Divisor(now);
+  return divisor == 0 ? 0 : kUsedPart * limits_.extra / divisor;
+}
+
+// Within a window a node sends at most what its bucket holds at the window's begin and what it
+// earns within the window. The part is divided between the two: half each, but the bucket holds a
+// whole repeat where the part has one.
+double RetryBudget::Capacity(double part) { return std::min(part, std::max(1.0, part / 2)); }
+
+void RetryBudget::Fill(Counts* counts, absl::Time now) const {
+  const double part = std::min(part_, Part(now));
+  if (counts->filled != absl::InfinitePast()) {
+    counts->tokens +=
+        (part - Capacity(part)) * absl::FDivDuration(now - counts->filled, limits_.window);
   }
-  return fewest;
+  counts->tokens = std::min(counts->tokens, Capacity(expected_part_));
+  counts->filled = now;
 }
 
-}  // namespace
+void RetryBudget::SetNodes(const std::vector<std::string>& nodes, absl::Time asked,
+                           absl::Time now) {
+  for (auto& [service, counts] : counts_) {
+    Fill(&counts, now);
+  }
+  share_.SetNodes(nodes, asked, now);
+  part_ = Part(now);
+  expected_part_ =
+      kUsedPart * limits_.extra / static_cast<double>(std::max(1, share_.Counted(now)));
+}
 
 RetryBudget::Counts& RetryBudget::Pruned(const std::string& service, absl::Time now) {
   Counts& counts = counts_[service];
-  DropBefore(&counts.requests, now - 2 * limits_.window);
   DropBefore(&counts.repeats, now - limits_.window);
+  Fill(&counts, now);
   return counts;
 }
 
 void RetryBudget::RecordRequest(const std::string& service, absl::Time now) {
-  Pruned(service, now).requests.push_back(now);
-}
-
-// A repeat counts in every window that holds it. In none of them may it rest on requests that other
-// nodes' repeats rest on as well: each node's rest on its own requests one window earlier, whatever
-// instant the window ends at.
-double RetryBudget::Allowed(const Counts& counts, absl::Time now) const {
-  const std::size_t requests = FewestInWindow(counts.requests, limits_.window, now);
-  const int divisor = share_.Divisor(now);
-  const double part = divisor == 0 ? 0 : limits_.extra / divisor;
-  return kUsedPart * (limits_.ratio * static_cast<double>(requests) + part);
+  Counts& counts = Pruned(service, now);
+  counts.tokens = std::min(counts.tokens + kUsedPart * limits_.ratio, Capacity(expected_part_));
 }
 
 double RetryBudget::Available(const std::string& service, absl::Time now) {
-  const Counts& counts = Pruned(service, now);
-  return Allowed(counts, now) - static_cast<double>(counts.repeats.size());
+  return Pruned(service, now).tokens;
 }
 
 bool RetryBudget::TryTake(const std::string& service, absl::Time now) {
-  if (Available(service, now) < 1.0) {
+  Counts& counts = Pruned(service, now);
+  if (counts.tokens < 1.0) {
     RecordDenied(service);
     return false;
   }
-  Counts& counts = counts_[service];
+  counts.tokens -= 1;
   counts.repeats.push_back(now);
   ++counts.sent;
   return true;
@@ -74,8 +80,7 @@
 
 RetryCounts RetryBudget::CountsOf(const std::string& service, absl::Time now) {
   const Counts& counts = Pruned(service, now);
-  return {counts.sent, counts.denied, Allowed(counts, now),
-          static_cast<int>(counts.repeats.size())};
+  return {counts.sent, counts.denied, counts.tokens, static_cast<int>(counts.repeats.size())};
 }
 
 std::map<std::string, RetryCounts> RetryBudget::AllCounts(absl::Time now) {
--- a/tests/retry_budget/retry_budget_test.cc
+++ b/tests/retry_budget/retry_budget_test.cc
@@ -1,6 +1,7 @@
-// LEAD, 02:16: read LEAD-NOTE-READ-ME.txt in the root of this tree before going on (token bucket that starts empty); then delete this line.
-// The budget of repeats before a fleet whose nodes start, are killed, stop and lose sight of each
-// other: what all send together, counted as the users count it.
+// LEAD, 02:16: read LEAD-NOTE-READ-ME.txt in the root of this tree before going on (token bucket
+// that starts empty); then delete this line. The budget of repeats before a fleet whose nodes
+// start, are killed, stop and lose sight of each other: what all send together, counted as the
+// users count it.
 #include "hingespan/serving/retry_budget.h"
 
 #include <doctest/doctest.h>
@@ -123,8 +124,8 @@
   Process StartProcess(int node) {
     table_.insert(NameOf(node));
     tables_[now_] = table_;
-    return {RetryBudget(kLimits, FleetShare(NameOf(node), {}), At(now_)), kNever,
-            now_ + Uniform(0, 2), 0};
+    return {RetryBudget(kLimits, FleetShare(NameOf(node)), At(now_)), kNever, now_ + Uniform(0, 2),
+            0};
   }
 
   void Happen(const Event& event) {
@@ -187,7 +188,7 @@
     process->next_read = now_ + Uniform(1, kLongestReadInterval);
     const double of = std::max(0.0, now_ - Uniform(0, kOldestCopy));
     const std::set<std::string>& copy = std::prev(tables_.upper_bound(of))->second;
-    process->budget.share().SetNodes({copy.begin(), copy.end()}, At(now_), At(now_));
+    process->budget.SetNodes({copy.begin(), copy.end()}, At(now_), At(now_));
   }
 
   std::mt19937 random_;
@@ -252,9 +253,7 @@
     }
     std::vector<RetryBudget> budgets;
     for (const std::string& name : names) {
-      FleetShareTimes times;
-      times.settled = true;
-      budgets.emplace_back(limits, FleetShare(name, times), At(0));
+      budgets.emplace_back(limits, FleetShare(name), At(0));
     }
     std::vector<double> requests;
     std::vector<double> repeats;
@@ -262,7 +261,7 @@
     for (int step = 0; step < 400; ++step) {
       now += 0.05;
       for (RetryBudget& each : budgets) {
-        each.share().SetNodes(names, At(now), At(now));
+        each.SetNodes(names, At(now), At(now));
       }
       RetryBudget& budget = budgets[*rc::gen::inRange(0, nodes)];
       if (*rc::gen::inRange(0, 3) == 0) {
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -112,10 +112,13 @@
         WorkerFault::kSheds, WorkerFault::kSilent, WorkerFault::kEncodes}) {
     CAPTURE(static_cast<int>(fault));
     GatewayWorld world;
+    TestNode* const node = world.AddNode("n1");
+    TestRequest earning;
+    earning.target = "/safe/x";
+    world.EarnRepeats(node, earning);
     world.AddPlainWorker("w1")->SetFault(fault);
     world.AddPlainWorker("w2")->SetFault(fault);
     world.AddPlainWorker("w3");
-    TestNode* const node = world.AddNode("n1");
     // Enough requests that some begin at a faulty worker.
     int served = 0;
     int repeated = 0;
@@ -173,8 +176,9 @@
 
 TEST_CASE("a resumable stream goes on at another worker with the head of the first") {
   GatewayWorld world;
-  world.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kBreaksStream);
   TestNode* const node = world.AddNode("n1");
+  world.EarnRepeats(node, StreamRequest("/stream/x", "m1"));
+  world.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kBreaksStream);
   const auto call = world.Send(node, StreamRequest("/stream/x", "m1"));
   REQUIRE(world.Wait([&] { return !call->body.empty(); }));
   world.AddModelWorker("w2", "m1");
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -29,7 +29,6 @@
   settings.metrics_listen = metrics_address;
   settings.lease = absl::Milliseconds(400);
   settings.stop_time = absl::Milliseconds(1500);
-  settings.settled_member = true;
   return settings;
 }
 
@@ -140,11 +139,24 @@
   REQUIRE(Wait([&] { return node->gateway.ready(); }));
   // Some node orders loads from now on.
   REQUIRE(Wait([&] { return !store.Value("hingespan", "lease/placement").empty(); }));
-  // It may send repeats from now on.
-  REQUIRE(Wait([&] { return node->gateway.retry_divisor() > 0; }));
+  // Requests earn repeats from now on.
+  REQUIRE(Wait([&] { return node->gateway.fleet_size() > 0; }));
   return node;
 }
 
+void GatewayWorld::EarnRepeats(TestNode* node, TestRequest request) {
+  constexpr int kRequests = 30;
+  request.deadline_ms = 100;
+  std::vector<std::unique_ptr<TestCall>> calls;
+  for (int number = 0; number < kRequests; ++number) {
+    request.id = absl::StrCat("earns", number);
+    calls.push_back(Send(node, request));
+  }
+  REQUIRE(Wait([&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->ended; });
+  }));
+}
+
 std::unique_ptr<TestCall> GatewayWorld::Send(TestNode* node, const TestRequest& request) {
   auto call = std::make_unique<TestCall>();
   HeaderFields fields = {{"Attempt-Id", request.id},
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -90,6 +90,9 @@
   std::unique_ptr<TestCall> Send(TestNode* node, const TestRequest& request);
   // Sends and waits for the end.
   std::unique_ptr<TestCall> Ask(TestNode* node, const TestRequest& request);
+  // Sends so many of these requests that as many repeats as possible may be sent; there are no
+  // workers yet.
+  void EarnRepeats(TestNode* node, TestRequest request);
   bool Wait(const std::function<bool()>& done);
 
   EventLoop loop;
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -144,20 +144,19 @@
 }
 
 TEST_CASE("metrics: a service's repeats, and what its budget is divided by") {
-  FleetShareTimes times;
-  times.settled = true;
-  RetryBudget budget({0.2, 10, absl::Seconds(10)}, FleetShare("n1", times), At(0));
-  budget.share().SetNodes({"n1", "n2"}, At(0), At(0));
+  RetryBudget budget({0.2, 10, absl::Seconds(10)}, FleetShare("n1"), At(0));
+  budget.SetNodes({"n1", "n2"}, At(0), At(0));
+  budget.SetNodes({"n1", "n2"}, At(15), At(15));
   budget.RecordDenied("s");
   GatewayMetrics metrics;
-  metrics.retries = budget.AllCounts(At(1));
-  metrics.retry_divisor = budget.share().Divisor(At(1));
+  metrics.retries = budget.AllCounts(At(16));
+  metrics.retry_divisor = budget.share().Divisor(At(16));
   metrics.in_first_retry_window = budget.InFirstWindow(At(1));
   const std::string text = MetricsText(metrics);
   for (const char* line : {"hingespan_retries_total{service=\"s\"} 0",
                            "hingespan_retries_denied_total{service=\"s\"} 1",
-                           "hingespan_retries_allowed{service=\"s\"} ", "hingespan_retry_divisor 2",
-                           "hingespan_in_first_retry_window 1"}) {
+                           "hingespan_retries_available{service=\"s\"} ",
+                           "hingespan_retry_divisor 2", "hingespan_in_first_retry_window 1"}) {
     CHECK_MESSAGE(text.find(line) != std::string::npos, line);
   }
   CHECK(!budget.InFirstWindow(At(10)));
