--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -74,8 +74,8 @@
   std::function<void(DemandReport*)> fill_report;
   // Replicas or loads have changed.
   std::function<void()> on_news;
-  // All nodes of the fleet.
-  std::function<void(const std::vector<FleetNode>&)> on_nodes;
+  // All nodes of the fleet, by a read that was begun at `asked`.
+  std::function<void(const std::vector<FleetNode>& nodes, absl::Time asked)> on_nodes;
 };
 
 // Not thread-safe; lives on its loop.
@@ -103,7 +103,7 @@
   absl::Duration StoreInterval() const;
   absl::Duration LoadNewsInterval() const;
   void ReadTable();
-  void OnTable(const StoreRows& rows);
+  void OnTable(const StoreRows& rows, absl::Time asked);
   void WriteLease();
   void AnnounceNode();
   // Takes the row away that this process wrote, and no other.
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -9,6 +9,7 @@
 
 #include "absl/time/time.h"
 #include "hingespan/http/http_server.h"
+#include "hingespan/serving/retry_budget.h"
 
 namespace hingespan::gateway {
 
@@ -53,6 +54,10 @@
   std::uint64_t configuration_version = 0;
   ServerActivity connections;
   bool holds_lease = false;
+  // By service.
+  std::map<std::string, RetryCounts> retries;
+  int retry_divisor = 0;
+  bool in_first_retry_window = false;
 };
 
 // The text exposition format of Prometheus.
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -179,14 +179,14 @@
     return;
   }
   read_under_way_ = true;
-  parts_.store->Read(settings_.table, [this](Result<StoreRows> result) {
+  parts_.store->Read(settings_.table, [this, asked = parts_.loop->Now()](Result<StoreRows> result) {
     read_under_way_ = false;
     const absl::Time now = parts_.loop->Now();
     if (!result.ok()) {
       lease_.OnReadFailed(now);
       return;
     }
-    OnTable(*result);
+    OnTable(*result, asked);
     // At the first look the others' rows are not there yet.
     if (store_ticks_ > 1 || lease_.record().has_value()) {
       WriteLease();
@@ -194,7 +194,7 @@
   });
 }
 
-void FleetCoordinator::OnTable(const StoreRows& rows) {
+void FleetCoordinator::OnTable(const StoreRows& rows, absl::Time asked) {
   CheckOwnRow(rows);
   std::optional<LeaseRecord> lease;
   std::uint64_t lease_version = 0;
@@ -218,7 +218,7 @@
     }
   }
   peers_ = std::move(peers);
-  parts_.on_nodes(nodes);
+  parts_.on_nodes(nodes, asked);
   const bool wider = std::any_of(nodes.begin(), nodes.end(), [this](const FleetNode& node) {
     return node.link_mbps > settings_.link_mbps;
   });
--- a/src/serving/gateway_demand.cc
+++ b/src/serving/gateway_demand.cc
@@ -60,7 +60,6 @@
       report->unreachable.push_back(id);
     }
   }
-  budget_.SetNodes(fleet_->nodes());
   workers_.SetNodes(fleet_->nodes());
 }
 
--- a/src/serving/retry_budget.cc
+++ b/src/serving/retry_budget.cc
@@ -5,7 +5,8 @@
 namespace hingespan::gateway {
 namespace {
 
-// Nodes count their windows at different instants; this part of the budget is left unused for that.
+// Repeats and requests are counted here a little before or after the users count them; this part of
+// the budget is used, the rest is left for that.
 constexpr double kUsedPart = 0.9;
 
 void DropBefore(std::deque<absl::Time>* times, absl::Time begin) {
@@ -16,32 +17,81 @@
 
 }  // namespace
 
-void RetryBudget::SetNodes(int nodes) { nodes_ = std::max(1, nodes); }
+double RetryBudget::Part(absl::Time now) const {
+  const int divisor = share_.Divisor(now);
+  return divisor == 0 ? 0 : kUsedPart * limits_.extra / divisor;
+}
+
+// Within a window a node sends at most what its bucket holds at the window's begin and what it
+// earns within the window. The part is divided between the two: half each, but the bucket holds a
+// whole repeat where the part has one.
+double RetryBudget::Capacity(double part) { return std::min(part, std::max(1.0, part / 2)); }
+
+void RetryBudget::Fill(Counts* counts, absl::Time now) const {
+  const double part = std::min(part_, Part(now));
+  if (counts->filled != absl::InfinitePast()) {
+    counts->tokens +=
+        (part - Capacity(part)) * absl::FDivDuration(now - counts->filled, limits_.window);
+  }
+  counts->tokens = std::min(counts->tokens, Capacity(expected_part_));
+  counts->filled = now;
+}
+
+void RetryBudget::SetNodes(const std::vector<std::string>& nodes, absl::Time asked,
+                           absl::Time now) {
+  for (auto& [service, counts] : counts_) {
+    Fill(&counts, now);
+  }
+  share_.SetNodes(nodes, asked, now);
+  part_ = Part(now);
+  expected_part_ =
+      kUsedPart * limits_.extra / static_cast<double>(std::max(1, share_.Counted(now)));
+}
 
 RetryBudget::Counts& RetryBudget::Pruned(const std::string& service, absl::Time now) {
   Counts& counts = counts_[service];
-  DropBefore(&counts.requests, now - limits_.window);
   DropBefore(&counts.repeats, now - limits_.window);
+  Fill(&counts, now);
   return counts;
 }
 
 void RetryBudget::RecordRequest(const std::string& service, absl::Time now) {
-  Pruned(service, now).requests.push_back(now);
+  Counts& counts = Pruned(service, now);
+  counts.tokens = std::min(counts.tokens + kUsedPart * limits_.ratio, Capacity(expected_part_));
 }
 
 double RetryBudget::Available(const std::string& service, absl::Time now) {
-  const Counts& counts = Pruned(service, now);
-  const double allowed = limits_.ratio * static_cast<double>(counts.requests.size()) +
-                         limits_.extra / static_cast<double>(nodes_);
-  return kUsedPart * allowed - static_cast<double>(counts.repeats.size());
+  return Pruned(service, now).tokens;
 }
 
 bool RetryBudget::TryTake(const std::string& service, absl::Time now) {
-  if (Available(service, now) < 1.0) {
+  Counts& counts = Pruned(service, now);
+  if (counts.tokens < 1.0) {
+    RecordDenied(service);
     return false;
   }
-  counts_[service].repeats.push_back(now);
+  counts.tokens -= 1;
+  counts.repeats.push_back(now);
+  ++counts.sent;
   return true;
 }
 
+void RetryBudget::RecordDenied(const std::string& service) { ++counts_[service].denied; }
+
+RetryCounts RetryBudget::CountsOf(const std::string& service, absl::Time now) {
+  const Counts& counts = Pruned(service, now);
+  return {counts.sent, counts.denied, counts.tokens, static_cast<int>(counts.repeats.size())};
+}
+
+std::map<std::string, RetryCounts> RetryBudget::AllCounts(absl::Time now) {
+  std::map<std::string, RetryCounts> all;
+  for (const auto& [service, counts] : counts_) {
+    all.emplace(service, RetryCounts{});
+  }
+  for (auto& [service, counts] : all) {
+    counts = CountsOf(service, now);
+  }
+  return all;
+}
+
 }  // namespace hingespan::gateway
