--- a/tests/retry_budget/retry_budget_test.cc
+++ b/tests/retry_budget/retry_budget_test.cc
@@ -252,6 +252,7 @@
       names.push_back(absl::StrCat("n", node));
     }
     std::vector<RetryBudget> budgets;
+    budgets.reserve(nodes);
     for (const std::string& name : names) {
       budgets.emplace_back(limits, FleetShare(name), At(0));
     }
