The idle time ends no connection whose caller is taking its answer

What callers saw: a caller that took longer than the idle time to read an answer lost its end.

Cause: the idle time was set when the answer was handed to the connection, and nothing moved it on while bytes of the answer were still being sent.

Change: the idle time begins when the last byte has left the process. When it is over, bytes that are unsent or unacknowledged (SIOCOUTQ) and fewer than at its beginning mean a caller that is taking its answer: the connection gets another idle time. With none left, or none less, it is closed as before. Not asio's progress alone: the system frees a send buffer of megabytes in large steps, so a slow caller's progress may not show there for an idle time.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -21,7 +21,8 @@
   MessageLimits message;
   // From the first byte of a request to the end of its head; also between pieces of its body.
   absl::Duration head_timeout = absl::Seconds(3);
-  // A kept connection without a request is closed after this.
+  // A kept connection without a request is closed after this. While an answer is still being sent,
+  // only if the caller has taken nothing of it for this long.
   absl::Duration idle_timeout = absl::Seconds(15);
   std::size_t max_connections = 3000;
 };
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -1,6 +1,10 @@
 #include "hingespan/http/server_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <array>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -81,7 +85,7 @@
   }
 
   bool has_input() const { return !input_.empty(); }
-  std::size_t pending_bytes() const { return writing_.size() + waiting_.size(); }
+  std::size_t pending_bytes() const { return writing_.size() - written_ + waiting_.size(); }
 
   void AddTo(ServerActivity* activity) const override {
     if (closed_) {
@@ -145,11 +149,29 @@
 
  private:
   void WaitForRequest() {
-    timer_->Set(server_->loop->Now() + server_->limits.idle_timeout, [weak = weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->Close();
-      }
-    });
+    timer_->Set(server_->loop->Now() + server_->limits.idle_timeout,
+                [weak = weak_from_this(), unsent = pending_bytes() + system_bytes()] {
+                  if (const auto self = weak.lock()) {
+                    self->OnIdleTime(unsent);
+                  }
+                });
+  }
+
+  // A caller that is still taking the last answer is not idle.
+  void OnIdleTime(std::size_t unsent_before) {
+    const std::size_t unsent = pending_bytes() + system_bytes();
+    if (unsent > 0 && unsent < unsent_before) {
+      WaitForRequest();
+      return;
+    }
+    Close();
+  }
+
+  // Written to the system, and not acknowledged by the caller's.
+  std::size_t system_bytes() const {
+    int count = 0;
+    const bool known = ioctl(socket_.native_handle(), SIOCOUTQ, &count) == 0 && count > 0;
+    return known ? static_cast<std::size_t>(count) : 0;
   }
 
   void Read() {
@@ -258,13 +280,19 @@
 
   void WriteWaiting() {
     writing_.swap(waiting_);
-    boost::asio::async_write(socket_, boost::asio::buffer(writing_),
-                             [self = shared_from_this()](const boost::system::error_code& error,
-                                                         std::size_t) { self->OnWritten(error); });
+    const auto self = shared_from_this();
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(writing_),
+        [self](const boost::system::error_code& error, std::size_t written) {
+          self->written_ = written;
+          return boost::asio::transfer_all()(error, written);
+        },
+        [self](const boost::system::error_code& error, std::size_t) { self->OnWritten(error); });
   }
 
   void OnWritten(const boost::system::error_code& error) {
     writing_.clear();
+    written_ = 0;
     if (closed_) {
       return;
     }
@@ -282,6 +310,8 @@
     }
     if (const auto exchange = current_.lock()) {
       exchange->Drained();
+    } else if (!exchange_open_ && !head_timer_running_) {
+      WaitForRequest();
     }
   }
 
@@ -318,12 +348,15 @@
   }
 
   std::shared_ptr<ServerState> server_;
-  tcp::socket socket_;
+  // Mutable: its handle can't be had of a const one.
+  mutable tcp::socket socket_;
   std::unique_ptr<LoopTimer> timer_;
   std::unique_ptr<RequestParser> parser_;
   // Read but not parsed yet.
   std::string input_;
   std::string writing_;
+  // How much of `writing_` the system has taken.
+  std::size_t written_ = 0;
   std::string waiting_;
   std::weak_ptr<Exchange> current_;
   absl::Time received_;
--- a/tests/net/raw_client.h
+++ b/tests/net/raw_client.h
@@ -56,6 +56,14 @@
     return received;
   }
 
+  // Reads what is there, at most `limit` bytes of it; doesn't wait.
+  std::string ReadSome(std::size_t limit) {
+    std::string received(limit, '\0');
+    const ssize_t size = recv(socket_, received.data(), limit, MSG_DONTWAIT);
+    received.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+    return received;
+  }
+
   // Reads until the other side closes.
   std::string ReadAll() { return ReadUntil(std::string_view("\0never\0", 7)); }
 
