An answer counts as unsent until the caller's system has it

What callers saw: the end of an answer was missing after a stop.

Cause: an answer that was handed to the system counted as done. The process may end while the system still holds it, and closing a socket that has bytes unread, such as the caller's next request, resets it and drops what was not acknowledged.

Change: what the system holds unsent or unacknowledged (SIOCOUTQ; an error counts as none) counts as unsent in ServerActivity, and its connection is `sending`, so a stop waits for it, up to its limit. A connection that is being closed in order counts as `closing` as before; its bytes in the system are not counted, as they would include the end of the stream. One ioctl a connection at each check of a stop and each reading of the metrics.

The test: as written it ended the server when the answer had left the process, which no server can make good. It now checks that the answer counts while its caller takes nothing, lets the caller read until the server has nothing unfinished, and then sends the next request and ends the server, as before; the whole body must arrive. Equally strict: the old code fails both checks.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -31,12 +31,14 @@
 struct ServerActivity {
   // A whole request was read, and its answer isn't whole; or bytes read behind it are to be parsed.
   std::size_t answering = 0;
-  // The last answer is whole, but not all of it has left this process.
+  // The last answer is whole, but not all of it has reached the caller's system: closing a socket
+  // that has bytes unread drops what was not acknowledged.
   std::size_t sending = 0;
-  // The last answer has left; its connection waits for the caller's end.
+  // The last answer has left this process; its connection waits for the caller's end.
   std::size_t closing = 0;
   // All others: kept for a next request, or with part of one.
   std::size_t idle = 0;
+  // In this process, or in the system and not acknowledged.
   std::size_t unsent_bytes = 0;
   // Received by the system or by this process, but not parsed.
   std::size_t unread_bytes = 0;
@@ -95,7 +97,7 @@
   void AskToClose();
   std::size_t connections() const;
   ServerActivity activity() const;
-  // Requests whose answer is not whole yet, or has not left this process.
+  // Requests whose answer is not whole yet, or has not reached the caller's system.
   std::size_t open_exchanges() const;
 
  private:
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -91,13 +91,15 @@
     if (closed_) {
       return;
     }
-    activity->unsent_bytes += pending_bytes();
+    // What an ending connection has in the system includes the end of the stream.
+    const std::size_t unsent = pending_bytes() + (ending_ ? 0 : system_bytes());
+    activity->unsent_bytes += unsent;
     boost::system::error_code ignored;
     activity->unread_bytes += input_.size() + socket_.available(ignored);
     const bool to_parse = !input_.empty() && !close_when_written_;
     if (exchange_open_ || to_parse) {
       ++activity->answering;
-    } else if (pending_bytes() > 0) {
+    } else if (unsent > 0) {
       ++activity->sending;
     } else if (ending_) {
       ++activity->closing;
--- a/tests/review/http_server_end_test.cc
+++ b/tests/review/http_server_end_test.cc
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr absl::Duration kLimit = absl::Seconds(10);
+// Between two looks of a caller that reads steadily.
+constexpr absl::Duration kInterval = absl::Milliseconds(20);
 constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 // More than a caller that doesn't read takes, less than the system takes of the server.
 constexpr std::size_t kLargeBody = 1024 * 1024;
@@ -31,9 +33,7 @@
   HttpServer http;
 };
 
-// The bytes of the body received until the connection ends.
-std::size_t BodySize(RawClient* caller) {
-  const std::string answer = caller->ReadAll();
+std::size_t BodySize(const std::string& answer) {
   const std::size_t head = answer.find("\r\n\r\n");
   return head == std::string::npos ? 0 : answer.size() - head - 4;
 }
@@ -49,7 +49,8 @@
         timer_(loop->MakeTimer()) {
     Schedule();
   }
-  std::size_t size() const { return size_; }
+  std::size_t size() const { return received_.size(); }
+  const std::string& received() const { return received_; }
   // The connection has ended, and all that came was read.
   bool ended() const { return ended_; }
 
@@ -57,9 +58,9 @@
   void Schedule() {
     timer_->Set(loop_->Now() + interval_, [this] {
       if (caller_->Readable(0)) {
-        const std::size_t size = caller_->ReadSome(piece_).size();
-        size_ += size;
-        ended_ = size == 0;
+        const std::string piece = caller_->ReadSome(piece_);
+        received_.append(piece);
+        ended_ = piece.empty();
       }
       if (!ended_) {
         Schedule();
@@ -72,7 +73,7 @@
   absl::Duration interval_;
   std::size_t piece_;
   std::unique_ptr<LoopTimer> timer_;
-  std::size_t size_ = 0;
+  std::string received_;
   bool ended_ = false;
 };
 
@@ -86,11 +87,22 @@
   });
   RawClient caller(server->http.address());
   REQUIRE(caller.Send(kRequest));
-  REQUIRE(server->Wait([&] { return answered && server->http.activity().unfinished() == 0; }));
+  // The system takes the answer, but the caller takes nothing.
+  REQUIRE(server->Wait([&] { return answered; }));
+  bool over = false;
+  const std::unique_ptr<LoopTimer> timer = server->loop.MakeTimer();
+  timer->Set(server->loop.Now() + kInterval, [&] { over = true; });
+  REQUIRE(server->Wait([&] { return over; }));
+  CHECK(server->http.activity().unfinished() == 1);
+  auto reader = std::make_unique<SteadyReader>(&server->loop, &caller, kInterval, kLargeBody / 8);
+  REQUIRE(server->Wait([&] { return server->http.activity().unfinished() == 0; }));
+  std::string answer = reader->received();
+  reader.reset();
   // Arrives after the last look at the connections.
   REQUIRE(caller.Send(kRequest));
   server.reset();
-  CHECK(BodySize(&caller) == kLargeBody);
+  answer.append(caller.ReadAll());
+  CHECK(BodySize(answer) == kLargeBody);
 }
 
 // Guards against an idle time that begins when an answer is handed to its connection.
@@ -107,7 +119,7 @@
   REQUIRE(caller.Send(kRequest));
   REQUIRE(server.Wait([&] { return answered; }));
   // All of it takes more than six idle times.
-  SteadyReader reader(&server.loop, &caller, absl::Milliseconds(20), kHugeBody / 32);
+  SteadyReader reader(&server.loop, &caller, kInterval, kHugeBody / 32);
   // Once all of it is sent, the idle time ends the connection.
   REQUIRE(server.Wait([&] { return reader.ended(); }));
   CHECK(reader.size() > kHugeBody);
