--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -21,7 +21,8 @@
   MessageLimits message;
   // From the first byte of a request to the end of its head; also between pieces of its body.
   absl::Duration head_timeout = absl::Seconds(3);
-  // A kept connection without a request is closed after this.
+  // A kept connection without a request is closed after this. While an answer is still being sent,
+  // only if the caller has taken nothing of it for this long.
   absl::Duration idle_timeout = absl::Seconds(15);
   std::size_t max_connections = 3000;
 };
@@ -30,12 +31,14 @@
 struct ServerActivity {
   // A whole request was read, and its answer isn't whole; or bytes read behind it are to be parsed.
   std::size_t answering = 0;
-  // The last answer is whole, but not all of it has left this process.
+  // The last answer is whole, but not all of it has reached the caller's system: closing a socket
+  // that has bytes unread drops what was not acknowledged.
   std::size_t sending = 0;
-  // The last answer has left; its connection waits for the caller's end.
+  // The last answer has left this process; its connection waits for the caller's end.
   std::size_t closing = 0;
   // All others: kept for a next request, or with part of one.
   std::size_t idle = 0;
+  // In this process, or in the system and not acknowledged.
   std::size_t unsent_bytes = 0;
   // Received by the system or by this process, but not parsed.
   std::size_t unread_bytes = 0;
@@ -94,7 +97,7 @@
   void AskToClose();
   std::size_t connections() const;
   ServerActivity activity() const;
-  // Requests whose answer is not whole yet, or has not left this process.
+  // Requests whose answer is not whole yet, or has not reached the caller's system.
   std::size_t open_exchanges() const;
 
  private:
