Retry budget test: the moved property has its parts from the first request on again

When the property moved from parts_test, its nodes got no part of the fixed number until 13 s of its 20 s had passed, so it tried less than before; the other properties of the file have an undisturbed time before. Its nodes now know each other for 30 s when it begins. The bound is unchanged.

--- a/tests/retry_budget/retry_budget_test.cc
+++ b/tests/retry_budget/retry_budget_test.cc
@@ -252,7 +252,9 @@
     std::vector<RetryBudget> budgets;
     budgets.reserve(nodes);
     for (const std::string& name : names) {
-      budgets.emplace_back(limits, FleetShare(name), At(0));
+      budgets.emplace_back(limits, FleetShare(name), At(-30));
+      // Long ago, so that each node has its part from the first request on.
+      budgets.back().SetNodes(names, At(-30), At(-30));
     }
     std::vector<double> requests;
     std::vector<double> repeats;
