Soak checks: the fixture's clock no longer depends on the time since the machine's start

On a machine that started less than 22 minutes ago two cases of test-soak_checks failed.

Cause: At() counted from a fixed 1,000 s of the steady clock, while the emulated worker and the cases that set `sent` use the clock itself. On a young machine `ended_at` of these requests lay up to 1,000 s after `sent`, so the check of late answers reported them too; on an older one it lay before it, which no check looked at. Change: At() counts from the start of the tests on the same clock, and the cases move a whole request (sent and ended) instead of `sent` alone. The expected lists of broken promises are unchanged, word for word; the check of late answers now sees plausible times, so the cases are at least as strict. Nothing in the fixture refers to a fixed time any more, so a later start can't change the order of two times.

--- a/tests/soak_checks/fixture.h
+++ b/tests/soak_checks/fixture.h
@@ -10,11 +10,17 @@
 
 #include "absl/strings/str_cat.h"
 #include "emulator/platform_store.h"
+#include "hingespan/common/clock.h"
 #include "tests/soak/promises.h"
 
 namespace hingespan::soak {
 
-inline absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
+// Seconds after the start of the tests. The emulated worker stamps its runs with the same clock, so
+// hand-made records and real runs have the same order on every machine.
+inline absl::Time At(double seconds) {
+  static const absl::Time start = SystemClock().Now();
+  return start + absl::Seconds(seconds);
+}
 
 struct Fixture {
   Fixture() {
@@ -46,6 +52,12 @@
     return records.requests.back().get();
   }
 
+  // Moves a request to this time; its latency stays as it is.
+  static void MoveTo(absl::Time sent, RequestRecord* request) {
+    request->ended_at += sent - request->sent;
+    request->sent = sent;
+  }
+
   // Sends a request directly to the worker.
   void Run(const std::string& id, const std::string& target, const std::string& body) {
     RequestRecord call;
--- a/tests/soak_checks/repeat_budget_test.cc
+++ b/tests/soak_checks/repeat_budget_test.cc
@@ -45,14 +45,14 @@
   const absl::Time now = fixture.loop.Now();
   for (int count = 0; count < 2; ++count) {
     // Requests of the previous window count if there are more of them.
-    fixture.Add(RequestKind::kRead, 503, "")->sent = now - absl::Seconds(80);
+    Fixture::MoveTo(now - absl::Seconds(80), fixture.Add(RequestKind::kRead, 503, ""));
   }
   CHECK(fixture.Broken() == Names{kBudget});
-  fixture.Add(RequestKind::kRead, 503, "")->sent = now - absl::Seconds(80);
+  Fixture::MoveTo(now - absl::Seconds(80), fixture.Add(RequestKind::kRead, 503, ""));
   CHECK(fixture.Broken().empty());
   for (const auto& request : fixture.records.requests) {
     if (request->head.status == 503) {
-      request->sent = now - absl::Seconds(300);
+      Fixture::MoveTo(now - absl::Seconds(300), request.get());
     }
   }
   CHECK(fixture.Broken() == Names{kBudget});
@@ -63,7 +63,7 @@
   fixture.records.repeats = {0.5, 0, absl::Seconds(100)};
   AddRepeated(&fixture);
   for (int count = 0; count < 9; ++count) {
-    fixture.Add(RequestKind::kStream, 503, "")->sent = fixture.loop.Now();
+    Fixture::MoveTo(fixture.loop.Now(), fixture.Add(RequestKind::kStream, 503, ""));
   }
   CHECK(fixture.Broken() == Names{kBudget});
 }
