Gateway log: how the end of a worker's answer is marked

Change: both lines get `framing`: length, chunks, connection, or none where no head arrived. The head of an attempt is reset when the next one starts. Result: observability only; the answers are the same.

--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -161,6 +161,7 @@
   attempt_started_ = now;
   last_progress_ = now;
   answer_started_ = false;
+  answer_head_ = {};
   forwarding_events_ = false;
   answer_body_.clear();
   events_.DropRest();
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -18,6 +18,17 @@
 // Time for which a replica counts as absent after its worker reported that it doesn't hold it.
 constexpr absl::Duration kDeniedReplicaLifetime = absl::Milliseconds(700);
 
+// How the end of an answer's body is marked.
+absl::string_view FramingName(const AnswerHead& head) {
+  if (head.status == 0) {
+    return "none";
+  }
+  if (head.ends_with_connection) {
+    return "connection";
+  }
+  return head.body_length.has_value() ? "length" : "chunks";
+}
+
 std::string Milliseconds(absl::Duration duration) {
   return absl::StrCat(absl::ToInt64Milliseconds(duration));
 }
@@ -173,6 +184,7 @@
                        {{"request", facts_.id},
                         {"worker", worker_id_},
                         {"how", last_failure_},
+                        {"framing", std::string(FramingName(answer_head_))},
                         {"attempt", absl::StrCat(attempts_)},
                         {"after_ms", Milliseconds(now - attempt_started_)}});
   const bool may_repeat = !may_have_run_ || route_->MayRunAgain();
@@ -258,6 +270,7 @@
        {"outcome", std::string(why)},
        {"attempts", absl::StrCat(attempts_)},
        {"worker", worker_id_},
+       {"framing", std::string(FramingName(answer_head_))},
        {"worker_row", absl::StrCat(worker == nullptr ? 0 : worker->row_version)},
        {"configuration", absl::StrCat(routes_->configuration().version)},
        {"sent_after_ms",
