HTTP server: answers that end with their connection, for HTTP/1.0 callers

What callers saw: a caller of HTTP/1.0 got a stream in chunks, which it can't decode; each chunk's length and the last chunk became part of its body. Cause: the version of a request was not read, and StartChunked always framed. Evidence: with the check of the version switched off, "an HTTP/1.0 caller gets a stream that ends with its connection" fails: Transfer-Encoding is in the head and the body doesn't end with "\r\n\r\nabc". Change: RequestHead::accepts_chunks; StartUnframed sends a body without framing and closes; StartChunked uses it for callers without chunks. Abort resets such a connection, since its orderly end would complete the answer. Why it works: the caller's only sign of the end is the end of its connection, and a reset is never an orderly end.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -68,11 +68,16 @@
   // Sends a complete answer with Content-Length.
   virtual void Answer(int status, absl::string_view reason, const HeaderFields& fields,
                       absl::string_view body) = 0;
-  // Sends the head of an answer with a chunked body.
+  // Sends the head of an answer with a chunked body, or one that ends with the connection if the
+  // caller doesn't know chunks.
   virtual void StartChunked(int status, absl::string_view reason, const HeaderFields& fields) = 0;
+  // Sends the head of an answer whose body ends with the connection. WriteChunk and FinishChunked
+  // then send its bytes unframed and its end.
+  virtual void StartUnframed(int status, absl::string_view reason, const HeaderFields& fields) = 0;
   virtual void WriteChunk(absl::string_view bytes) = 0;
   virtual void FinishChunked() = 0;
-  // Closes the connection in a way that the caller can't mistake the answer for a complete one.
+  // Ends the connection in a way that the caller can't mistake the answer for a complete one: with
+  // a reset if the end of the connection would mark the end of the body.
   virtual void Abort() = 0;
 };
 
--- a/include/hingespan/http/message_head.h
+++ b/include/hingespan/http/message_head.h
@@ -25,6 +25,8 @@
   HeaderFields fields;
   // True if the connection may carry another request after this one.
   bool keep_alive = true;
+  // False for an HTTP/1.0 caller, which doesn't know chunked bodies.
+  bool accepts_chunks = true;
 };
 
 struct AnswerHead {
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -100,7 +100,10 @@
   std::string body;
 
  protected:
-  void on_request_impl(http::verb, BeastView method, BeastView target, int, BeastError&) override {
+  void on_request_impl(http::verb, BeastView method, BeastView target, int version,
+                       BeastError&) override {
+    constexpr int kHttp11 = 11;
+    head.accepts_chunks = version >= kHttp11;
     head.method = ToString(method);
     head.target = ToString(target);
   }
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -46,6 +46,7 @@
   void Answer(int status, absl::string_view reason, const HeaderFields& fields,
               absl::string_view body) override;
   void StartChunked(int status, absl::string_view reason, const HeaderFields& fields) override;
+  void StartUnframed(int status, absl::string_view reason, const HeaderFields& fields) override;
   void WriteChunk(absl::string_view bytes) override;
   void FinishChunked() override;
   void Abort() override;
@@ -66,6 +67,8 @@
   std::function<void()> on_caller_gone_;
   std::function<void()> on_drained_;
   bool close_after_ = false;
+  // True if the end of the connection marks the end of the answer's body.
+  bool unframed_ = false;
 };
 
 class Connection : public ServerConnection, public std::enable_shared_from_this<Connection> {
@@ -143,12 +146,16 @@
     });
   }
 
-  void Abort() {
+  // Drops unsent bytes, so that the caller sees a broken answer, never a complete one.
+  void Abort(bool with_reset) {
     if (closed_) {
       return;
     }
-    // Drops unsent bytes, so that the caller sees a broken answer, never a complete one.
     queued_.clear();
+    if (with_reset) {
+      boost::system::error_code ignored;
+      socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     Close();
   }
 
@@ -377,7 +384,7 @@
 
 Exchange::~Exchange() {
   if (connection_ != nullptr) {
-    connection_->Abort();
+    connection_->Abort(unframed_);
   }
 }
 
@@ -387,7 +394,8 @@
 
 std::string Exchange::HeadText(int status, absl::string_view reason, const HeaderFields& fields) {
   // Requests after a closing answer are dropped, so those already read must be answered first.
-  close_after_ = !head_.keep_alive || (server_->ask_to_close && !connection_->has_input());
+  close_after_ =
+      unframed_ || !head_.keep_alive || (server_->ask_to_close && !connection_->has_input());
   std::string text = absl::StrCat("HTTP/1.1 ", status, " ", reason, "\r\n");
   for (const HeaderField& field : fields) {
     absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
@@ -413,15 +421,31 @@
   if (connection_ == nullptr) {
     return;
   }
+  if (!head_.accepts_chunks) {
+    StartUnframed(status, reason, fields);
+    return;
+  }
   std::string text = HeadText(status, reason, fields);
   text.append("Transfer-Encoding: chunked\r\n\r\n");
   connection_->Write(text);
 }
 
+void Exchange::StartUnframed(int status, absl::string_view reason, const HeaderFields& fields) {
+  if (connection_ == nullptr) {
+    return;
+  }
+  unframed_ = true;
+  connection_->Write(absl::StrCat(HeadText(status, reason, fields), "\r\n"));
+}
+
 void Exchange::WriteChunk(absl::string_view bytes) {
   if (connection_ == nullptr || bytes.empty()) {
     return;
   }
+  if (unframed_) {
+    connection_->Write(bytes);
+    return;
+  }
   connection_->Write(absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n"));
 }
 
@@ -429,7 +453,9 @@
   if (connection_ == nullptr) {
     return;
   }
-  connection_->Write("0\r\n\r\n");
+  if (!unframed_) {
+    connection_->Write("0\r\n\r\n");
+  }
   Done();
 }
 
@@ -441,7 +467,7 @@
   connection_ = nullptr;
   on_caller_gone_ = nullptr;
   on_drained_ = nullptr;
-  connection->Abort();
+  connection->Abort(unframed_);
 }
 
 void Exchange::HandleDisconnect() {
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "hingespan/http/http_client.h"
 #include "tests/net/raw_client.h"
 
 namespace hingespan::gateway {
@@ -16,6 +17,18 @@
 constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 constexpr const char* kLastRequest = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
+struct BodyReceiver : AnswerReceiver {
+  bool OnHead(const AnswerHead&) override { return true; }
+  void OnBody(absl::string_view piece) override { body.append(piece.data(), piece.size()); }
+  void OnEnd(ExchangeResult end) override {
+    result = end;
+    ended = true;
+  }
+  std::string body;
+  ExchangeResult result = ExchangeResult::kNotSent;
+  bool ended = false;
+};
+
 struct Fixture {
   // The default handler keeps the last request unanswered in `held`.
   explicit Fixture(HttpServer::Handler handler = nullptr)
@@ -63,5 +76,49 @@
       [&] { return fixture.server.activity().unread_bytes == std::string(kRequest).size(); }));
 }
 
+// Guards against chunked bodies for callers that can't decode them.
+TEST_CASE("an HTTP/1.0 caller gets a stream that ends with its connection") {
+  Fixture fixture;
+  RawClient caller(fixture.server.address());
+  REQUIRE(caller.Send("GET / HTTP/1.0\r\nHost: h\r\n\r\n"));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+  fixture.held->StartChunked(200, "OK", {});
+  fixture.held->WriteChunk("abc");
+  fixture.held->FinishChunked();
+  REQUIRE(fixture.Wait([&] { return fixture.server.activity().closing == 1; }));
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("Transfer-Encoding") == std::string::npos);
+  CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+  CHECK(answer.ends_with("\r\n\r\nabc"));
+}
+
+// Guards against a broken stream that its caller takes for a complete one, because its end is
+// marked by the end of the connection only.
+TEST_CASE("an aborted answer that ends with its connection is reset") {
+  Fixture fixture;
+  HttpClient client(&fixture.loop, ClientLimits{});
+  BodyReceiver receiver;
+  const auto call = client.Send(fixture.server.address(), kRequest, &receiver);
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+  fixture.held->StartUnframed(200, "OK", {});
+  fixture.held->WriteChunk("abc");
+  REQUIRE(fixture.Wait([&] { return receiver.body == "abc"; }));
+  SUBCASE("aborted") {
+    fixture.held->Abort();
+    REQUIRE(fixture.Wait([&] { return receiver.ended; }));
+    CHECK(receiver.result == ExchangeResult::kBroken);
+  }
+  SUBCASE("dropped") {
+    fixture.held.reset();
+    REQUIRE(fixture.Wait([&] { return receiver.ended; }));
+    CHECK(receiver.result == ExchangeResult::kBroken);
+  }
+  SUBCASE("finished") {
+    fixture.held->FinishChunked();
+    REQUIRE(fixture.Wait([&] { return receiver.ended; }));
+    CHECK(receiver.result == ExchangeResult::kComplete);
+  }
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
