--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -252,18 +252,30 @@
   int last = 0;
   (void)absl::SimpleAtoi(run->last_event_id, &last);
   stream->next = last + 1;
-  exchange->StartChunked(200, "OK",
-                         {{"Attempt-Id", run->id},
-                          {"Server-Seal", absl::StrCat("seal-", run->id, "-", options_.id)},
-                          {"Content-Type", "text/event-stream"}});
+  const HeaderFields fields = {{"Attempt-Id", run->id},
+                               {"Server-Seal", absl::StrCat("seal-", run->id, "-", options_.id)},
+                               {"Content-Type", "text/event-stream"}};
+  if (options_.unframed_streams) {
+    exchange->StartUnframed(200, "OK", fields);
+  } else {
+    exchange->StartChunked(200, "OK", fields);
+  }
   NextEvent(stream);
 }
 
 void PlatformWorker::NextEvent(const std::shared_ptr<Stream>& stream) {
-  if (fault_ == WorkerFault::kBreaksStream && stream->sent == options_.events_before_break) {
+  const bool breaks =
+      fault_ == WorkerFault::kBreaksStream || fault_ == WorkerFault::kFinishesInsideEvent;
+  if (breaks && stream->sent == options_.events_before_break) {
+    const bool finishes = options_.unframed_streams || fault_ == WorkerFault::kFinishesInsideEvent;
     stream->exchange->WriteChunk(absl::StrCat("id: ", stream->next, "\ndata: ha"));
-    stream->timer->Set(loop_->Now() + stream->shape.interval,
-                       [stream] { stream->exchange->Abort(); });
+    stream->timer->Set(loop_->Now() + stream->shape.interval, [stream, finishes] {
+      if (finishes) {
+        stream->exchange->FinishChunked();
+      } else {
+        stream->exchange->Abort();
+      }
+    });
     return;
   }
   if (stream->next > stream->shape.events) {
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -32,8 +32,11 @@
   kEncodes,
   // Runs the request, then closes the connection without an answer.
   kLosesAnswer,
-  // Breaks a stream off inside the event that follows `events_before_break`.
+  // Breaks a stream off inside the event that follows `events_before_break`. The connection of an
+  // unframed stream is closed in the usual way, as by the kernel of a process that has crashed.
   kBreaksStream,
+  // Finishes a stream like a complete one, but inside the event that follows `events_before_break`.
+  kFinishesInsideEvent,
 };
 
 // Shape of a stream.
@@ -57,6 +60,8 @@
   std::map<std::string, StreamShape> shapes;
   absl::Duration load_time = absl::Milliseconds(30);
   int events_before_break = 3;
+  // True if streams have neither a length nor chunks and end with their connection.
+  bool unframed_streams = false;
   // True if answers and events name the request they belong to.
   bool includes_request_id = false;
   // True if the worker writes its row when it is constructed.
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -219,6 +219,84 @@
   CHECK(call->body == Events(1, 3));
 }
 
+emulator::PlatformWorkerOptions UnframedWorker(const std::string& id) {
+  emulator::PlatformWorkerOptions options;
+  options.id = id;
+  options.service = "models";
+  options.models["m1"];
+  options.unframed_streams = true;
+  return options;
+}
+
+// Guards against a stream that its crashed worker broke off reaching its caller as a complete one.
+TEST_CASE("a stream that ends inside an event does not look complete, however it was framed") {
+  GatewayFixture fixture;
+  SUBCASE("without a length or chunks") {
+    fixture.AddWorker(UnframedWorker("w1"))->SetFault(WorkerFault::kBreaksStream);
+  }
+  SUBCASE("in chunks, with the last one") {
+    fixture.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kFinishesInsideEvent);
+  }
+  TestNode* const node = fixture.AddNode("n1");
+  const auto call = fixture.Ask(node, StreamRequest("/once/x", "m1"));
+  CHECK(call->result == ExchangeResult::kBroken);
+  CHECK(call->body == Events(1, 3));
+  CHECK(node->metrics.streams_broken == 1);
+}
+
+// Guards against giving up a resumable stream whose worker crashed without an error on the
+// connection.
+TEST_CASE("a resumable stream that ends inside an event continues at another worker") {
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  fixture.AddWorker(UnframedWorker("w1"))->SetFault(WorkerFault::kBreaksStream);
+  const auto call = fixture.Send(node, StreamRequest("/stream/x", "m1"));
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  fixture.AddWorker(UnframedWorker("w2"));
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, 6));
+  REQUIRE(fixture.workers[1]->runs().size() == 1);
+  CHECK(fixture.workers[1]->runs().front().last_event_id == "3");
+}
+
+TEST_CASE("an unframed stream that ends after its last event arrives whole") {
+  GatewayFixture fixture;
+  fixture.AddWorker(UnframedWorker("w1"));
+  TestNode* const node = fixture.AddNode("n1");
+  const auto call = fixture.Ask(node, StreamRequest("/once/x", "m1"));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, 6));
+}
+
+// Guards against an empty success for a stream whose worker crashed before its first event.
+TEST_CASE("an unframed stream that ends before its first event is not served as an empty one") {
+  GatewayFixture fixture;
+  emulator::PlatformWorkerOptions options = UnframedWorker("w1");
+  options.events = 0;
+  fixture.AddWorker(options);
+  TestNode* const node = fixture.AddNode("n1");
+  CHECK(fixture.Ask(node, StreamRequest("/once/x", "m1"))->head.status == 502);
+}
+
+// Guards against a broken stream for a caller that doesn't know chunks and sees the end of its
+// connection as the end of the stream.
+TEST_CASE("a broken stream is reset for a caller whose answer ends with the connection") {
+  GatewayFixture fixture;
+  fixture.AddModelWorker("w1", "m1")->SetFault(WorkerFault::kBreaksStream);
+  TestNode* const node = fixture.AddNode("n1");
+  TestCall call;
+  call.exchange = fixture.caller.Send(
+      node->gateway.request_address(),
+      "POST /once/x HTTP/1.0\r\nHost: h\r\nAttempt-Id: r1\r\nDeadline-Ms: 2000\r\nModel: m1\r\n"
+      "Token-Count: 10,6\r\nContent-Length: 0\r\n\r\n",
+      &call);
+  REQUIRE(fixture.Wait([&] { return call.ended; }));
+  CHECK(FindField(call.head.fields, "Transfer-Encoding") == nullptr);
+  CHECK(call.result == ExchangeResult::kBroken);
+}
+
 TEST_CASE("a stream that has started gets no second answer when the retry budget is exhausted") {
   GatewayFixture fixture;
   emulator::PlatformWorkerOptions options;
