Gateway: a stream that ends inside an event was broken off, however framed

Cause: the end of the framing counted as the end of the stream. A stream with neither a length nor chunks ends with its connection, and the kernel of a crashed process closes that connection in the usual way; the client reports a complete exchange (RFC 9112, 8), and the relay sent what it had held back of the last event, then the last chunk. The class: an answer is framed as complete for its receiver on evidence that does not show it. Change: the relay asks the splitter whether the stream ends inside an event; if so, or if an unframed stream ends before its first event, the attempt has failed: it continues at another worker where the route allows, and is aborted or answered 502 otherwise. Line ends after the last event are passed on as before. Why it works: events are the framing that the worker's application wrote, and a process that dies inside an event can't have written its end; a caller of a stream discards an unfinished event anyway. Remains: an unframed stream that its worker breaks off exactly between two events can't be told from a whole one.

--- a/include/hingespan/serving/event_splitter.h
+++ b/include/hingespan/serving/event_splitter.h
@@ -14,10 +14,12 @@
  public:
   // Returns the events that `piece` completes, including their bytes that were held back before.
   std::string Feed(absl::string_view piece);
-  // Returns and clears the bytes that were held back, e.g. when the stream ended normally.
+  // Returns and clears the bytes that were held back, which are line ends after a whole stream.
   std::string TakeRest();
   // Discards the bytes that were held back, for a stream that is resumed at another worker.
   void DropRest() { pending_.clear(); }
+  // True if the bytes held back begin an event, so that a stream that ends here was broken off.
+  bool InsideEvent() const { return pending_.find_first_not_of("\r\n") != std::string::npos; }
   // Id of the last complete event; empty if there is none yet.
   const std::string& last_event_id() const { return last_event_id_; }
   bool any_event() const { return any_event_; }
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -130,6 +130,9 @@
   void EndAttempt(AttemptOutcome outcome);
   void OnNotExecuted();
   void OnWholeAnswer();
+  // Returns whether a stream whose answer has ended was broken off: inside an event, or before its
+  // first event if nothing but the end of the connection marks its end.
+  bool EndsInsideStream() const;
   void OnFailedAttempt(absl::string_view how);
   void ForwardEvents(const std::string& events);
   void SendWholeAnswer();
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -119,6 +119,11 @@
   }
   const absl::Time now = context_->loop->Now();
   if (forwarding_events_) {
+    if (EndsInsideStream()) {
+      EndAttempt(AttemptOutcome::kFailed);
+      OnFailedAttempt("ends_inside_stream");
+      return;
+    }
     ForwardEvents(events_.TakeRest());
     EndAttempt(AttemptOutcome::kServed);
     if (!stream_started_) {
@@ -147,6 +152,10 @@
   SendWholeAnswer();
 }
 
+bool RequestRelay::EndsInsideStream() const {
+  return events_.InsideEvent() || (answer_head_.ends_with_connection && !answer_started_);
+}
+
 void RequestRelay::SendWholeAnswer() {
   context_->metrics->first_byte.Record(context_->loop->Now() - arrived_);
   exchange_->Answer(answer_head_.status, answer_head_.reason,
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -68,10 +68,22 @@
     }
     CHECK(out == stream.substr(0, stream.size() - 10));
     CHECK(splitter.last_event_id() == "2");
+    CHECK(splitter.InsideEvent());
     CHECK(splitter.TakeRest() == "id: 3\ndata");
+    CHECK_FALSE(splitter.InsideEvent());
   }
 }
 
+TEST_CASE("line ends between events do not begin an event") {
+  EventSplitter splitter;
+  CHECK_FALSE(splitter.InsideEvent());
+  CHECK(splitter.Feed("data: a\r\n\r\n") == "data: a\r\n\r\n");
+  CHECK(splitter.Feed("\r\n").empty());
+  CHECK_FALSE(splitter.InsideEvent());
+  CHECK(splitter.Feed("data: b\n").empty());
+  CHECK(splitter.InsideEvent());
+}
+
 constexpr char kSettings[] = R"(
 [node]
 name = "n1"
