HTTP exchange: a body that a reset cuts off is not complete

What callers saw: nothing reported. Cause: DeadlineStream called a failed connection closed, as it does an orderly end, and returned 0 for both. Where an answer has neither a length nor chunks, cpp-httplib takes 0 for the end of the body, so the exchange was complete after a reset. Tables, machine lists, reports and answers of other nodes are read this way; streams of engines say themselves which chunk is the last one and were not affected. Change: ReadEnd::kBroken for resets, failed polls and TLS connections that end without the closing alert; read() returns 0 for an orderly end only. Why it works: the peer's kernel sends FIN for an end that the peer wanted and RST for one that it did not.

--- a/include/hingespan/net/deadline_stream.h
+++ b/include/hingespan/net/deadline_stream.h
@@ -20,7 +20,16 @@
 namespace hingespan {
 
 // Reason for which reading ended.
-enum class ReadEnd { kNone, kClosed, kTimeout, kCancelled, kTooLarge };
+enum class ReadEnd {
+  kNone,
+  // The peer closed the connection in order.
+  kClosed,
+  // The connection failed, e.g. by a reset, or TLS ended without its closing alert.
+  kBroken,
+  kTimeout,
+  kCancelled,
+  kTooLarge,
+};
 
 // Not thread-safe. Does not own the socket.
 class DeadlineStream : public httplib::Stream {
--- a/src/net/deadline_stream.cc
+++ b/src/net/deadline_stream.cc
@@ -58,7 +58,7 @@
     }
     if (count < 0 && errno != EINTR) {
       if (reading) {
-        read_end_ = ReadEnd::kClosed;
+        read_end_ = ReadEnd::kBroken;
       }
       return false;
     }
@@ -83,8 +83,8 @@
     const int error = SSL_get_error(ssl_, count);
     const bool would_block = error == SSL_ERROR_WANT_READ || error == SSL_ERROR_WANT_WRITE;
     if (!would_block) {
-      read_end_ = ReadEnd::kClosed;
-      return 0;
+      read_end_ = error == SSL_ERROR_ZERO_RETURN ? ReadEnd::kClosed : ReadEnd::kBroken;
+      return -1;
     }
     const short events = error == SSL_ERROR_WANT_READ ? POLLIN : POLLOUT;
     if (!Wait(events, read_deadline_, true)) {
@@ -115,7 +115,7 @@
       }
       continue;
     }
-    read_end_ = ReadEnd::kClosed;
+    read_end_ = count == 0 ? ReadEnd::kClosed : ReadEnd::kBroken;
     return count;
   }
 }
--- a/tests/net/http_exchange_test.cc
+++ b/tests/net/http_exchange_test.cc
@@ -59,6 +59,58 @@
   std::thread thread_;
 };
 
+enum class ConnectionEnd { kClose, kReset, kNone };
+
+// Accepts one connection, sends `bytes` and ends the connection as told, or leaves it open until
+// the peer closes.
+class OneAnswerServer {
+ public:
+  OneAnswerServer(std::string bytes, ConnectionEnd end) : bytes_(std::move(bytes)), end_(end) {
+    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const SocketAddress any = *ParseSocketAddress("127.0.0.1:0");
+    bind(listener_, reinterpret_cast<const sockaddr*>(&any.storage), any.length);
+    listen(listener_, 1);
+    sockaddr_storage bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&bound), &length);
+    address_ = FormatSocketAddress(bound);
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~OneAnswerServer() {
+    thread_.join();
+    close(listener_);
+  }
+  const std::string& address() const { return address_; }
+  // Ends the connection; called once the client has received the bytes.
+  void EndConnection() { received_.Notify(); }
+
+ private:
+  void Serve() {
+    const int connection = accept(listener_, nullptr, nullptr);
+    std::array<char, 4096> request;
+    (void)recv(connection, request.data(), request.size(), 0);
+    (void)send(connection, bytes_.data(), bytes_.size(), MSG_NOSIGNAL);
+    if (end_ == ConnectionEnd::kNone) {
+      pollfd entry{connection, POLLRDHUP, 0};
+      poll(&entry, 1, kRawClientLimitMs);
+    } else {
+      received_.WaitForNotification();
+    }
+    if (end_ == ConnectionEnd::kReset) {
+      const linger discard{1, 0};
+      setsockopt(connection, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    }
+    close(connection);
+  }
+
+  const std::string bytes_;
+  const ConnectionEnd end_;
+  int listener_ = -1;
+  std::string address_;
+  absl::Notification received_;
+  std::thread thread_;
+};
+
 HttpExchange Exchange(const std::string& address, absl::Duration limit) {
   HttpExchange exchange;
   exchange.address = address;
@@ -80,6 +132,24 @@
   }
 }
 
+// Guards against a body that was cut off counting as whole, because it has neither a length nor
+// chunks and only the end of its connection marks its end.
+TEST_CASE("an answer without a length is complete only if its connection ends in order") {
+  const auto end_of = [](ConnectionEnd connection_end, absl::Duration limit) {
+    OneAnswerServer server("HTTP/1.1 200 OK\r\n\r\nabc", connection_end);
+    HttpClientPool pool((HttpClientOptions()));
+    HttpExchange exchange = Exchange(server.address(), limit);
+    exchange.on_piece = [&server](std::string_view) {
+      server.EndConnection();
+      return true;
+    };
+    return pool.Exchange(exchange).end;
+  };
+  CHECK(end_of(ConnectionEnd::kClose, kLimit) == ExchangeEnd::kComplete);
+  CHECK(end_of(ConnectionEnd::kReset, kLimit) == ExchangeEnd::kBroken);
+  CHECK(end_of(ConnectionEnd::kNone, absl::Milliseconds(200)) == ExchangeEnd::kTimeout);
+}
+
 TEST_CASE("with an idle limit, a stream that keeps arriving outlasts the first deadline") {
   const SlowServer server("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n");
   HttpClientPool pool((HttpClientOptions()));
