Request forwarder: half a document is not another node's complete answer

What callers saw: nothing reported. Cause: a whole answer that another node sent was passed on with a length of its own, without a look at it. If it came without a length and its sender crashed, the end of the connection made half a document complete. Evidence: "a forwarded answer that ends inside its document is not complete" on the code before: kComplete (0) instead of kFailedBeforeOutput (3) for {"id":"x","cho. Change: a forwarded whole answer must be a JSON document; events were already checked for their end ([DONE]). Result: the case passes, and the other cases of test-node named "forward". Why it works: the document's own syntax shows its end, whatever framed it.

--- a/src/node/request_forwarder.cc
+++ b/src/node/request_forwarder.cc
@@ -179,7 +179,8 @@
     answer->EndAfterRemoteError();
     return AttemptOutcome::kFailedAfterOutput;
   }
-  if (got.end == ExchangeEnd::kComplete && !stream) {
+  // A truncated document has no other sign if the end of the connection marks its end.
+  if (got.end == ExchangeEnd::kComplete && !stream && Json::accept(got.body)) {
     answer->Relay(got.body);
     return AttemptOutcome::kComplete;
   }
--- a/tests/node/request_forwarder_test.cc
+++ b/tests/node/request_forwarder_test.cc
@@ -54,6 +54,32 @@
   std::thread thread_;
 };
 
+// Fake node that answers 200 with this body.
+class AnsweringNode {
+ public:
+  explicit AnsweringNode(const std::string& body) {
+    server_.Post("/v1/chat/completions",
+                 [body](const httplib::Request&, httplib::Response& response) {
+                   response.set_content(body, "application/json");
+                 });
+    port_ = server_.bind_to_any_port("127.0.0.1");
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    while (!server_.is_running()) {
+      std::this_thread::yield();
+    }
+  }
+  ~AnsweringNode() {
+    server_.stop();
+    thread_.join();
+  }
+  std::string address() const { return absl::StrCat("127.0.0.1:", port_); }
+
+ private:
+  httplib::Server server_;
+  int port_ = 0;
+  std::thread thread_;
+};
+
 // Accepts no output, because refusals come before any output.
 class NoAnswer : public CallerAnswer {
  public:
@@ -112,6 +138,14 @@
   }
 }
 
+// Guards against half a document that reaches the caller as another node's complete answer.
+TEST_CASE("a forwarded answer that ends inside its document is not complete") {
+  const AnsweringNode whole(R"({"id":"x","choices":[]})");
+  CHECK(ForwardTo(whole.address()).outcome == AttemptOutcome::kComplete);
+  const AnsweringNode half(R"({"id":"x","cho)");
+  CHECK(ForwardTo(half.address()).outcome == AttemptOutcome::kFailedBeforeOutput);
+}
+
 TEST_CASE("the caller's key goes to another node only where no cluster key signs the forward") {
   for (const std::string cluster_key : {"", "cluster secret"}) {
     const RefusingNode node(MakeRefusal(RefusalCode::kWaitHopeless));
