--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -119,6 +119,8 @@
   options.load_time = absl::Milliseconds(300);
   options.includes_request_id = true;
   options.checks_tokens = WorkersCheckTokens();
+  // A third of the workers' streams have no framing of their own.
+  options.unframed_streams = next_worker_ % 3 == 0;
   options.heartbeat = kHeartbeat;
   options.writes_row_at_start = false;
   options.model_memory_mb = kModelMemoryMb;
