--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -94,6 +94,11 @@
       OnWholeAnswer();
       return;
     case ExchangeResult::kNotSent:
+      context_->log->Write(
+          LogLevel::kInfo, "attempt_not_sent",
+          {{"request", facts_.id},
+           {"worker", worker_id_},
+           {"after_ms", Milliseconds(context_->loop->Now() - attempt_started_)}});
       EndAttempt(AttemptOutcome::kUnreachable);
       // The worker has not received the request. It may go to another worker within the retry
       // budget, and this worker doesn't count towards the route's limit of attempts.
