--- /dev/null
+++ b/tests/partition/partition_test.cc
@@ -0,0 +1,234 @@
+// Tests of a node that has lost its path to all workers, while its callers, the store and the other
+// nodes still reach it.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "tests/partition/cut_off_node.h"
+#include "tests/serving/gateway_world.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using emulator::WorkerFault;
+using soak::LinkFault;
+
+// More requests than the budget allows retries: ten, plus a fifth of the requests.
+constexpr int kRequests = 30;
+
+TestRequest StreamRequest(const std::string& target, const std::string& model) {
+  TestRequest request;
+  request.target = target;
+  request.fields = {{"Model", model}, {"Token-Count", "10,6"}, {"Prompt-Prefix", "aa:5,bb:5"}};
+  return request;
+}
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int event = first; event <= last; ++event) {
+    absl::StrAppend(&text, "id: ", event, "\ndata: event ", event, "\n\n");
+  }
+  return text;
+}
+
+bool HasLine(const TestNode& node, const std::string& event) {
+  const std::vector<std::string> lines = node.LogLines();
+  return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+    return absl::StrContains(line, absl::StrCat("\"event\":\"", event, "\""));
+  });
+}
+
+// Two plain and two model workers, a node whose links to them can fail, and a sound one.
+struct PartitionFixture : GatewayFixture {
+  explicit PartitionFixture(absl::Duration event_interval = absl::Milliseconds(2)) {
+    AddPlainWorker("p1");
+    AddPlainWorker("p2");
+    for (const char* const id : {"m1", "m2"}) {
+      emulator::PlatformWorkerOptions options;
+      options.id = id;
+      options.service = "models";
+      options.slots = 2 * kRequests;
+      options.models["m1"];
+      options.event_interval = event_interval;
+      AddWorker(options);
+    }
+    cut = AddNode("n1", "", &links);
+    sound = AddNode("n2", "", &sound_links);
+    REQUIRE(Wait([&] { return cut->gateway.fleet_size() == 2; }));
+  }
+
+  int Runs() const {
+    std::size_t count = 0;
+    for (const auto& worker : workers) {
+      count += worker->runs().size();
+    }
+    return static_cast<int>(count);
+  }
+
+  // Sends repeatable requests to the cut node until one is served again after the loss.
+  void AwaitServed() {
+    TestRequest request;
+    request.target = "/safe/x";
+    request.deadline_ms = 1000;
+    int number = 0;
+    REQUIRE(Wait([&] {
+      if (probe == nullptr || probe->ended) {
+        if (probe != nullptr && probe->head.status == 200) {
+          return true;
+        }
+        request.id = absl::StrCat("probe", ++number);
+        probe = Send(cut, request);
+      }
+      return false;
+    }));
+  }
+
+  // Sends requests of all kinds and returns how many were served whole.
+  int CountServed() {
+    std::vector<std::unique_ptr<TestCall>> calls;
+    for (int number = 0; number < kRequests; ++number) {
+      TestRequest plain;
+      plain.id = absl::StrCat("plain", number);
+      calls.push_back(Send(cut, plain));
+      TestRequest stream = StreamRequest(number % 2 == 0 ? "/once/x" : "/stream/x", "m1");
+      stream.id = absl::StrCat("stream", number);
+      calls.push_back(Send(cut, stream));
+    }
+    REQUIRE(Wait([&] {
+      return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->ended; });
+    }));
+    return static_cast<int>(std::count_if(calls.begin(), calls.end(), [](const auto& call) {
+      return call->head.status == 200 && call->result == ExchangeResult::kComplete;
+    }));
+  }
+
+  LinkedReader links{&loop};
+  LinkedReader sound_links{&loop};
+  TestNode* cut = nullptr;
+  TestNode* sound = nullptr;
+  std::unique_ptr<TestCall> probe;
+};
+
+// Guards against refusing callers of a node that can't reach the workers, though another node can.
+TEST_CASE("a node cut off from all workers serves first tries through another node") {
+  PartitionFixture fixture;
+  SUBCASE("new connections are refused") { fixture.links.SetFault(LinkFault::kRefuse); }
+  SUBCASE("connections are reset") { fixture.links.SetFault(LinkFault::kReset); }
+  SUBCASE("connections hang") { fixture.links.SetFault(LinkFault::kSilent); }
+  fixture.AwaitServed();
+  CHECK(fixture.CountServed() == 2 * kRequests);
+  // No request ran twice.
+  std::vector<std::string> ids;
+  for (const auto& worker : fixture.workers) {
+    for (const auto& run : worker->runs()) {
+      if (!absl::StartsWith(run.id, "probe")) {
+        ids.push_back(run.id);
+      }
+    }
+  }
+  std::sort(ids.begin(), ids.end());
+  CHECK(std::adjacent_find(ids.begin(), ids.end()) == ids.end());
+}
+
+// Guards against using up the retry budget with attempts that no worker received.
+TEST_CASE("attempts that were not sent take nothing from the retry budget") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kRefuse);
+  CHECK(fixture.CountServed() == 2 * kRequests);
+  CHECK(fixture.cut->metrics.repeats_denied == 0);
+}
+
+// Guards against a fleet that places nothing any more, since a node without a path calls every
+// worker unreachable, or since it keeps the lease while its orders arrive nowhere.
+TEST_CASE("models are still loaded while a node is cut off from all workers") {
+  PartitionFixture fixture;
+  // The first node took the lease, so this also moves it.
+  REQUIRE(fixture.Wait([&] { return HasLine(*fixture.cut, "lease_acquired"); }));
+  fixture.links.SetFault(LinkFault::kSilent);
+  fixture.AwaitServed();
+  TestRequest request = StreamRequest("/stream/x", "m2");
+  request.deadline_ms = 900;
+  int served = 0;
+  std::unique_ptr<TestCall> call;
+  int number = 0;
+  REQUIRE(fixture.Wait([&] {
+    if (call == nullptr || call->ended) {
+      served += call != nullptr && call->head.status == 200 ? 1 : 0;
+      request.id = absl::StrCat("cold", ++number);
+      call = fixture.Send(number % 2 == 0 ? fixture.cut : fixture.sound, request);
+    }
+    return served > 2;
+  }));
+  CHECK(HasLine(*fixture.sound, "lease_acquired"));
+}
+
+// Guards against a broken stream that the node between frames as a complete one.
+TEST_CASE("a forwarded stream that breaks off does not look complete") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kRefuse);
+  for (const auto& worker : fixture.workers) {
+    worker->SetFault(WorkerFault::kBreaksStream);
+  }
+  const auto call = fixture.Ask(fixture.cut, StreamRequest("/once/x", "m1"));
+  CHECK(call->result == ExchangeResult::kBroken);
+  CHECK(call->body == Events(1, 3));
+}
+
+// Guards against holding callers until their deadline when no node reaches a worker.
+TEST_CASE("a request that no node can send to a worker is refused as not executed") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kRefuse);
+  TestRequest request;
+  request.deadline_ms = 15000;
+  SUBCASE("the other node is cut off too") {
+    fixture.sound_links.SetFault(LinkFault::kRefuse);
+  }
+  SUBCASE("the other node is gone") {
+    fixture.nodes.pop_back();
+    fixture.sound = nullptr;
+  }
+  const auto call = fixture.Ask(fixture.cut, request);
+  CHECK(call->head.status == 503);
+  CHECK(FindField(call->head.fields, "Retry-After") != nullptr);
+  CHECK(FindField(call->head.fields, "Hingespan-Verdict") == nullptr);
+  CHECK(fixture.Runs() == 0);
+}
+
+// Guards against workers that stay busy for callers who have left.
+TEST_CASE("when the caller of a forwarded request leaves, its worker's connection ends") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kRefuse);
+  for (const auto& worker : fixture.workers) {
+    worker->SetFault(WorkerFault::kSilent);
+  }
+  auto call = fixture.Send(fixture.cut, TestRequest{});
+  const auto ran = [&] { return fixture.Runs() == 1; };
+  REQUIRE(fixture.Wait(ran));
+  call->exchange->Cancel();
+  CHECK(fixture.Wait([&] {
+    return std::any_of(fixture.workers.begin(), fixture.workers.end(), [](const auto& worker) {
+      return !worker->runs().empty() && worker->runs().front().caller_disconnected;
+    });
+  }));
+}
+
+// Guards against a refusal by the other node that would promise more than is known.
+TEST_CASE("a forwarded request that may have run is answered 502, never 503") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kRefuse);
+  for (const auto& worker : fixture.workers) {
+    worker->SetFault(WorkerFault::kLosesAnswer);
+  }
+  const auto call = fixture.Ask(fixture.cut, TestRequest{});
+  CHECK(call->head.status == 502);
+  CHECK(FindField(call->head.fields, "Hingespan-Verdict") == nullptr);
+  CHECK(fixture.Runs() == 1);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -58,14 +58,16 @@
 }  // namespace
 
 TestNode::TestNode(EventLoop* loop, const std::string& name, const std::string& store_address,
-                   const std::string& metrics_address, absl::Duration stop_time)
+                   const std::string& metrics_address, absl::Duration stop_time,
+                   const DeploymentReader* own_reader)
     : log_descriptor(memfd_create("log", 0)),
       log(log_descriptor, &SystemClock(), DecisionLogLimits{}),
       client(loop, ClientLimits{}),
       store(loop, &client, store_address, &metrics),
       control(loop, &client),
       gateway(SettingsOf(name, store_address, metrics_address, stop_time),
-              {loop, &dialect, &reader, &store, &control, &client, &log, &metrics}) {
+              {loop, &dialect, own_reader == nullptr ? &reader : own_reader, &store, &control,
+               &client, &log, &metrics}) {
   log.SetSource("hingespan-gateway", name, "zone-a");
 }
 
@@ -134,8 +136,10 @@
   return AddWorker(std::move(options));
 }
 
-TestNode* GatewayFixture::AddNode(const std::string& name, const std::string& metrics_address) {
-  nodes.push_back(std::make_unique<TestNode>(&loop, name, store.address(), metrics_address));
+TestNode* GatewayFixture::AddNode(const std::string& name, const std::string& metrics_address,
+                                  const DeploymentReader* own_reader) {
+  nodes.push_back(std::make_unique<TestNode>(&loop, name, store.address(), metrics_address,
+                                             kTestStopTime, own_reader));
   TestNode* const node = nodes.back().get();
   REQUIRE(!node->gateway.Start());
   REQUIRE(Wait([&] { return node->gateway.ready(); }));
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -46,7 +46,8 @@
 // One gateway node with all its components.
 struct TestNode {
   TestNode(EventLoop* loop, const std::string& name, const std::string& store_address,
-           const std::string& metrics_address = "", absl::Duration stop_time = kTestStopTime);
+           const std::string& metrics_address = "", absl::Duration stop_time = kTestStopTime,
+           const DeploymentReader* own_reader = nullptr);
 
   ~TestNode();
   // Returns the lines logged so far.
@@ -83,7 +84,9 @@
   emulator::PlatformWorker* AddPlainWorker(const std::string& id);
   emulator::PlatformWorker* AddModelWorker(const std::string& id, const std::string& model);
   // Starts a node and waits until it is ready.
-  TestNode* AddNode(const std::string& name, const std::string& metrics_address = "");
+  // `own_reader` replaces the node's reader of rows, e.g. for other addresses of the workers.
+  TestNode* AddNode(const std::string& name, const std::string& metrics_address = "",
+                    const DeploymentReader* own_reader = nullptr);
   // Routes "/plain/" (not repeatable), "/safe/" (repeatable), "/stream/" (resumable stream) and
   // "/once/" (stream that is not resumable) of host "h".
   // `load_seconds` is the configured load time of a model. The default target latency leaves time
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -220,8 +220,26 @@
 struct FaultProxy::Implementation : std::enable_shared_from_this<Implementation> {
   Implementation(gateway::EventLoop* loop, const std::string& target_address)
       : acceptor(loop->context(), tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
+        own(acceptor.local_endpoint()),
         target(ParseEndpoint(target_address)) {}
 
+  // Refuses new connections by a socket that keeps the port and doesn't listen.
+  void SetListening(bool listens) {
+    if (listens == listening) {
+      return;
+    }
+    listening = listens;
+    Error ignored;
+    acceptor.close(ignored);
+    acceptor.open(own.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(own);
+    if (listens) {
+      acceptor.listen();
+      Accept();
+    }
+  }
+
   void Accept() {
     acceptor.async_accept([weak = weak_from_this()](const Error& error, tcp::socket socket) {
       const auto self = weak.lock();
@@ -245,6 +263,8 @@
   }
 
   tcp::acceptor acceptor;
+  tcp::endpoint own;
+  bool listening = true;
   tcp::endpoint target;
   LinkState state;
   std::list<std::shared_ptr<Connection>> connections;
@@ -264,11 +284,12 @@
 }
 
 std::string FaultProxy::address() const {
-  return absl::StrCat("127.0.0.1:", implementation_->acceptor.local_endpoint().port());
+  return absl::StrCat("127.0.0.1:", implementation_->own.port());
 }
 
 void FaultProxy::SetFault(LinkFault fault, absl::Duration delay) {
   implementation_->state = {fault, delay};
+  implementation_->SetListening(fault != LinkFault::kRefuse);
   for (const auto& connection : implementation_->connections) {
     if (fault == LinkFault::kReset) {
       connection->Reset();
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -22,6 +22,8 @@
   kCutFromTarget,
   // Bytes are held back in both directions.
   kSilent,
+  // New connections are refused; open ones live on.
+  kRefuse,
 };
 
 // Not thread-safe; runs on its event loop. Bytes that were held back are sent when the fault ends.
