Lease manager: a node can suspend its part in the placement lease

A holder that is cut off from all workers renews its lease at the store, which it still reaches, while its orders arrive nowhere, so nothing is loaded for any node's callers. Cause: the lease depends on the store alone, the orders on the path to the workers. Change: SetSuspended: no order, no renewal and no acquisition; afterwards the lease is valid again only after a confirmed write, as after a pause. Result: two new cases of test-fleet; nothing calls it yet. Why it works: another node takes over when the row has not changed for the lease's length, as from a dead holder, and a suspended node has sent nothing that it could still order with.

--- a/include/hingespan/fleet/lease_manager.h
+++ b/include/hingespan/fleet/lease_manager.h
@@ -95,6 +95,10 @@
   void SetExtraWait(absl::Duration wait) { extra_wait_ = wait; }
   // Stops acquiring and renewing the lease.
   void Resign() { resigned_ = true; }
+  // A suspended node neither orders nor writes the row, so that another node takes the lease over
+  // once it has run out. For a node whose orders reach no worker.
+  // Afterwards the lease is valid again only after the next confirmed write.
+  void SetSuspended(bool suspended);
 
   // Returns true if this node may order now.
   bool MayOrder(absl::Time now) const;
@@ -123,6 +127,7 @@
   bool holding_ = false;
   bool confirmed_since_pause_ = true;
   bool resigned_ = false;
+  bool suspended_ = false;
   absl::Duration extra_wait_ = absl::ZeroDuration();
   std::uint64_t token_ = 0;
   // Highest token with which a worker refused this node.
--- a/src/fleet/lease_manager.cc
+++ b/src/fleet/lease_manager.cc
@@ -66,7 +66,7 @@
 
 // Spec action: SendWrite, TakeOver.
 std::optional<LeaseManager::Write> LeaseManager::NextWrite(absl::Time now) {
-  if (resigned_ || write_in_flight_ || needs_read_ || !row_known_) {
+  if (resigned_ || suspended_ || write_in_flight_ || needs_read_ || !row_known_) {
     return std::nullopt;
   }
   const absl::Duration interval =
@@ -149,8 +149,15 @@
   needs_read_ = true;
 }
 
+void LeaseManager::SetSuspended(bool suspended) {
+  if (suspended_ && !suspended) {
+    OnPaused();
+  }
+  suspended_ = suspended;
+}
+
 bool LeaseManager::MayOrder(absl::Time now) const {
-  return holding_ && !resigned_ && confirmed_since_pause_ &&
+  return holding_ && !resigned_ && !suspended_ && confirmed_since_pause_ &&
          confirmed_at_ != absl::InfinitePast() && now - confirmed_at_ < settings_.OrderLimit();
 }
 
--- a/tests/fleet/lease_manager_test.cc
+++ b/tests/fleet/lease_manager_test.cc
@@ -69,6 +69,33 @@
   CHECK(lease.needs_read());
 }
 
+// Guards against a holder that keeps the lease although its orders reach no worker, and against
+// one that orders on with it after another node may have taken over.
+TEST_CASE("a suspended holder lets its lease run out, and orders again only after a new write") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.OnRead(std::nullopt, 0, At(0));
+  REQUIRE(lease.NextWrite(At(0)).has_value());
+  lease.OnCommitted(7, At(0));
+  lease.SetSuspended(true);
+  CHECK(!lease.MayOrder(At(0.1)));
+  CHECK(!lease.NextWrite(At(5)).has_value());
+  lease.SetSuspended(false);
+  CHECK(!lease.MayOrder(At(5)));
+  CHECK(lease.needs_read());
+  lease.OnRead(LeaseRecord{"n1", 1, "n1", 7}, 7, At(5));
+  REQUIRE(lease.NextWrite(At(5)).has_value());
+  CHECK(!lease.MayOrder(At(5)));
+  lease.OnCommitted(8, At(5.1));
+  CHECK(lease.MayOrder(At(5.1)));
+}
+
+TEST_CASE("a suspended node does not acquire a free lease") {
+  LeaseManager lease(SettingsOf("n1"));
+  lease.SetSuspended(true);
+  lease.OnRead(std::nullopt, 0, At(0));
+  CHECK(!lease.NextWrite(At(60)).has_value());
+}
+
 TEST_CASE("a less suited node lets others acquire the lease first") {
   LeaseManager lease(SettingsOf("n2"));
   lease.SetExtraWait(absl::Seconds(2));
