Worker control: probes on new connections; attempts that name no worker

Open connections may live on while new ones are refused, so only a new connection shows whether the path to a worker is there; and a request that another node is to send has no worker yet. Change: HttpClient::SendOnNewConnection, WorkerControl::Probe (a report on a new connection; any answer counts), AttemptFacts without a worker. Result: nothing uses them yet; test-http, test-platform and test-fleet pass.

--- a/include/hingespan/http/http_client.h
+++ b/include/hingespan/http/http_client.h
@@ -69,6 +69,10 @@
   // `message` is the complete serialized request. `receiver` must outlive the exchange.
   std::unique_ptr<ClientExchange> Send(const std::string& address, std::string message,
                                        AnswerReceiver* receiver);
+  // Like Send, but makes a connection even if an idle one is there.
+  std::unique_ptr<ClientExchange> SendOnNewConnection(const std::string& address,
+                                                      std::string message,
+                                                      AnswerReceiver* receiver);
   // Number of open connections to `address`, busy and idle.
   std::size_t connections(const std::string& address) const;
   std::size_t idle_connections(const std::string& address) const;
--- a/include/hingespan/serving/request_dialect.h
+++ b/include/hingespan/serving/request_dialect.h
@@ -37,6 +37,7 @@
 
 // Facts that an attempt sent to a worker carries in addition to the caller's own fields.
 struct AttemptFacts {
+  // Empty for any worker: the receiver is another node, which chooses one.
   std::string worker_id;
   absl::Duration time_left;
   int priority = 5;
--- a/include/hingespan/serving/worker_control.h
+++ b/include/hingespan/serving/worker_control.h
@@ -61,6 +61,8 @@
   virtual void SendOrder(const WorkerOrder& order, std::function<void(OrderOutcome)> callback) = 0;
   virtual void ReadReport(const std::string& worker_id, const std::string& address,
                           std::function<void(Result<WorkerReport>)> callback) = 0;
+  // Reports whether anything answers at the worker's address on a new connection.
+  virtual void Probe(const std::string& address, std::function<void(bool answered)> callback) = 0;
 };
 
 }  // namespace hingespan::gateway
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -386,6 +386,13 @@
   }
 }
 
+std::unique_ptr<ClientExchange> Begin(const std::shared_ptr<Connection>& connection,
+                                      std::string message, AnswerReceiver* receiver) {
+  auto exchange = std::make_unique<Exchange>(connection, receiver);
+  connection->Begin(exchange.get(), std::move(message));
+  return exchange;
+}
+
 }  // namespace
 
 struct HttpClient::Implementation {
@@ -411,21 +418,24 @@
 std::unique_ptr<ClientExchange> HttpClient::Send(const std::string& address, std::string message,
                                                  AnswerReceiver* receiver) {
   const std::shared_ptr<Pool>& pool = implementation_->pool;
-  std::shared_ptr<Connection> connection;
   const auto entry = pool->idle.find(address);
-  if (entry != pool->idle.end()) {
-    // Reuses the most recently used connection, so that the others can time out.
-    connection = entry->second.back();
-    entry->second.pop_back();
-    if (entry->second.empty()) {
-      pool->idle.erase(entry);
-    }
-  } else {
-    connection = std::make_shared<Connection>(pool, address);
+  if (entry == pool->idle.end()) {
+    return SendOnNewConnection(address, std::move(message), receiver);
   }
-  auto exchange = std::make_unique<Exchange>(connection, receiver);
-  connection->Begin(exchange.get(), std::move(message));
-  return exchange;
+  // Reuses the most recently used connection, so that the others can time out.
+  const std::shared_ptr<Connection> connection = entry->second.back();
+  entry->second.pop_back();
+  if (entry->second.empty()) {
+    pool->idle.erase(entry);
+  }
+  return Begin(connection, std::move(message), receiver);
+}
+
+std::unique_ptr<ClientExchange> HttpClient::SendOnNewConnection(const std::string& address,
+                                                                std::string message,
+                                                                AnswerReceiver* receiver) {
+  return Begin(std::make_shared<Connection>(implementation_->pool, address), std::move(message),
+               receiver);
 }
 
 std::size_t HttpClient::connections(const std::string& address) const {
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -88,6 +88,7 @@
   void SendOrder(const WorkerOrder&, std::function<void(OrderOutcome)>) override {}
   void ReadReport(const std::string&, const std::string&,
                   std::function<void(Result<WorkerReport>)>) override {}
+  void Probe(const std::string&, std::function<void(bool answered)>) override {}
 };
 
 struct Fleet;
