--- /dev/null
+++ b/include/hingespan/serving/forwarding.h
@@ -0,0 +1,44 @@
+// What nodes tell each other about a forwarded request, in header fields of its request and of the
+// answers that the receiving node gives by itself. An answer without a verdict is a worker's.
+#ifndef HINGESPAN_SERVING_FORWARDING_H_
+#define HINGESPAN_SERVING_FORWARDING_H_
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "hingespan/http/message_head.h"
+
+namespace hingespan::gateway {
+
+// What the forwarding node has done for a request.
+struct RequestOrigin {
+  // False for a caller's own request. A forwarded request is not forwarded again.
+  bool forwarded = false;
+  // True if the request has earned its part of the retry budget at the forwarding node.
+  bool counted = false;
+  // Workers that may have received the request.
+  std::set<std::string> tried_workers;
+};
+
+// A node's own answer to a forwarded request.
+enum class PeerVerdict {
+  // The node can't serve requests now; another one may. The request has not run.
+  kUnavailable,
+  // Refused as by this node itself. The request has not run.
+  kRefused,
+  // The request may have run.
+  kFailed,
+};
+
+// The fields are named in a Connection field, so that they go no further than the next node.
+HeaderFields OriginFields(const RequestOrigin& origin);
+RequestOrigin ReadOrigin(const RequestHead& head);
+
+HeaderField VerdictField(PeerVerdict verdict);
+// Returns std::nullopt if the answer is a worker's. An unknown verdict promises nothing.
+std::optional<PeerVerdict> ReadVerdict(const AnswerHead& head);
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_SERVING_FORWARDING_H_
