Gateway: requests go through another node when the path to the workers is lost

Cause: a node offered its callers' requests to workers by itself only, and each attempt that never left it took a token of the retry budget: after one or two failed connections the request was refused for want of a token, though every other node could have served it. The class: what a node does for its callers, its peers and shared limits rests on a path that may be gone. Change: a node whose path is lost, or that can't reach two workers or the only ones for a request, forwards it over a listener of its own to a peer, which queues, sends and repeats it like its own and never forwards it again. The peer's own answers carry a verdict: try elsewhere, refused, or may have run. Attempts that were not sent take no token and exclude their worker; if nobody reaches one, the request is refused at once. A request earns its part of the budget where it is sent. Why it works: what the clients and the other nodes can reach is what serves; the promise of a refusal stays with the node that knows what was sent.

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -32,9 +32,11 @@
   std::uint64_t incarnation = 0;
   std::string zone;
   double link_mbps = 0;
-  // Addresses at which this node receives datagrams and serves its copies of the store's tables.
+  // Addresses at which this node receives datagrams, serves its copies of the store's tables and
+  // takes requests that other nodes forward.
   std::string address;
   std::string copies_address;
+  std::string forward_address;
   LeaseSettings lease;
   FleetPlacerSettings placer;
   // Table in the shared store that holds the rows of nodes and of the lease.
@@ -94,6 +96,8 @@
   // Called when requests have arrived or are running.
   void DemandChanged();
   void WorkersChanged();
+  // Called when this node has lost or regained its path to the workers.
+  void SetWorkersReachable(bool reachable) { lease_.SetSuspended(!reachable); }
   void OnDatagram(absl::string_view bytes);
   // Returns the time at which a replica is expected to be ready; InfiniteFuture if unknown.
   absl::Time ExpectedReady(const ModelKey& model) const;
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -54,6 +54,8 @@
   // Bandwidth of its link. Nodes with wide links become readers first, since a reader sends each
   // configuration to many nodes at once.
   double link_mbps = 0;
+  // Address at which it takes forwarded requests, "ip:port"; empty if it takes none.
+  std::string forward_address;
 };
 
 // Not thread-safe; runs on the thread of its event loop.
--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -43,6 +43,8 @@
   // Bytes received by the kernel or by this process, but not parsed.
   std::size_t unread_bytes = 0;
 
+  // Adds the activity of another server.
+  ServerActivity& operator+=(const ServerActivity& other);
   // Connections whose caller would lose an answer, or its end, if this process exited now.
   std::size_t unfinished() const { return answering + sending + closing; }
 };
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -71,6 +71,7 @@
   absl::Time ExpectedReady(const ModelKey& model) const override;
   void ExpectReturn(const std::string& service, const ModelKey& model, absl::Time at) override;
   absl::Time StopLimit() const override;
+  void OnPathEvent() override;
   void OnRequestStarted(std::shared_ptr<RequestRelay> request) override;
   void OnRequestEnded(std::uint64_t number) override;
 
@@ -82,6 +83,25 @@
   };
 
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange);
+  // Takes a request that another node has forwarded.
+  void OnForwarded(const std::shared_ptr<ServerExchange>& exchange);
+  // Refuses a request before a route was found, or because none was.
+  void RefuseAtOnce(ServerExchange* exchange, int status, const char* why,
+                    const HeaderFields& fields);
+  // Returns why no new request is taken; null if one is.
+  const char* RefusalReason() const;
+  const Route* FindRoute(const RequestHead& head) const;
+  void StartRequest(const std::shared_ptr<ServerExchange>& exchange, RequestOrigin origin,
+                    const Route* route);
+  // Begins a round of probes if one is due.
+  void CheckPath();
+  // Returns the addresses of the workers to probe next.
+  std::vector<std::string> ProbeTargets();
+  void OnProbesEnded(bool answered);
+  void OnPathLost();
+  ServerActivity Activity() const;
+  // Sets the limits of callers' requests, and those of forwarded ones accordingly.
+  void SetRequestLimits(const ServerLimits& limits);
   void OnStatusRequest(const std::shared_ptr<ServerExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<ServerExchange>& exchange);
   void DispatchWaiting();
@@ -96,8 +116,12 @@
   GatewayParts parts_;
   RelayContext context_;
   WorkerDirectory workers_;
+  WorkerPath path_;
+  PeerDirectory peer_directory_;
   RetryBudget budget_;
   HttpServer requests_;
+  // Takes requests that other nodes forward; listens only if an address is configured.
+  HttpServer forwarded_;
   HttpServer status_;
   // Serves only metrics; listens only if an address is configured.
   HttpServer metrics_;
@@ -120,6 +144,9 @@
   std::shared_ptr<const RouteTable> routes_;
   std::unique_ptr<LoopTimer> stop_timer_;
   std::unique_ptr<LoopTimer> dispatch_timer_;
+  std::unique_ptr<LoopTimer> path_timer_;
+  // Id of the worker that was probed last.
+  std::string last_probed_;
   std::function<void()> on_stopped_;
   std::uint64_t next_number_ = 0;
   bool workers_known_ = false;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -40,6 +40,11 @@
   std::uint64_t streams_resumed = 0;
   std::uint64_t streams_broken = 0;
   std::uint64_t callers_gone = 0;
+  // Attempts that were forwarded to another node, and those that it couldn't take.
+  std::uint64_t forwards = 0;
+  std::uint64_t forwards_declined = 0;
+  // Number of times that this node lost its path to the workers.
+  std::uint64_t path_losses = 0;
   std::uint64_t store_calls = 0;
   std::uint64_t store_failures = 0;
   std::uint64_t orders = 0;
--- a/include/hingespan/serving/gateway_settings.h
+++ b/include/hingespan/serving/gateway_settings.h
@@ -48,6 +48,8 @@
   std::string metrics_listen;
   // Address for datagrams between nodes.
   std::string peer_listen;
+  // Address for requests that other nodes forward; empty if this node takes none.
+  std::string forward_listen;
   std::string store_address;
   // Maximum size of a row's value in the store.
   int store_row_bytes = 65536;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -1,8 +1,9 @@
 // Handles one caller's request: queues it, sends it to one or more workers and relays the answer.
 //
-// States: waiting (in the queue), running (an attempt is in flight), ended. A request that may have
-// been executed is sent again only if its route allows it. A request that was certainly not
-// executed is refused with 503, which guarantees this; all other failures end with 502 or 504,
+// States: waiting (in the queue), running (an attempt is in flight), ended. An attempt goes to a
+// worker, or to a peer if this node can't reach the workers but another node may. A request that
+// may have been executed is sent again only if its route allows it. A request that was certainly
+// not executed is refused with 503, which guarantees this; all other failures end with 502 or 504,
 // which don't.
 #ifndef HINGESPAN_SERVING_REQUEST_RELAY_H_
 #define HINGESPAN_SERVING_REQUEST_RELAY_H_
@@ -19,11 +20,14 @@
 #include "hingespan/http/http_server.h"
 #include "hingespan/serving/decision_log.h"
 #include "hingespan/serving/event_splitter.h"
+#include "hingespan/serving/forwarding.h"
+#include "hingespan/serving/peer_directory.h"
 #include "hingespan/serving/request_dialect.h"
 #include "hingespan/serving/request_queue.h"
 #include "hingespan/serving/retry_budget.h"
 #include "hingespan/serving/route_table.h"
 #include "hingespan/serving/worker_directory.h"
+#include "hingespan/serving/worker_path.h"
 
 namespace hingespan::gateway {
 
@@ -46,6 +50,8 @@
   virtual void ExpectReturn(const std::string& service, const ModelKey& model, absl::Time at) = 0;
   // Time by which this node must have answered all requests; InfiniteFuture unless it is stopping.
   virtual absl::Time StopLimit() const = 0;
+  // Called when an attempt has shown something about the path to the workers.
+  virtual void OnPathEvent() = 0;
   // The host keeps a request alive from Start until it ends.
   virtual void OnRequestStarted(std::shared_ptr<RequestRelay> request) = 0;
   virtual void OnRequestEnded(std::uint64_t number) = 0;
@@ -57,6 +63,8 @@
   const RequestDialect* dialect = nullptr;
   HttpClient* client = nullptr;
   WorkerDirectory* workers = nullptr;
+  WorkerPath* path = nullptr;
+  PeerDirectory* peers = nullptr;
   RetryBudget* budget = nullptr;
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
@@ -69,8 +77,8 @@
 class RequestRelay : public AnswerReceiver, public std::enable_shared_from_this<RequestRelay> {
  public:
   RequestRelay(const RelayContext* context, std::shared_ptr<ServerExchange> exchange,
-               RequestFacts facts, std::shared_ptr<const RouteTable> routes, const Route* route,
-               std::uint64_t number);
+               RequestFacts facts, RequestOrigin origin, std::shared_ptr<const RouteTable> routes,
+               const Route* route, std::uint64_t number);
 
   // Adds the request to the queue.
   void Start();
@@ -87,6 +95,9 @@
       SetTimer(context_->loop->Now());
     }
   }
+  // Called when this node has lost its path to the workers: an attempt that may be repeated and
+  // whose worker was silent goes elsewhere at once.
+  void OnPathLost();
   // Called when the node begins to stop: requests that can't end in time are answered early.
   void OnStopping() { SetTimer(context_->loop->Now()); }
   // Called just before the node ends: performs due work even if its timer has not run yet.
@@ -98,7 +109,7 @@
   int prompt_tokens() const { return facts_.prompt_tokens; }
   bool waiting() const { return state_ == State::kWaiting; }
   // True before the first attempt. Such requests with an equal demand wait for the same workers.
-  bool first_attempt() const { return tried_workers_.empty(); }
+  bool first_attempt() const { return excluded_workers_.empty(); }
 
   bool OnHead(const AnswerHead& head) override;
   void OnBody(absl::string_view piece) override;
@@ -106,9 +117,31 @@
 
  private:
   enum class State { kWaiting, kRunning, kEnded };
+  // Outcome of a request for which no worker could be reached.
+  static constexpr const char* kUnreachable = "unreachable";
+  static constexpr const char* kRetryAfter = "Retry-After";
 
   void BeginWaiting();
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
+  // Sets the state that a new attempt begins with.
+  void BeginAttempt(absl::Time now);
+  // Sends the attempt's message; `extra` is added to the fields of the dialect.
+  void SendAttempt(const std::string& address, const AttemptFacts& attempt,
+                   const HeaderFields& extra);
+  // Returns whether a peer should rather be tried than a further worker.
+  bool PrefersForward() const;
+  bool MayForward() const;
+  // Forwards the request if a peer may take it. Returns whether the request left the queue.
+  bool TryForward(absl::Time now);
+  // Takes a token if an earlier attempt may have arrived at a worker. Returns false after giving
+  // the request up for want of one.
+  bool AcquireRepeat(absl::Time now);
+  // Counts the request in the retry budget, once in all nodes.
+  void CountInBudget();
+  void OnPeerVerdict(PeerVerdict verdict);
+  // Passes a peer's refusal on to the caller.
+  void RelayRefusal();
+  void EndForward(AttemptOutcome outcome, absl::Time now);
   void SetTimer(absl::Time now);
   void OnTimer();
   // The earliest of the caller's and the route's deadline and a stopping node's limit.
@@ -123,12 +156,16 @@
   absl::Time StallLimit() const;
   absl::Time FirstStallLimit() const;
   bool AnotherWorkerIsFree(absl::Time now) const;
+  // Attempts that count towards the route's limit.
+  int AttemptsCounted() const { return static_cast<int>(tried_workers_.size()) + lost_forwards_; }
   bool MayTryAnother(absl::Time now) const;
   // Like MayTryAnother; also records a retry that the budget denies.
   bool MayTryAnotherOrRecordDenial(absl::Time now) const;
   void LogRepeat(absl::string_view event, absl::Time now) const;
   void EndAttempt(AttemptOutcome outcome);
   void OnNotExecuted();
+  void OnNotSent();
+  void NoteAnswerStarted(absl::Time now);
   void OnWholeAnswer();
   // Returns whether a stream whose answer has ended was broken off: inside an event, or before its
   // first event if nothing but the end of the connection marks its end.
@@ -151,6 +188,7 @@
   RequestFacts facts_;
   std::shared_ptr<const RouteTable> routes_;
   const Route* route_;
+  RequestOrigin origin_;
   std::string service_;
   ModelKey model_;
   QueuePlace place_;
@@ -160,9 +198,18 @@
   std::unique_ptr<LoopTimer> timer_;
   State state_ = State::kWaiting;
 
-  // Workers to which the request was sent.
+  // Workers that may have received the request, and workers to which no connection could be made.
   std::set<std::string> tried_workers_;
+  std::set<std::string> unreachable_workers_;
+  // The union of both.
+  std::set<std::string> excluded_workers_;
+  // Peers that couldn't take the request.
+  std::set<std::string> declined_peers_;
   int attempts_ = 0;
+  // Number of attempts that may have arrived at a worker.
+  int arrivals_ = 0;
+  // Number of attempts at peers whose workers are not known.
+  int lost_forwards_ = 0;
   bool may_have_run_ = false;
   ChoiceProblem last_problem_ = ChoiceProblem::kNone;
   std::string last_failure_;
@@ -170,6 +217,9 @@
   // State of the attempt in flight.
   std::unique_ptr<ClientExchange> upstream_;
   std::string worker_id_;
+  // Peer to which the attempt was forwarded; empty if it was sent to a worker.
+  std::string peer_;
+  std::optional<PeerVerdict> verdict_;
   absl::Time attempt_started_;
   absl::Time last_progress_;
   absl::Time stall_checked_ = absl::InfinitePast();
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -122,13 +122,11 @@
 void FleetCoordinator::AnnounceNode() {
   announced_ = true;
   own_row_version_ = 0;
-  const std::string value = Json{
-      {"address", settings_.address},
-      {"copies", settings_.copies_address},
-      {"zone", settings_.zone},
-      {"link_mbps", settings_.link_mbps},
-      {"incarnation",
-       settings_.incarnation}}.dump();
+  const std::string value =
+      Json{{"address", settings_.address},         {"copies", settings_.copies_address},
+           {"forward", settings_.forward_address}, {"zone", settings_.zone},
+           {"link_mbps", settings_.link_mbps},     {"incarnation", settings_.incarnation}}
+          .dump();
   parts_.store->Commit({}, {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), value}},
                        [this](Result<std::uint64_t> result) {
                          if (!result.ok()) {
@@ -215,8 +213,8 @@
     if (json.is_object() && json.contains("address")) {
       const std::string name = row.key.substr(kNodePrefix.size());
       peers[name] = json["address"].get<std::string>();
-      nodes.push_back(
-          {name, json.value("zone", ""), json.value("copies", ""), json.value("link_mbps", 0.0)});
+      nodes.push_back({name, json.value("zone", ""), json.value("copies", ""),
+                       json.value("link_mbps", 0.0), json.value("forward", "")});
     }
   }
   peers_ = std::move(peers);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -47,6 +47,16 @@
   std::shared_ptr<ServerState> shared;
 };
 
+ServerActivity& ServerActivity::operator+=(const ServerActivity& other) {
+  answering += other.answering;
+  sending += other.sending;
+  closing += other.closing;
+  idle += other.idle;
+  unsent_bytes += other.unsent_bytes;
+  unread_bytes += other.unread_bytes;
+  return *this;
+}
+
 HttpServer::HttpServer(EventLoop* loop, Handler handler)
     : implementation_(std::make_shared<Implementation>(loop, std::move(handler))) {}
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -67,10 +67,14 @@
     : settings_(std::move(settings)),
       parts_(parts),
       workers_(settings_.node, settings_.zone, MakeChoicePolicy(settings_.serving)),
+      peer_directory_(settings_.node, settings_.zone),
       budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window},
               FleetShare(settings_.node), parts_.loop->Now()),
       requests_(parts_.loop,
                 [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
+      forwarded_(
+          parts_.loop,
+          [this](const std::shared_ptr<ServerExchange>& exchange) { OnForwarded(exchange); }),
       status_(
           parts_.loop,
           [this](const std::shared_ptr<ServerExchange>& exchange) { OnStatusRequest(exchange); }),
@@ -80,10 +84,19 @@
       peers_(parts_.loop, [this](absl::string_view bytes) { fleet_->OnDatagram(bytes); }),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
-      dispatch_timer_(parts_.loop->MakeTimer()) {
-  context_ = {parts_.loop,    parts_.dialect, parts_.client,
-              &workers_,      &budget_,       parts_.log,
-              parts_.metrics, this,           settings_.serving.return_when_late};
+      dispatch_timer_(parts_.loop->MakeTimer()),
+      path_timer_(parts_.loop->MakeTimer()) {
+  context_.loop = parts_.loop;
+  context_.dialect = parts_.dialect;
+  context_.client = parts_.client;
+  context_.workers = &workers_;
+  context_.path = &path_;
+  context_.peers = &peer_directory_;
+  context_.budget = &budget_;
+  context_.log = parts_.log;
+  context_.metrics = parts_.metrics;
+  context_.host = this;
+  context_.return_when_late = settings_.serving.return_when_late;
 }
 
 Gateway::~Gateway() = default;
@@ -104,10 +117,15 @@
   }
   ServerLimits limits;
   limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
-  requests_.SetLimits(limits);
+  SetRequestLimits(limits);
   if (const std::error_code error = requests_.Listen(settings_.request_listen)) {
     return error;
   }
+  if (!settings_.forward_listen.empty()) {
+    if (const std::error_code error = forwarded_.Listen(settings_.forward_listen)) {
+      return error;
+    }
+  }
   // Both listeners use the same port number unless the kernel chooses the ports.
   if (const std::error_code error = reading_.Listen(settings_.peer_listen)) {
     return error;
@@ -122,6 +140,7 @@
                  });
   FleetCoordinatorSettings fleet = FleetSettings(settings_);
   fleet.copies_address = reading_.address();
+  fleet.forward_address = forwarded_.address();
   reading_.Share(fleet.table, nullptr);
   FleetCoordinatorParts fleet_parts;
   fleet_parts.loop = parts_.loop;
@@ -145,10 +164,14 @@
   fleet_parts.on_nodes = [this](const std::vector<FleetNode>& nodes, absl::Time read_started) {
     reading_.SetNodes(nodes);
     std::vector<std::string> names;
+    std::vector<Peer> peers;
     names.reserve(nodes.size());
+    peers.reserve(nodes.size());
     for (const FleetNode& node : nodes) {
       names.push_back(node.name);
+      peers.push_back({node.name, node.zone, node.forward_address});
     }
+    peer_directory_.SetPeers(peers);
     budget_.SetNodes(names, read_started, parts_.loop->Now());
   };
   const std::uint64_t seed = fleet.incarnation;
@@ -194,39 +217,52 @@
 
 bool Gateway::ready() const { return routes_ != nullptr && workers_known_ && !stopping_; }
 
-void Gateway::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
-  const auto refuse = [&](int status, const char* why) {
-    const std::uint64_t version = routes_ == nullptr ? 0 : routes_->configuration().version;
-    parts_.log->Write(LogLevel::kInfo, "request_refused",
-                      {{"request", parts_.dialect->ReadRequest(exchange->head()).id},
-                       {"target", exchange->head().target},
-                       {"status", absl::StrCat(status)},
-                       {"why", why},
-                       {"configuration", absl::StrCat(version)}});
-    ++parts_.metrics->requests_by_status[status];
-    ++parts_.metrics->refusals[why];
-    exchange->Answer(status, ReasonPhrase(status),
-                     status == 503 ? RetryAfter("0.1") : HeaderFields{}, {});
-  };
+void Gateway::RefuseAtOnce(ServerExchange* exchange, int status, const char* why,
+                           const HeaderFields& fields) {
+  const std::uint64_t version = routes_ == nullptr ? 0 : routes_->configuration().version;
+  parts_.log->Write(LogLevel::kInfo, "request_refused",
+                    {{"request", parts_.dialect->ReadRequest(exchange->head()).id},
+                     {"target", exchange->head().target},
+                     {"status", absl::StrCat(status)},
+                     {"why", why},
+                     {"configuration", absl::StrCat(version)}});
+  ++parts_.metrics->requests_by_status[status];
+  ++parts_.metrics->refusals[why];
+  exchange->Answer(status, ReasonPhrase(status), fields, {});
+}
+
+const char* Gateway::RefusalReason() const {
   if (routes_ == nullptr || !workers_known_) {
-    refuse(503, "no_configuration_yet");
-    return;
+    return "no_configuration_yet";
   }
-  if (stopping_ && parts_.loop->Now() - stop_began_ > kAcceptAfterStop) {
-    refuse(503, "stopping");
+  return stopping_ && parts_.loop->Now() - stop_began_ > kAcceptAfterStop ? "stopping" : nullptr;
+}
+
+const Route* Gateway::FindRoute(const RequestHead& head) const {
+  const std::string* const host = FindField(head.fields, "Host");
+  return routes_->Find(host == nullptr ? absl::string_view() : absl::string_view(*host),
+                       head.target);
+}
+
+void Gateway::StartRequest(const std::shared_ptr<ServerExchange>& exchange, RequestOrigin origin,
+                           const Route* route) {
+  auto relay = std::make_shared<RequestRelay>(&context_, exchange,
+                                              parts_.dialect->ReadRequest(exchange->head()),
+                                              std::move(origin), routes_, route, ++next_number_);
+  relay->Start();
+}
+
+void Gateway::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  if (const char* const why = RefusalReason()) {
+    RefuseAtOnce(exchange.get(), 503, why, RetryAfter("0.1"));
     return;
   }
-  const RequestHead& head = exchange->head();
-  const std::string* const host = FindField(head.fields, "Host");
-  const Route* const route =
-      routes_->Find(host == nullptr ? absl::string_view() : absl::string_view(*host), head.target);
+  const Route* const route = FindRoute(exchange->head());
   if (route == nullptr) {
-    refuse(404, "no_route");
+    RefuseAtOnce(exchange.get(), 404, "no_route", {});
     return;
   }
-  auto relay = std::make_shared<RequestRelay>(
-      &context_, exchange, parts_.dialect->ReadRequest(head), routes_, route, ++next_number_);
-  relay->Start();
+  StartRequest(exchange, {}, route);
 }
 
 void Gateway::OnStatusRequest(const std::shared_ptr<ServerExchange>& exchange) {
@@ -243,7 +279,7 @@
   if (exchange->head().target == settings_.metrics_path) {
     parts_.metrics->waiting_now = queue_.size();
     parts_.metrics->holds_lease = fleet_->holds_lease();
-    parts_.metrics->connections = requests_.activity();
+    parts_.metrics->connections = Activity();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
     parts_.metrics->retries = budget_.AllCounts(parts_.loop->Now());
     parts_.metrics->retry_divisor = budget_.share().Divisor(parts_.loop->Now());
@@ -344,6 +380,7 @@
   stop_began_ = parts_.loop->Now();
   on_stopped_ = std::move(done);
   requests_.AskToClose();
+  forwarded_.AskToClose();
   fleet_->Stop();
   for (const auto& [number, request] : open_requests_) {
     request->OnStopping();
@@ -362,7 +399,7 @@
       request->OnStopLimit();
     }
   }
-  const bool idle = now - stop_began_ >= kMinStopTime && requests_.activity().unfinished() == 0;
+  const bool idle = now - stop_began_ >= kMinStopTime && Activity().unfinished() == 0;
   if (idle || now - stop_began_ >= settings_.stop_time - kStopMargin) {
     LogStop("stopped", idle ? "idle" : "limit");
     on_stopped_();
@@ -372,10 +409,10 @@
 }
 
 void Gateway::LogStop(absl::string_view event, std::string why) {
-  const ServerActivity activity = requests_.activity();
+  const ServerActivity activity = Activity();
   parts_.log->Write(LogLevel::kInfo, event,
                     {{"why", std::move(why)},
-                     {"open_requests", absl::StrCat(requests_.open_exchanges())},
+                     {"open_requests", absl::StrCat(activity.answering + activity.sending)},
                      {"sending", absl::StrCat(activity.sending)},
                      {"unsent_bytes", absl::StrCat(activity.unsent_bytes)},
                      {"closing", absl::StrCat(activity.closing)},
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -156,6 +156,11 @@
   count("hingespan_streams_broken_total", "Streams broken off", metrics.streams_broken);
   count("hingespan_callers_gone_total", "Callers that left before their answer",
         metrics.callers_gone);
+  count("hingespan_forwards_total", "Attempts forwarded to another node", metrics.forwards);
+  count("hingespan_forwards_declined_total", "Forwarded attempts that the other node couldn't take",
+        metrics.forwards_declined);
+  count("hingespan_path_losses_total", "Times that this node lost its path to the workers",
+        metrics.path_losses);
   count("hingespan_store_calls_total", "Calls to the shared store", metrics.store_calls);
   count("hingespan_store_failures_total", "Calls to the shared store that failed",
         metrics.store_failures);
--- a/src/serving/gateway_records.cc
+++ b/src/serving/gateway_records.cc
@@ -30,7 +30,7 @@
   limits.head_timeout = configuration->limits.head_timeout;
   limits.idle_timeout = configuration->limits.idle_timeout;
   limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
-  requests_.SetLimits(limits);
+  SetRequestLimits(limits);
   fleet_->SetConfiguration(configuration);
   parts_.metrics->configuration_version = configuration->version;
   parts_.log->Write(LogLevel::kInfo, "configuration_applied",
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -132,6 +132,7 @@
       {"listen.metrics", Address(&settings->metrics_listen)},
       {"listen.metrics_path", Text(&settings->metrics_path)},
       {"listen.peers", Address(&settings->peer_listen)},
+      {"listen.forwarded", Address(&settings->forward_listen)},
       {"listen.max_connections",
        Number(1, 1e6,
               [settings](double value) { settings->max_connections = static_cast<int>(value); })},
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -64,17 +64,21 @@
 }  // namespace
 
 RequestRelay::RequestRelay(const RelayContext* context, std::shared_ptr<ServerExchange> exchange,
-                           RequestFacts facts, std::shared_ptr<const RouteTable> routes,
-                           const Route* route, std::uint64_t number)
+                           RequestFacts facts, RequestOrigin origin,
+                           std::shared_ptr<const RouteTable> routes, const Route* route,
+                           std::uint64_t number)
     : context_(context),
       exchange_(std::move(exchange)),
       facts_(std::move(facts)),
       routes_(std::move(routes)),
       route_(route),
+      origin_(std::move(origin)),
       service_(ChooseService(*route, facts_.id)),
       model_{facts_.model, facts_.adapter},
       arrived_(exchange_->received()),
-      timer_(context->loop->MakeTimer()) {
+      timer_(context->loop->MakeTimer()),
+      tried_workers_(origin_.tried_workers),
+      excluded_workers_(origin_.tried_workers) {
   const absl::Duration time = std::min(route->timeout, facts_.deadline.value_or(kDefaultDeadline));
   deadline_ = arrived_ + std::max(absl::ZeroDuration(), time - kDeadlineMargin);
   place_ = {route->priority, deadline_, number};
@@ -94,12 +98,22 @@
       self->upstream_->ResumeReading();
     }
   });
-  context_->budget->RecordRequest(service_, context_->loop->Now());
   BeginWaiting();
 }
 
+void RequestRelay::CountInBudget() {
+  if (!origin_.counted) {
+    origin_.counted = true;
+    context_->budget->RecordRequest(service_, context_->loop->Now());
+  }
+}
+
 void RequestRelay::BeginWaiting() {
   state_ = State::kWaiting;
+  if (PrefersForward() && TryForward(context_->loop->Now())) {
+    return;
+  }
+  CountInBudget();
   context_->host->Enqueue(place_, shared_from_this());
   SetTimer(context_->loop->Now());
 }
@@ -111,7 +125,7 @@
   demand.prompt_parts = &facts_.prompt_parts;
   demand.prompt_tokens = facts_.prompt_tokens;
   demand.output_tokens = facts_.max_output_tokens;
-  demand.excluded = &tried_workers_;
+  demand.excluded = &excluded_workers_;
   return demand;
 }
 
@@ -119,22 +133,42 @@
   if (state_ != State::kWaiting) {
     return true;
   }
+  if (PrefersForward() && TryForward(now)) {
+    return true;
+  }
+  if (context_->path->lost()) {
+    GiveUp(502, kUnreachable);
+    return true;
+  }
   const WorkerDemand demand = Demand();
   const WorkerChoice choice = context_->workers->Choose(demand, routes_->configuration(), now);
+  if (choice.worker == nullptr && choice.candidates == 0 && !unreachable_workers_.empty()) {
+    if (!TryForward(now)) {
+      GiveUp(502, kUnreachable);
+    }
+    return true;
+  }
   if (choice.worker == nullptr) {
     NoteProblem(choice.problem);
     return false;
   }
-  if (attempts_ > 0 && !context_->budget->TryAcquire(service_, now)) {
+  if (AcquireRepeat(now)) {
+    Dispatch(choice.worker, demand, now);
+  }
+  return true;
+}
+
+bool RequestRelay::AcquireRepeat(absl::Time now) {
+  if (arrivals_ == 0) {
+    return true;
+  }
+  if (!context_->budget->TryAcquire(service_, now)) {
     ++context_->metrics->repeats_denied;
     LogRepeat("repeat_denied", now);
     GiveUp(502, "retry_budget");
-    return true;
-  }
-  if (attempts_ > 0) {
-    LogRepeat("repeat", now);
+    return false;
   }
-  Dispatch(choice.worker, demand, now);
+  LogRepeat("repeat", now);
   return true;
 }
 
@@ -146,7 +180,7 @@
   SetTimer(context_->loop->Now());
 }
 
-void RequestRelay::Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now) {
+void RequestRelay::BeginAttempt(absl::Time now) {
   context_->host->Dequeue(place_);
   state_ = State::kRunning;
   if (attempts_ == 0) {
@@ -155,9 +189,8 @@
     ++context_->metrics->repeats;
   }
   ++attempts_;
+  ++arrivals_;
   ++context_->metrics->attempts;
-  worker_id_ = worker->record.id;
-  tried_workers_.insert(worker_id_);
   attempt_started_ = now;
   last_progress_ = now;
   answer_started_ = false;
@@ -165,16 +198,35 @@
   forwarding_events_ = false;
   answer_body_.clear();
   events_.DropRest();
+  verdict_.reset();
+}
+
+void RequestRelay::Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now) {
+  BeginAttempt(now);
+  peer_.clear();
+  worker_id_ = worker->record.id;
+  tried_workers_.insert(worker_id_);
+  excluded_workers_.insert(worker_id_);
   context_->workers->AttemptStarted(worker, demand, now);
+  context_->path->OnAttemptStarted(now);
   context_->host->RunningChanged(service_, model_, 1);
   AttemptFacts attempt;
   attempt.worker_id = worker_id_;
   attempt.time_left = deadline_ - now;
   attempt.priority = route_->priority;
   attempt.last_event_id = events_.last_event_id();
+  SendAttempt(worker->record.address, attempt, {});
+  SetTimer(now);
+  context_->host->OnPathEvent();
+}
+
+void RequestRelay::SendAttempt(const std::string& address, const AttemptFacts& attempt,
+                               const HeaderFields& extra) {
   const RequestHead& head = exchange_->head();
+  HeaderFields fields = context_->dialect->AttemptFields(head, attempt);
+  fields.insert(fields.end(), extra.begin(), extra.end());
   std::string message = absl::StrCat(head.method, " ", head.target, " HTTP/1.1\r\n");
-  for (const HeaderField& field : context_->dialect->AttemptFields(head, attempt)) {
+  for (const HeaderField& field : fields) {
     absl::StrAppend(&message, field.name, ": ", field.value, "\r\n");
   }
   const std::string& body = exchange_->body();
@@ -182,8 +234,7 @@
     absl::StrAppend(&message, "Content-Length: ", body.size(), "\r\n");
   }
   absl::StrAppend(&message, "\r\n", body);
-  upstream_ = context_->client->Send(worker->record.address, std::move(message), this);
-  SetTimer(now);
+  upstream_ = context_->client->Send(address, std::move(message), this);
 }
 
 absl::Time RequestRelay::Deadline() const {
@@ -232,7 +283,7 @@
 }
 
 bool RequestRelay::MayTryAnother(absl::Time now) const {
-  return static_cast<int>(tried_workers_.size()) < route_->max_attempts &&
+  return AttemptsCounted() < route_->max_attempts &&
          context_->budget->Available(service_, now) >= 1.0 && now < deadline_;
 }
 
@@ -240,7 +291,7 @@
   if (MayTryAnother(now)) {
     return true;
   }
-  if (static_cast<int>(tried_workers_.size()) < route_->max_attempts && now < deadline_) {
+  if (AttemptsCounted() < route_->max_attempts && now < deadline_) {
     context_->budget->RecordDenied(service_);
     ++context_->metrics->repeats_denied;
     LogRepeat("repeat_denied", now);
@@ -260,6 +311,10 @@
 }
 
 bool RequestRelay::AnotherWorkerIsFree(absl::Time now) const {
+  if (PrefersForward() && MayForward() &&
+      context_->peers->Choose(declined_peers_, now) != nullptr) {
+    return true;
+  }
   return context_->workers->Choose(Demand(), routes_->configuration(), now).worker != nullptr;
 }
 
@@ -271,6 +326,9 @@
   if (!route_->MayRunAgain() || !MayTryAnother(attempt_started_)) {
     return absl::InfiniteFuture();
   }
+  if (!peer_.empty() && !answer_started_) {
+    return absl::InfiniteFuture();  // The peer itself leaves silent workers.
+  }
   if (route_->kind != RouteKind::kStreaming) {
     return attempt_started_ +
            std::max(kMinStallTimeout, (deadline_ - attempt_started_) * kStallFraction);
@@ -336,6 +394,11 @@
 
 void RequestRelay::EndAttempt(AttemptOutcome outcome) {
   upstream_.reset();
+  if (!peer_.empty()) {
+    EndForward(outcome, context_->loop->Now());
+    return;
+  }
+  context_->path->OnAttemptEnded();
   context_->workers->AttemptEnded(worker_id_, model_.model,
                                   answer_started_ ? 0 : facts_.prompt_tokens, outcome,
                                   context_->loop->Now());
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -36,6 +36,15 @@
 }  // namespace
 
 bool RequestRelay::OnHead(const AnswerHead& head) {
+  if (peer_.empty()) {
+    context_->path->OnBytes(context_->loop->Now());
+  } else {
+    verdict_ = ReadVerdict(head);
+  }
+  if (verdict_.has_value()) {
+    answer_head_ = head;
+    return true;
+  }
   answer_facts_ = context_->dialect->ReadAnswer(head, worker_id_);
   const bool same_id = answer_facts_.id == facts_.id;
   const bool refusal_without_id = answer_facts_.id.empty() && answer_facts_.not_executed;
@@ -54,6 +63,9 @@
 void RequestRelay::OnBody(absl::string_view piece) {
   const absl::Time now = context_->loop->Now();
   last_progress_ = now;
+  if (peer_.empty()) {
+    context_->path->OnBytes(now);
+  }
   if (!forwarding_events_) {
     answer_body_.append(piece.data(), piece.size());
     return;
@@ -67,8 +79,7 @@
   }
   const absl::Time now = context_->loop->Now();
   if (!answer_started_) {
-    answer_started_ = true;
-    context_->workers->AnswerStarted(worker_id_, facts_.prompt_tokens, now - attempt_started_, now);
+    NoteAnswerStarted(now);
     SetTimer(now);
   }
   if (!stream_started_) {
@@ -94,19 +105,12 @@
       OnWholeAnswer();
       return;
     case ExchangeResult::kNotSent:
-      context_->log->Write(
-          LogLevel::kInfo, "attempt_not_sent",
-          {{"request", facts_.id},
-           {"worker", worker_id_},
-           {"after_ms", Milliseconds(context_->loop->Now() - attempt_started_)}});
-      EndAttempt(AttemptOutcome::kUnreachable);
-      // The worker has not received the request. It may go to another worker within the retry
-      // budget, and this worker doesn't count towards the route's limit of attempts.
-      tried_workers_.erase(worker_id_);
-      last_failure_ = "unreachable";
-      BeginWaiting();
+      OnNotSent();
       return;
     case ExchangeResult::kBroken:
+      if (peer_.empty() && answer_head_.status == 0) {
+        context_->path->OnUnreachable(worker_id_);
+      }
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("broken_off");
       return;
@@ -117,7 +121,40 @@
   }
 }
 
+void RequestRelay::OnNotSent() {
+  const absl::Time now = context_->loop->Now();
+  context_->log->Write(LogLevel::kDebug, "attempt_not_sent",
+                       {{"request", facts_.id},
+                        {"worker", peer_.empty() ? worker_id_ : std::string()},
+                        {"peer", peer_},
+                        {"after_ms", Milliseconds(now - attempt_started_)}});
+  const bool at_peer = !peer_.empty();
+  EndAttempt(AttemptOutcome::kUnreachable);
+  // Nothing arrived anywhere, so the attempt counts neither in the retry budget nor towards the
+  // route's limit of attempts.
+  --arrivals_;
+  if (!at_peer) {
+    tried_workers_.erase(worker_id_);
+    unreachable_workers_.insert(worker_id_);
+    context_->path->OnUnreachable(worker_id_);
+    context_->host->OnPathEvent();
+  }
+  last_failure_ = kUnreachable;
+  BeginWaiting();
+}
+
+void RequestRelay::NoteAnswerStarted(absl::Time now) {
+  answer_started_ = true;
+  if (peer_.empty()) {
+    context_->workers->AnswerStarted(worker_id_, facts_.prompt_tokens, now - attempt_started_, now);
+  }
+}
+
 void RequestRelay::OnWholeAnswer() {
+  if (verdict_.has_value()) {
+    OnPeerVerdict(*verdict_);
+    return;
+  }
   if (answer_facts_.not_executed) {
     OnNotExecuted();
     return;
@@ -141,8 +178,7 @@
     return;
   }
   if (!answer_started_) {
-    answer_started_ = true;
-    context_->workers->AnswerStarted(worker_id_, facts_.prompt_tokens, now - attempt_started_, now);
+    NoteAnswerStarted(now);
   }
   const bool failed = answer_head_.status >= 500;
   EndAttempt(failed ? AttemptOutcome::kFailed : AttemptOutcome::kServed);
@@ -150,7 +186,8 @@
     OnFailedAttempt("refused_to_resume");
     return;
   }
-  if (failed && route_->MayRunAgain() && MayTryAnotherOrRecordDenial(now)) {
+  // A peer has repeated the request itself where it could.
+  if (failed && peer_.empty() && route_->MayRunAgain() && MayTryAnotherOrRecordDenial(now)) {
     OnFailedAttempt(absl::StrCat("status_", answer_head_.status));
     return;
   }
@@ -197,6 +234,7 @@
   context_->log->Write(LogLevel::kInfo, "attempt_failed",
                        {{"request", facts_.id},
                         {"worker", worker_id_},
+                        {"peer", peer_},
                         {"how", last_failure_},
                         {"framing", std::string(FramingName(answer_head_))},
                         {"attempt", absl::StrCat(attempts_)},
@@ -233,15 +271,23 @@
     context_->host->ExpectReturn(service_, model_, now + retry_after);
   }
   ++context_->metrics->refusals[std::string(why)];
-  exchange_->Answer(503, ReasonPhrase(503),
-                    {{"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))}},
-                    {});
+  HeaderFields fields = {
+      {"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))}};
+  if (origin_.forwarded) {
+    const bool elsewhere = why == kUnreachable && arrivals_ == 0;
+    fields.push_back(VerdictField(elsewhere ? PeerVerdict::kUnavailable : PeerVerdict::kRefused));
+  }
+  exchange_->Answer(503, ReasonPhrase(503), fields, {});
   Finish(503, why);
 }
 
 void RequestRelay::FailUnknown(int status, absl::string_view why) {
   context_->host->Dequeue(place_);
-  exchange_->Answer(status, ReasonPhrase(status), {}, {});
+  HeaderFields fields;
+  if (origin_.forwarded) {
+    fields.push_back(VerdictField(PeerVerdict::kFailed));
+  }
+  exchange_->Answer(status, ReasonPhrase(status), fields, {});
   Finish(status, why);
 }
 
@@ -284,6 +330,7 @@
        {"outcome", std::string(why)},
        {"attempts", absl::StrCat(attempts_)},
        {"worker", worker_id_},
+       {"peer", peer_},
        {"framing", std::string(FramingName(answer_head_))},
        {"worker_row", absl::StrCat(worker == nullptr ? 0 : worker->row_version)},
        {"configuration", absl::StrCat(routes_->configuration().version)},
--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -167,6 +167,34 @@
   CHECK(HasLine(*fixture.sound, "lease_acquired"));
 }
 
+// Guards against staying on the detour, or holding the lease back, once the path is back.
+TEST_CASE("requests go straight to workers again once the path is back") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kSilent);
+  fixture.AwaitServed();
+  REQUIRE(fixture.Wait([&] { return HasLine(*fixture.cut, "path_lost"); }));
+  fixture.links.SetFault(LinkFault::kNone);
+  REQUIRE(fixture.Wait([&] { return HasLine(*fixture.cut, "path_regained"); }));
+  const std::uint64_t forwards = fixture.cut->metrics.forwards;
+  CHECK(fixture.CountServed() == 2 * kRequests);
+  CHECK(fixture.cut->metrics.forwards == forwards);
+}
+
+// Guards against losing a stream under way that another node could continue.
+TEST_CASE("a resumable stream under way continues through another node when the path is lost") {
+  PartitionFixture fixture(absl::Milliseconds(200));
+  REQUIRE(fixture.CountServed() == 2 * kRequests);  // Earns a retry.
+  TestRequest request = StreamRequest("/stream/x", "m1");
+  request.deadline_ms = 10000;
+  const auto call = fixture.Send(fixture.cut, request);
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  fixture.links.SetFault(LinkFault::kSilent);
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(fixture.cut->metrics.forwards > 0);
+  CHECK(call->body == Events(1, 6));
+}
+
 // Guards against a broken stream that the node between frames as a complete one.
 TEST_CASE("a forwarded stream that breaks off does not look complete") {
   PartitionFixture fixture;
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -25,6 +25,7 @@
   settings.request_listen = "127.0.0.1:0";
   settings.status_listen = "127.0.0.1:0";
   settings.peer_listen = "127.0.0.1:0";
+  settings.forward_listen = "127.0.0.1:0";
   settings.store_address = store_address;
   settings.metrics_listen = metrics_address;
   settings.lease = absl::Milliseconds(400);
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -42,7 +42,8 @@
   const std::string settings = absl::StrCat(options_.folder, "/", options_.name, ".toml");
   std::ofstream(settings) << "[node]\nname = \"" << options_.name << "\"\nzone = \""
                           << options_.zone << "\"\n[listen]\nrequests = \"127.0.0.1:0\"\n"
-                          << "status = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n[store]\n"
+                          << "status = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
+                          << "forwarded = \"127.0.0.1:0\"\n[store]\n"
                           << "address = \"" << options_.store_address << "\"\n[stop]\n"
                           << "time_s = " << options_.stop_seconds << "\n[placement]\n"
                           << "workers_check_tokens = "
