Demand report: a node without a path calls no worker unreachable

Cause: a node lists the workers to which it could make no connection, and the lease holder plans nothing at a listed worker. A node that is cut off from all workers lists them all, and so stops placement for the whole fleet. Evidence: by reading (FleetPlacer::FillContext); no run isolated it. Change: the list is sent only while the node's path is open. Result: test-serving and test-partition pass. Why it works: in doubt the fault is the node's own, and a worker that is gone is still listed by the nodes with a path.

--- a/src/serving/gateway_demand.cc
+++ b/src/serving/gateway_demand.cc
@@ -56,7 +56,9 @@
         }
       }
     }
-    if (worker.ended || worker.unreachable_until > parts_.loop->Now()) {
+    // A node without a path says nothing about the workers.
+    const bool judges = path_.state() == WorkerPath::State::kOpen;
+    if (worker.ended || (judges && worker.unreachable_until > parts_.loop->Now())) {
       report->unreachable.push_back(id);
     }
   }
