Gateway: the path to the workers is judged for each service

One state for workers of all services; a probe that any worker answered kept it open. The lease is suspended when no service with models is within reach. A declined forward no longer earns a part of the retry budget at the node that declined it. The cases of test-partition that cut both services now wait until the node knows of both losses; until then a request that hangs is lost, as before. Why it works: a request needs a worker of its own service, whatever else the node reaches.

--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -71,7 +71,8 @@
   absl::Time ExpectedReady(const ModelKey& model) const override;
   void ExpectReturn(const std::string& service, const ModelKey& model, absl::Time at) override;
   absl::Time StopLimit() const override;
-  void OnPathEvent() override;
+  WorkerPath* PathOf(const std::string& service) override;
+  void OnPathEvent(const std::string& service) override;
   void OnRequestStarted(std::shared_ptr<RequestRelay> request) override;
   void OnRequestEnded(std::uint64_t number) override;
 
@@ -93,12 +94,22 @@
   const Route* FindRoute(const RequestHead& head) const;
   void StartRequest(const std::shared_ptr<ServerExchange>& exchange, RequestOrigin origin,
                     const Route* route);
+  // State of the path to the workers of one service.
+  struct ServicePath {
+    WorkerPath path;
+    std::unique_ptr<LoopTimer> timer;
+    // Id of the worker that was probed last.
+    std::string last_probed;
+  };
+  ServicePath& EntryOf(const std::string& service);
   // Begins a round of probes if one is due.
-  void CheckPath();
+  void CheckPath(const std::string& service);
   // Returns the addresses of the workers to probe next.
-  std::vector<std::string> ProbeTargets();
-  void OnProbesEnded(bool answered);
-  void OnPathLost();
+  std::vector<std::string> ProbeTargets(const std::string& service);
+  void OnProbesEnded(const std::string& service, bool answered);
+  void OnPathLost(const std::string& service);
+  // Returns whether this node's orders could reach a worker.
+  bool ReachesModelWorkers() const;
   ServerActivity Activity() const;
   // Sets the limits of callers' requests, and those of forwarded ones accordingly.
   void SetRequestLimits(const ServerLimits& limits);
@@ -116,7 +127,8 @@
   GatewayParts parts_;
   RelayContext context_;
   WorkerDirectory workers_;
-  WorkerPath path_;
+  // By service; entries are never removed.
+  std::map<std::string, ServicePath> paths_;
   PeerDirectory peer_directory_;
   RetryBudget budget_;
   HttpServer requests_;
@@ -144,9 +156,6 @@
   std::shared_ptr<const RouteTable> routes_;
   std::unique_ptr<LoopTimer> stop_timer_;
   std::unique_ptr<LoopTimer> dispatch_timer_;
-  std::unique_ptr<LoopTimer> path_timer_;
-  // Id of the worker that was probed last.
-  std::string last_probed_;
   std::function<void()> on_stopped_;
   std::uint64_t next_number_ = 0;
   bool workers_known_ = false;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -50,8 +50,10 @@
   virtual void ExpectReturn(const std::string& service, const ModelKey& model, absl::Time at) = 0;
   // Time by which this node must have answered all requests; InfiniteFuture unless it is stopping.
   virtual absl::Time StopLimit() const = 0;
-  // Called when an attempt has shown something about the path to the workers.
-  virtual void OnPathEvent() = 0;
+  // This node's path to the workers of a service; valid as long as the host.
+  virtual WorkerPath* PathOf(const std::string& service) = 0;
+  // Called when an attempt has shown something about that path.
+  virtual void OnPathEvent(const std::string& service) = 0;
   // The host keeps a request alive from Start until it ends.
   virtual void OnRequestStarted(std::shared_ptr<RequestRelay> request) = 0;
   virtual void OnRequestEnded(std::uint64_t number) = 0;
@@ -63,7 +65,6 @@
   const RequestDialect* dialect = nullptr;
   HttpClient* client = nullptr;
   WorkerDirectory* workers = nullptr;
-  WorkerPath* path = nullptr;
   PeerDirectory* peers = nullptr;
   RetryBudget* budget = nullptr;
   DecisionLog* log = nullptr;
@@ -95,8 +96,8 @@
       SetTimer(context_->loop->Now());
     }
   }
-  // Called when this node has lost its path to the workers: an attempt that may be repeated and
-  // whose worker was silent goes elsewhere at once.
+  // Called when this node has lost its path to the service's workers: an attempt that may be
+  // repeated and whose worker was silent goes elsewhere at once.
   void OnPathLost();
   // Called when the node begins to stop: requests that can't end in time are answered early.
   void OnStopping() { SetTimer(context_->loop->Now()); }
@@ -190,6 +191,7 @@
   const Route* route_;
   RequestOrigin origin_;
   std::string service_;
+  WorkerPath* path_;
   ModelKey model_;
   QueuePlace place_;
   absl::Time arrived_;
--- a/include/hingespan/serving/worker_path.h
+++ b/include/hingespan/serving/worker_path.h
@@ -1,4 +1,5 @@
-// Detects that this node has lost its path to all workers, although other nodes may still have one.
+// Detects that this node has lost its path to all workers of a service, although other nodes may
+// still have one.
 //
 // States: open (workers answer, or nothing suggests otherwise), checking (in doubt, a round of
 // probes is in flight), lost (a whole round failed; further rounds follow until a probe is
@@ -42,6 +43,9 @@
   // Called when no connection to the worker could be made, or one ended before its first byte.
   void OnUnreachable(const std::string& worker_id) { unreachable_.insert(worker_id); }
 
+  // Called when something else suggests that the path is lost, e.g. the loss of another service's.
+  void Doubt() { doubted_ = true; }
+
   // True if attempts are in flight and no worker has sent a byte for a while.
   bool Silent(absl::Time now) const {
     return attempts_ > 0 && now - last_sign_ >= settings_.silence;
@@ -57,6 +61,7 @@
   WorkerPathSettings settings_;
   State state_ = State::kOpen;
   bool round_in_flight_ = false;
+  bool doubted_ = false;
   int attempts_ = 0;
   // Latest time at which bytes arrived, or at which the first of the attempts in flight started.
   absl::Time last_sign_ = absl::InfinitePast();
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -84,13 +84,11 @@
       peers_(parts_.loop, [this](absl::string_view bytes) { fleet_->OnDatagram(bytes); }),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
-      dispatch_timer_(parts_.loop->MakeTimer()),
-      path_timer_(parts_.loop->MakeTimer()) {
+      dispatch_timer_(parts_.loop->MakeTimer()) {
   context_.loop = parts_.loop;
   context_.dialect = parts_.dialect;
   context_.client = parts_.client;
   context_.workers = &workers_;
-  context_.path = &path_;
   context_.peers = &peer_directory_;
   context_.budget = &budget_;
   context_.log = parts_.log;
--- a/src/serving/gateway_demand.cc
+++ b/src/serving/gateway_demand.cc
@@ -57,7 +57,9 @@
       }
     }
     // A node without a path says nothing about the workers.
-    const bool judges = path_.state() == WorkerPath::State::kOpen;
+    const auto path = paths_.find(worker.record.service);
+    const bool judges =
+        path == paths_.end() || path->second.path.state() == WorkerPath::State::kOpen;
     if (worker.ended || (judges && worker.unreachable_until > parts_.loop->Now())) {
       report->unreachable.push_back(id);
     }
--- a/src/serving/gateway_path.cc
+++ b/src/serving/gateway_path.cc
@@ -30,8 +30,6 @@
   const char* why = RefusalReason();
   if (why == nullptr && stopping_) {
     why = "stopping";
-  } else if (why == nullptr && path_.lost()) {
-    why = "path_lost";
   }
   const Route* const route = why == nullptr ? FindRoute(exchange->head()) : nullptr;
   if (why == nullptr && route == nullptr) {
@@ -59,78 +57,114 @@
   return activity;
 }
 
-void Gateway::OnPathEvent() { CheckPath(); }
+Gateway::ServicePath& Gateway::EntryOf(const std::string& service) {
+  ServicePath& entry = paths_[service];
+  if (entry.timer == nullptr) {
+    entry.timer = parts_.loop->MakeTimer();
+  }
+  return entry;
+}
+
+WorkerPath* Gateway::PathOf(const std::string& service) { return &EntryOf(service).path; }
 
-void Gateway::CheckPath() {
+void Gateway::OnPathEvent(const std::string& service) { CheckPath(service); }
+
+void Gateway::CheckPath(const std::string& service) {
+  ServicePath& entry = EntryOf(service);
   const absl::Time now = parts_.loop->Now();
-  if (!path_.BeginRound(now)) {
-    const absl::Time due = path_.NextDue();
+  if (!entry.path.BeginRound(now)) {
+    const absl::Time due = entry.path.NextDue();
     if (due != absl::InfiniteFuture()) {
-      path_timer_->Set(due, [this] { CheckPath(); });
+      entry.timer->Set(due, [this, service] { CheckPath(service); });
     }
     return;
   }
-  const std::vector<std::string> targets = ProbeTargets();
+  const std::vector<std::string> targets = ProbeTargets(service);
   if (targets.empty()) {
-    OnProbesEnded(true);
+    OnProbesEnded(service, true);
     return;
   }
   auto round = std::make_shared<ProbeRound>();
   round->open = targets.size();
   for (const std::string& address : targets) {
-    parts_.control->Probe(address, [this, round](bool answered) {
+    parts_.control->Probe(address, [this, service, round](bool answered) {
       round->answered = round->answered || answered;
       if (--round->open == 0) {
-        OnProbesEnded(round->answered);
+        OnProbesEnded(service, round->answered);
       }
     });
   }
 }
 
-std::vector<std::string> Gateway::ProbeTargets() {
+std::vector<std::string> Gateway::ProbeTargets(const std::string& service) {
+  std::string& last_probed = EntryOf(service).last_probed;
   std::vector<std::string> targets;
   const auto& workers = workers_.workers();
-  auto entry = workers.upper_bound(last_probed_);
+  auto entry = workers.upper_bound(last_probed);
   for (std::size_t seen = 0; seen < workers.size() && targets.size() < kProbes; ++seen, ++entry) {
     if (entry == workers.end()) {
       entry = workers.begin();
     }
-    if (!entry->second.ended) {
+    if (entry->second.record.service == service && !entry->second.ended) {
       targets.push_back(entry->second.record.address);
-      last_probed_ = entry->first;
+      last_probed = entry->first;
     }
   }
   return targets;
 }
 
-void Gateway::OnProbesEnded(bool answered) {
-  const bool lost_before = path_.lost();
-  path_.OnRoundEnded(answered, parts_.loop->Now());
-  if (path_.lost() != lost_before) {
-    parts_.log->Write(path_.lost() ? LogLevel::kWarning : LogLevel::kInfo,
-                      path_.lost() ? "path_lost" : "path_regained", {});
-    fleet_->SetWorkersReachable(!path_.lost());
-    if (path_.lost()) {
-      OnPathLost();
+void Gateway::OnProbesEnded(const std::string& service, bool answered) {
+  WorkerPath& path = EntryOf(service).path;
+  const bool lost_before = path.lost();
+  path.OnRoundEnded(answered, parts_.loop->Now());
+  if (path.lost() != lost_before) {
+    parts_.log->Write(path.lost() ? LogLevel::kWarning : LogLevel::kInfo,
+                      path.lost() ? "path_lost" : "path_regained", {{"service", service}});
+    fleet_->SetWorkersReachable(ReachesModelWorkers());
+    if (path.lost()) {
+      OnPathLost(service);
     }
     ScheduleDispatch();
   }
-  CheckPath();
+  CheckPath(service);
+}
+
+bool Gateway::ReachesModelWorkers() const {
+  bool any = false;
+  for (const Service& service : routes_->configuration().services) {
+    if (!service.engine.has_value()) {
+      continue;
+    }
+    any = true;
+    const auto entry = paths_.find(service.name);
+    if (entry == paths_.end() || !entry->second.path.lost()) {
+      return true;
+    }
+  }
+  return !any;
 }
 
-void Gateway::OnPathLost() {
+void Gateway::OnPathLost(const std::string& service) {
   ++parts_.metrics->path_losses;
+  for (const Service& other : routes_->configuration().services) {
+    EntryOf(other.name).path.Doubt();
+    CheckPath(other.name);
+  }
   // Idle connections may hang, and would swallow requests after the path is regained.
   for (const auto& [id, worker] : workers_.workers()) {
-    parts_.client->CloseIdleConnections(worker.record.address);
+    if (worker.record.service == service) {
+      parts_.client->CloseIdleConnections(worker.record.address);
+    }
   }
-  if (!path_.Silent(parts_.loop->Now())) {
+  if (!EntryOf(service).path.Silent(parts_.loop->Now())) {
     return;  // Open connections live on, and so do the attempts on them.
   }
   // A copy, as requests that end are removed.
   const auto open_requests = open_requests_;
   for (const auto& [number, request] : open_requests) {
-    request->OnPathLost();
+    if (request->service() == service) {
+      request->OnPathLost();
+    }
   }
 }
 
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -74,6 +74,7 @@
       route_(route),
       origin_(std::move(origin)),
       service_(ChooseService(*route, facts_.id)),
+      path_(context->host->PathOf(service_)),
       model_{facts_.model, facts_.adapter},
       arrived_(exchange_->received()),
       timer_(context->loop->MakeTimer()),
@@ -113,6 +114,10 @@
   if (PrefersForward() && TryForward(context_->loop->Now())) {
     return;
   }
+  if (path_->lost()) {
+    GiveUp(502, kUnreachable);
+    return;
+  }
   CountInBudget();
   context_->host->Enqueue(place_, shared_from_this());
   SetTimer(context_->loop->Now());
@@ -136,7 +141,7 @@
   if (PrefersForward() && TryForward(now)) {
     return true;
   }
-  if (context_->path->lost()) {
+  if (path_->lost()) {
     GiveUp(502, kUnreachable);
     return true;
   }
@@ -208,7 +213,7 @@
   tried_workers_.insert(worker_id_);
   excluded_workers_.insert(worker_id_);
   context_->workers->AttemptStarted(worker, demand, now);
-  context_->path->OnAttemptStarted(now);
+  path_->OnAttemptStarted(now);
   context_->host->RunningChanged(service_, model_, 1);
   AttemptFacts attempt;
   attempt.worker_id = worker_id_;
@@ -217,7 +222,7 @@
   attempt.last_event_id = events_.last_event_id();
   SendAttempt(worker->record.address, attempt, {});
   SetTimer(now);
-  context_->host->OnPathEvent();
+  context_->host->OnPathEvent(service_);
 }
 
 void RequestRelay::SendAttempt(const std::string& address, const AttemptFacts& attempt,
@@ -398,7 +403,7 @@
     EndForward(outcome, context_->loop->Now());
     return;
   }
-  context_->path->OnAttemptEnded();
+  path_->OnAttemptEnded();
   context_->workers->AttemptEnded(worker_id_, model_.model,
                                   answer_started_ ? 0 : facts_.prompt_tokens, outcome,
                                   context_->loop->Now());
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -37,7 +37,7 @@
 
 bool RequestRelay::OnHead(const AnswerHead& head) {
   if (peer_.empty()) {
-    context_->path->OnBytes(context_->loop->Now());
+    path_->OnBytes(context_->loop->Now());
   } else {
     verdict_ = ReadVerdict(head);
   }
@@ -64,7 +64,7 @@
   const absl::Time now = context_->loop->Now();
   last_progress_ = now;
   if (peer_.empty()) {
-    context_->path->OnBytes(now);
+    path_->OnBytes(now);
   }
   if (!forwarding_events_) {
     answer_body_.append(piece.data(), piece.size());
@@ -109,7 +109,7 @@
       return;
     case ExchangeResult::kBroken:
       if (peer_.empty() && answer_head_.status == 0) {
-        context_->path->OnUnreachable(worker_id_);
+        path_->OnUnreachable(worker_id_);
       }
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("broken_off");
@@ -123,7 +123,7 @@
 
 void RequestRelay::OnNotSent() {
   const absl::Time now = context_->loop->Now();
-  context_->log->Write(LogLevel::kDebug, "attempt_not_sent",
+  context_->log->Write(LogLevel::kInfo, "attempt_not_sent",
                        {{"request", facts_.id},
                         {"worker", peer_.empty() ? worker_id_ : std::string()},
                         {"peer", peer_},
@@ -136,8 +136,8 @@
   if (!at_peer) {
     tried_workers_.erase(worker_id_);
     unreachable_workers_.insert(worker_id_);
-    context_->path->OnUnreachable(worker_id_);
-    context_->host->OnPathEvent();
+    path_->OnUnreachable(worker_id_);
+    context_->host->OnPathEvent(service_);
   }
   last_failure_ = kUnreachable;
   BeginWaiting();
--- a/src/serving/request_relay_forwards.cc
+++ b/src/serving/request_relay_forwards.cc
@@ -36,11 +36,11 @@
 }  // namespace
 
 bool RequestRelay::PrefersForward() const {
-  return context_->path->lost() || unreachable_workers_.size() >= kUnreachableBeforeForward;
+  return path_->lost() || unreachable_workers_.size() >= kUnreachableBeforeForward;
 }
 
 bool RequestRelay::MayForward() const {
-  const std::size_t limit = context_->path->lost() ? kMaxPeersDeclined : kMaxPeersDeclinedWithPath;
+  const std::size_t limit = path_->lost() ? kMaxPeersDeclined : kMaxPeersDeclinedWithPath;
   return !origin_.forwarded && declined_peers_.size() < limit;
 }
 
--- a/src/serving/worker_path.cc
+++ b/src/serving/worker_path.cc
@@ -16,7 +16,8 @@
   if (round_in_flight_ || now < next_round_) {
     return false;
   }
-  const bool in_doubt = Silent(now) || unreachable_.size() >= settings_.unreachable_workers;
+  const bool in_doubt =
+      doubted_ || Silent(now) || unreachable_.size() >= settings_.unreachable_workers;
   if (state_ == State::kOpen && !in_doubt) {
     return false;
   }
@@ -26,6 +27,7 @@
   round_in_flight_ = true;
   next_round_ = now + settings_.round_interval;
   unreachable_.clear();
+  doubted_ = false;
   return true;
 }
 
@@ -33,7 +35,7 @@
   if (round_in_flight_) {
     return absl::InfiniteFuture();
   }
-  if (state_ != State::kOpen || unreachable_.size() >= settings_.unreachable_workers) {
+  if (state_ != State::kOpen || doubted_ || unreachable_.size() >= settings_.unreachable_workers) {
     return next_round_;
   }
   return attempts_ > 0 ? std::max(next_round_, last_sign_ + settings_.silence)
--- a/tests/partition/cut_off_node.h
+++ b/tests/partition/cut_off_node.h
@@ -26,20 +26,23 @@
   Result<WorkerRecord> ReadWorker(const StoreRow& row) const override {
     Result<WorkerRecord> record = rows_.ReadWorker(row);
     if (record.ok()) {
-      std::unique_ptr<soak::FaultProxy>& link = links_[record->address];
+      std::unique_ptr<soak::FaultProxy>& link = links_[record->service][record->address];
       if (link == nullptr) {
         link = std::make_unique<soak::FaultProxy>(loop_, record->address);
-        link->SetFault(fault_);
       }
       record->address = link->address();
     }
     return record;
   }
 
-  // Applies to the links to all workers, also to those that are added later.
+  // Applies to the links to all workers that have a row by now.
   void SetFault(soak::LinkFault fault) {
-    fault_ = fault;
-    for (const auto& [address, link] : links_) {
+    for (const auto& [service, links] : links_) {
+      SetFault(fault, service);
+    }
+  }
+  void SetFault(soak::LinkFault fault, const std::string& service) {
+    for (const auto& [address, link] : links_[service]) {
       link->SetFault(fault);
     }
   }
@@ -47,8 +50,8 @@
  private:
   EventLoop* loop_;
   platform::DeploymentRows rows_;
-  soak::LinkFault fault_ = soak::LinkFault::kNone;
-  mutable std::map<std::string, std::unique_ptr<soak::FaultProxy>> links_;
+  // Links by service, then by the worker's own address.
+  mutable std::map<std::string, std::map<std::string, std::unique_ptr<soak::FaultProxy>>> links_;
 };
 
 }  // namespace hingespan::gateway
--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -36,10 +36,12 @@
   return text;
 }
 
-bool HasLine(const TestNode& node, const std::string& event) {
+// Returns whether the node has logged the event, for the service if one is named.
+bool HasLine(const TestNode& node, const std::string& event, const std::string& service = "") {
   const std::vector<std::string> lines = node.LogLines();
   return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
-    return absl::StrContains(line, absl::StrCat("\"event\":\"", event, "\""));
+    return absl::StrContains(line, absl::StrCat("\"event\":\"", event, "\"")) &&
+           (service.empty() || absl::StrContains(line, absl::StrCat("\"", service, "\"")));
   });
 }
 
@@ -88,6 +90,14 @@
     }));
   }
 
+  // Waits until the cut node knows that it has no path to the workers of either service.
+  void AwaitLost() {
+    AwaitServed();
+    REQUIRE(Wait([&] {
+      return HasLine(*cut, "path_lost", "plain") && HasLine(*cut, "path_lost", "models");
+    }));
+  }
+
   // Sends requests of all kinds and returns how many were served whole.
   int CountServed() {
     std::vector<std::unique_ptr<TestCall>> calls;
@@ -120,7 +130,7 @@
   SUBCASE("new connections are refused") { fixture.links.SetFault(LinkFault::kRefuse); }
   SUBCASE("connections are reset") { fixture.links.SetFault(LinkFault::kReset); }
   SUBCASE("connections hang") { fixture.links.SetFault(LinkFault::kSilent); }
-  fixture.AwaitServed();
+  fixture.AwaitLost();
   CHECK(fixture.CountServed() == 2 * kRequests);
   // No request ran twice.
   std::vector<std::string> ids;
@@ -135,6 +145,17 @@
   CHECK(std::adjacent_find(ids.begin(), ids.end()) == ids.end());
 }
 
+// Guards against a lost path that shows only once the workers of all services are gone.
+TEST_CASE("a node cut off from the workers of one service forwards requests for that service") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kSilent, "plain");
+  fixture.AwaitServed();
+  const std::uint64_t forwards = fixture.cut->metrics.forwards;
+  CHECK(fixture.CountServed() == 2 * kRequests);
+  CHECK(fixture.cut->metrics.forwards == forwards + kRequests);
+  CHECK_FALSE(HasLine(*fixture.cut, "path_lost", "models"));
+}
+
 // Guards against using up the retry budget with attempts that no worker received.
 TEST_CASE("attempts that were not sent take nothing from the retry budget") {
   PartitionFixture fixture;
@@ -150,7 +171,7 @@
   // The first node took the lease, so this also moves it.
   REQUIRE(fixture.Wait([&] { return HasLine(*fixture.cut, "lease_acquired"); }));
   fixture.links.SetFault(LinkFault::kSilent);
-  fixture.AwaitServed();
+  fixture.AwaitLost();
   TestRequest request = StreamRequest("/stream/x", "m2");
   request.deadline_ms = 900;
   int served = 0;
@@ -171,10 +192,12 @@
 TEST_CASE("requests go straight to workers again once the path is back") {
   PartitionFixture fixture;
   fixture.links.SetFault(LinkFault::kSilent);
-  fixture.AwaitServed();
-  REQUIRE(fixture.Wait([&] { return HasLine(*fixture.cut, "path_lost"); }));
+  fixture.AwaitLost();
   fixture.links.SetFault(LinkFault::kNone);
-  REQUIRE(fixture.Wait([&] { return HasLine(*fixture.cut, "path_regained"); }));
+  REQUIRE(fixture.Wait([&] {
+    return HasLine(*fixture.cut, "path_regained", "plain") &&
+           HasLine(*fixture.cut, "path_regained", "models");
+  }));
   const std::uint64_t forwards = fixture.cut->metrics.forwards;
   CHECK(fixture.CountServed() == 2 * kRequests);
   CHECK(fixture.cut->metrics.forwards == forwards);
@@ -213,9 +236,7 @@
   fixture.links.SetFault(LinkFault::kRefuse);
   TestRequest request;
   request.deadline_ms = 15000;
-  SUBCASE("the other node is cut off too") {
-    fixture.sound_links.SetFault(LinkFault::kRefuse);
-  }
+  SUBCASE("the other node is cut off too") { fixture.sound_links.SetFault(LinkFault::kRefuse); }
   SUBCASE("the other node is gone") {
     fixture.nodes.pop_back();
     fixture.sound = nullptr;
--- a/tests/serving/worker_path_test.cc
+++ b/tests/serving/worker_path_test.cc
@@ -49,6 +49,14 @@
   CHECK(path.BeginRound(At(2.6)));
 }
 
+TEST_CASE("a doubted path is probed once") {
+  WorkerPath path;
+  path.Doubt();
+  CHECK(path.BeginRound(At(1)));
+  path.OnRoundEnded(true, At(1.1));
+  CHECK_FALSE(path.BeginRound(At(9)));
+}
+
 TEST_CASE("a lost path is probed until a probe is answered, whatever open connections bring") {
   WorkerPath path;
   path.OnUnreachable("w1");
