Forwarding: a zone without a path is left after one decline; workers' failures

What callers saw: nothing reported; found by reading the change. Cause: three gaps of the forwarding. Peers of the own zone came first always, so that in a zone of many nodes that is cut off as a whole a request was declined four times and refused, though other zones had a path. A worker's 500 that a peer passed on counted against the peer, which was then avoided for two seconds. A connection that a worker reset before its first byte was noted, but checked only with the next attempt. Evidence: by reading; the new case of peer_directory_test fails on the code before by its construction (n3 instead of n4), which was not run. Change: zones in which a peer is avoided come last; six peers may decline instead of four; only the peer's own failures count against it; the path is checked at once. Why it works: what is cut off together is mostly a zone, so one decline tells of the others.

--- a/include/hingespan/serving/peer_directory.h
+++ b/include/hingespan/serving/peer_directory.h
@@ -42,8 +42,9 @@
   void SetPeers(const std::vector<Peer>& peers);
 
   // Returns the peer to which to forward next, or null if there is none outside `excluded` that is
-  // not avoided. Prefers the own zone, then the peer with the fewest requests of this node in
-  // flight, then the least used one.
+  // not avoided. Prefers zones in which no peer is avoided, as a whole zone may have lost its path,
+  // then the own zone, then the peer with the fewest requests of this node in flight, then the
+  // least used one.
   const Peer* Choose(const std::set<std::string>& excluded, absl::Time now) const;
   void OnStarted(const std::string& name);
   void OnEnded(const std::string& name, ForwardOutcome outcome, absl::Time now);
@@ -55,6 +56,8 @@
     absl::Time avoided_until = absl::InfinitePast();
   };
 
+  State StateOf(const Peer& peer) const;
+
   std::string node_;
   std::string zone_;
   std::vector<Peer> peers_;
--- a/src/serving/peer_directory.cc
+++ b/src/serving/peer_directory.cc
@@ -25,17 +25,28 @@
   });
 }
 
+PeerDirectory::State PeerDirectory::StateOf(const Peer& peer) const {
+  const auto entry = states_.find(peer.name);
+  return entry == states_.end() ? State{} : entry->second;
+}
+
 const Peer* PeerDirectory::Choose(const std::set<std::string>& excluded, absl::Time now) const {
+  std::set<absl::string_view> doubtful_zones;
+  for (const Peer& peer : peers_) {
+    if (StateOf(peer).avoided_until > now) {
+      doubtful_zones.insert(peer.zone);
+    }
+  }
+  using Rank = std::tuple<bool, bool, int, std::uint64_t>;
   const Peer* best = nullptr;
-  std::tuple<bool, int, std::uint64_t> best_rank;
+  Rank best_rank;
   for (const Peer& peer : peers_) {
-    const auto entry = states_.find(peer.name);
-    const State state = entry == states_.end() ? State{} : entry->second;
+    const State state = StateOf(peer);
     if (state.avoided_until > now || excluded.contains(peer.name)) {
       continue;
     }
-    const std::tuple<bool, int, std::uint64_t> rank{peer.zone != zone_, state.running,
-                                                    state.started};
+    const Rank rank{doubtful_zones.contains(peer.zone), peer.zone != zone_, state.running,
+                    state.started};
     if (best == nullptr || rank < best_rank) {
       best = &peer;
       best_rank = rank;
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -110,6 +110,7 @@
     case ExchangeResult::kBroken:
       if (peer_.empty() && answer_head_.status == 0) {
         path_->OnUnreachable(worker_id_);
+        context_->host->OnPathEvent(service_);
       }
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("broken_off");
@@ -181,7 +182,8 @@
     NoteAnswerStarted(now);
   }
   const bool failed = answer_head_.status >= 500;
-  EndAttempt(failed ? AttemptOutcome::kFailed : AttemptOutcome::kServed);
+  // A worker's failure says nothing about the peer that passed it on.
+  EndAttempt(failed && peer_.empty() ? AttemptOutcome::kFailed : AttemptOutcome::kServed);
   if (stream_started_) {
     OnFailedAttempt("refused_to_resume");
     return;
--- a/src/serving/request_relay_forwards.cc
+++ b/src/serving/request_relay_forwards.cc
@@ -13,7 +13,7 @@
 constexpr std::size_t kUnreachableBeforeForward = 2;
 // Number of peers that may decline a request; fewer while this node has a path to workers, as the
 // wanted ones are then more likely to be gone for all nodes.
-constexpr std::size_t kMaxPeersDeclined = 4;
+constexpr std::size_t kMaxPeersDeclined = 6;
 constexpr std::size_t kMaxPeersDeclinedWithPath = 2;
 // An attempt that has been silent for this long when the path is lost is taken elsewhere.
 constexpr absl::Duration kMinSilence = absl::Milliseconds(400);
--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -230,6 +230,23 @@
   CHECK(call->body == Events(1, 3));
 }
 
+// Guards against leaving a peer alone because a worker behind it failed.
+TEST_CASE("a worker's failure reaches the caller through a peer, which is used again") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kRefuse);
+  for (const auto& worker : fixture.workers) {
+    worker->SetFault(WorkerFault::kFails);
+  }
+  for (const char* const id : {"first", "second"}) {
+    TestRequest request;
+    request.id = id;
+    const auto call = fixture.Ask(fixture.cut, request);
+    CHECK(call->head.status == 500);
+    CHECK(FindField(call->head.fields, "Server-Seal") != nullptr);
+  }
+  CHECK(fixture.Runs() == 2);
+}
+
 // Guards against holding callers until their deadline when no node reaches a worker.
 TEST_CASE("a request that no node can send to a worker is refused as not executed") {
   PartitionFixture fixture;
--- a/tests/serving/peer_directory_test.cc
+++ b/tests/serving/peer_directory_test.cc
@@ -27,6 +27,19 @@
   CHECK(NameOf(peers.Choose({"n2", "n3", "n4"}, At(0))) == "none");
 }
 
+// Guards against asking one node after the other of a zone that has lost its path as a whole.
+TEST_CASE("a zone with a peer that declined comes after zones without one") {
+  PeerDirectory peers("n1", "a");
+  peers.SetPeers({{"n2", "a", "2"}, {"n3", "a", "3"}, {"n4", "b", "4"}, {"n5", "c", "5"}});
+  peers.OnStarted("n2");
+  peers.OnEnded("n2", ForwardOutcome::kDeclined, At(0));
+  CHECK(NameOf(peers.Choose({"n2"}, At(0.1))) == "n4");
+  peers.OnStarted("n4");
+  peers.OnEnded("n4", ForwardOutcome::kDeclined, At(0.1));
+  CHECK(NameOf(peers.Choose({"n2", "n4"}, At(0.2))) == "n5");
+  CHECK(NameOf(peers.Choose({"n2", "n4", "n5"}, At(0.2))) == "n3");
+}
+
 TEST_CASE("a peer that declines or can't be reached is left alone for a while") {
   PeerDirectory peers("n1", "a");
   peers.SetPeers({{"n2", "a", "2"}, {"n3", "b", "3"}});
