--- a/include/hingespan/serving/forwarding.h
+++ b/include/hingespan/serving/forwarding.h
@@ -1,5 +1,6 @@
-// What nodes tell each other about a forwarded request, in header fields of its request and of the
-// answers that the receiving node gives by itself. An answer without a verdict is a worker's.
+// Header fields of forwarded requests: the origin, which the forwarding node adds to the request,
+// and the verdict, which the receiving node adds to an answer of its own. An answer without a
+// verdict is a worker's.
 #ifndef HINGESPAN_SERVING_FORWARDING_H_
 #define HINGESPAN_SERVING_FORWARDING_H_
 
@@ -11,7 +12,7 @@
 
 namespace hingespan::gateway {
 
-// What the forwarding node has done for a request.
+// Attempts and accounting of a request at the node that forwards it.
 struct RequestOrigin {
   // False for a caller's own request. A forwarded request is not forwarded again.
   bool forwarded = false;
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -18,7 +18,7 @@
 // Time for which a replica counts as absent after its worker reported that it doesn't hold it.
 constexpr absl::Duration kDeniedReplicaLifetime = absl::Milliseconds(700);
 
-// How the end of an answer's body is marked.
+// Returns how the end of an answer's body is marked, for the log.
 absl::string_view FramingName(const AnswerHead& head) {
   if (head.status == 0) {
     return "none";
--- a/tests/net/http_exchange_test.cc
+++ b/tests/net/http_exchange_test.cc
@@ -15,32 +15,44 @@
 
 constexpr absl::Duration kLimit = absl::Seconds(20);
 
-// Accepts one connection and sends `head`, then single bytes slowly until the peer closes.
-class SlowServer {
+// Listens on a port that the kernel chooses.
+class Listener {
  public:
-  explicit SlowServer(std::string head) : head_(std::move(head)) {
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  Listener() : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     const SocketAddress any = *ParseSocketAddress("127.0.0.1:0");
-    bind(listener_, reinterpret_cast<const sockaddr*>(&any.storage), any.length);
-    listen(listener_, 1);
+    bind(socket_, reinterpret_cast<const sockaddr*>(&any.storage), any.length);
+    listen(socket_, 1);
     sockaddr_storage bound{};
     socklen_t length = sizeof(bound);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&bound), &length);
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&bound), &length);
     address_ = FormatSocketAddress(bound);
-    thread_ = std::thread([this] { SendSlowly(); });
-  }
-  ~SlowServer() {
-    thread_.join();
-    close(listener_);
   }
+  ~Listener() { close(socket_); }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  int Accept() const { return accept(socket_, nullptr, nullptr); }
   const std::string& address() const { return address_; }
 
+ private:
+  int socket_;
+  std::string address_;
+};
+
+// Accepts one connection and sends `head`, then single bytes slowly until the peer closes.
+class SlowServer {
+ public:
+  explicit SlowServer(std::string head)
+      : head_(std::move(head)), thread_([this] { SendSlowly(); }) {}
+  ~SlowServer() { thread_.join(); }
+  const std::string& address() const { return listener_.address(); }
+
  private:
   static constexpr int kMaximumSlowBytes = 4000;
   static constexpr int kByteIntervalMs = 5;
 
   void SendSlowly() {
-    const int connection = accept(listener_, nullptr, nullptr);
+    const int connection = listener_.Accept();
     std::string bytes = head_;
     for (int sent = 0; sent < kMaximumSlowBytes; ++sent) {
       if (send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0) {
@@ -54,8 +66,7 @@
   }
 
   const std::string head_;
-  int listener_ = -1;
-  std::string address_;
+  const Listener listener_;
   std::thread thread_;
 };
 
@@ -65,28 +76,16 @@
 // the peer closes.
 class OneAnswerServer {
  public:
-  OneAnswerServer(std::string bytes, ConnectionEnd end) : bytes_(std::move(bytes)), end_(end) {
-    listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const SocketAddress any = *ParseSocketAddress("127.0.0.1:0");
-    bind(listener_, reinterpret_cast<const sockaddr*>(&any.storage), any.length);
-    listen(listener_, 1);
-    sockaddr_storage bound{};
-    socklen_t length = sizeof(bound);
-    getsockname(listener_, reinterpret_cast<sockaddr*>(&bound), &length);
-    address_ = FormatSocketAddress(bound);
-    thread_ = std::thread([this] { Serve(); });
-  }
-  ~OneAnswerServer() {
-    thread_.join();
-    close(listener_);
-  }
-  const std::string& address() const { return address_; }
+  OneAnswerServer(std::string bytes, ConnectionEnd end)
+      : bytes_(std::move(bytes)), end_(end), thread_([this] { Serve(); }) {}
+  ~OneAnswerServer() { thread_.join(); }
+  const std::string& address() const { return listener_.address(); }
   // Ends the connection; called once the client has received the bytes.
   void EndConnection() { received_.Notify(); }
 
  private:
   void Serve() {
-    const int connection = accept(listener_, nullptr, nullptr);
+    const int connection = listener_.Accept();
     std::array<char, 4096> request;
     (void)recv(connection, request.data(), request.size(), 0);
     (void)send(connection, bytes_.data(), bytes_.size(), MSG_NOSIGNAL);
@@ -105,8 +104,7 @@
 
   const std::string bytes_;
   const ConnectionEnd end_;
-  int listener_ = -1;
-  std::string address_;
+  const Listener listener_;
   absl::Notification received_;
   std::thread thread_;
 };
--- a/tests/node/request_forwarder_test.cc
+++ b/tests/node/request_forwarder_test.cc
@@ -6,6 +6,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -23,63 +24,54 @@
 
 constexpr char kChat[] = R"({"model":"m","messages":[{"role":"user","content":"hi"}]})";
 
-// Fake HTTP server of a node in another zone that answers every request with the same refusal.
-class RefusingNode {
+// Fake HTTP server of a node in another zone.
+class FakeNode {
  public:
-  explicit RefusingNode(const Refusal& refusal) {
-    server_.Post("/v1/chat/completions",
-                 [this, refusal](const httplib::Request& request, httplib::Response& response) {
-                   ++requests;
-                   received_caller_key = received_caller_key || request.has_header("Authorization");
-                   FillRefusal(refusal, &response);
-                 });
+  explicit FakeNode(httplib::Server::Handler handler) {
+    server_.Post("/v1/chat/completions", std::move(handler));
     port_ = server_.bind_to_any_port("127.0.0.1");
     thread_ = std::thread([this] { server_.listen_after_bind(); });
     while (!server_.is_running()) {
       std::this_thread::yield();
     }
   }
-  ~RefusingNode() {
+  ~FakeNode() {
     server_.stop();
     thread_.join();
   }
   std::string address() const { return absl::StrCat("127.0.0.1:", port_); }
 
-  std::atomic<int> requests = 0;
-  std::atomic<bool> received_caller_key = false;
-
  private:
   httplib::Server server_;
   int port_ = 0;
   std::thread thread_;
 };
 
-// Fake node that answers 200 with this body.
-class AnsweringNode {
+// Answers every request with the same refusal.
+class RefusingNode {
  public:
-  explicit AnsweringNode(const std::string& body) {
-    server_.Post("/v1/chat/completions",
-                 [body](const httplib::Request&, httplib::Response& response) {
-                   response.set_content(body, "application/json");
-                 });
-    port_ = server_.bind_to_any_port("127.0.0.1");
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
-    while (!server_.is_running()) {
-      std::this_thread::yield();
-    }
-  }
-  ~AnsweringNode() {
-    server_.stop();
-    thread_.join();
-  }
-  std::string address() const { return absl::StrCat("127.0.0.1:", port_); }
+  explicit RefusingNode(const Refusal& refusal)
+      : node_([this, refusal](const httplib::Request& request, httplib::Response& response) {
+          ++requests;
+          received_caller_key = received_caller_key || request.has_header("Authorization");
+          FillRefusal(refusal, &response);
+        }) {}
+  std::string address() const { return node_.address(); }
+
+  std::atomic<int> requests = 0;
+  std::atomic<bool> received_caller_key = false;
 
  private:
-  httplib::Server server_;
-  int port_ = 0;
-  std::thread thread_;
+  FakeNode node_;
 };
 
+// Returns a node that answers every request with 200 and this body.
+std::unique_ptr<FakeNode> MakeAnsweringNode(const std::string& body) {
+  return std::make_unique<FakeNode>([body](const httplib::Request&, httplib::Response& response) {
+    response.set_content(body, "application/json");
+  });
+}
+
 // Accepts no output, because refusals come before any output.
 class NoAnswer : public CallerAnswer {
  public:
@@ -140,10 +132,10 @@
 
 // Guards against half a document that reaches the caller as another node's complete answer.
 TEST_CASE("a forwarded answer that ends inside its document is not complete") {
-  const AnsweringNode whole(R"({"id":"x","choices":[]})");
-  CHECK(ForwardTo(whole.address()).outcome == AttemptOutcome::kComplete);
-  const AnsweringNode half(R"({"id":"x","cho)");
-  CHECK(ForwardTo(half.address()).outcome == AttemptOutcome::kFailedBeforeOutput);
+  const auto whole = MakeAnsweringNode(R"({"id":"x","choices":[]})");
+  CHECK(ForwardTo(whole->address()).outcome == AttemptOutcome::kComplete);
+  const auto half = MakeAnsweringNode(R"({"id":"x","cho)");
+  CHECK(ForwardTo(half->address()).outcome == AttemptOutcome::kFailedBeforeOutput);
 }
 
 TEST_CASE("the caller's key goes to another node only where no cluster key signs the forward") {
--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -21,21 +21,6 @@
 // More requests than the budget allows retries: ten, plus a fifth of the requests.
 constexpr int kRequests = 30;
 
-TestRequest StreamRequest(const std::string& target, const std::string& model) {
-  TestRequest request;
-  request.target = target;
-  request.fields = {{"Model", model}, {"Token-Count", "10,6"}, {"Prompt-Prefix", "aa:5,bb:5"}};
-  return request;
-}
-
-std::string Events(int first, int last) {
-  std::string text;
-  for (int event = first; event <= last; ++event) {
-    absl::StrAppend(&text, "id: ", event, "\ndata: event ", event, "\n\n");
-  }
-  return text;
-}
-
 // Returns whether the node has logged the event, for the service if one is named.
 bool HasLine(const TestNode& node, const std::string& event, const std::string& service = "") {
   const std::vector<std::string> lines = node.LogLines();
--- a/tests/serving/gateway_test.cc
+++ b/tests/serving/gateway_test.cc
@@ -24,21 +24,6 @@
   return value == nullptr ? std::string() : *value;
 }
 
-TestRequest StreamRequest(const std::string& target, const std::string& model) {
-  TestRequest request;
-  request.target = target;
-  request.fields = {{"Model", model}, {"Token-Count", "10,6"}, {"Prompt-Prefix", "aa:5,bb:5"}};
-  return request;
-}
-
-std::string Events(int first, int last) {
-  std::string text;
-  for (int event = first; event <= last; ++event) {
-    absl::StrAppend(&text, "id: ", event, "\ndata: event ", event, "\n\n");
-  }
-  return text;
-}
-
 TEST_CASE("a request reaches a worker unchanged and its answer the caller") {
   GatewayFixture fixture;
   const auto* const worker = fixture.AddPlainWorker("w1");
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -58,6 +58,21 @@
 
 }  // namespace
 
+TestRequest StreamRequest(const std::string& target, const std::string& model) {
+  TestRequest request;
+  request.target = target;
+  request.fields = {{"Model", model}, {"Token-Count", "10,6"}, {"Prompt-Prefix", "aa:5,bb:5"}};
+  return request;
+}
+
+std::string Events(int first, int last) {
+  std::string text;
+  for (int event = first; event <= last; ++event) {
+    absl::StrAppend(&text, "id: ", event, "\ndata: event ", event, "\n\n");
+  }
+  return text;
+}
+
 TestNode::TestNode(EventLoop* loop, const std::string& name, const std::string& store_address,
                    const std::string& metrics_address, absl::Duration stop_time,
                    const DeploymentReader* own_reader)
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -75,6 +75,11 @@
   HeaderFields fields;
 };
 
+// Returns a streaming request for the model.
+TestRequest StreamRequest(const std::string& target, const std::string& model);
+// Returns the events of an emulated stream from `first` to `last`.
+std::string Events(int first, int last);
+
 // Not thread-safe. Starts with version 1 of the configuration, without workers or nodes.
 class GatewayFixture {
  public:
