--- a/include/hingespan/serving/request_dialect.h
+++ b/include/hingespan/serving/request_dialect.h
@@ -33,6 +33,9 @@
   std::vector<PromptPart> prompt_parts;
   // Last event that the caller has received; empty if none.
   std::string last_event_id;
+  // Id of the request that brought the first event of the stream that the caller takes up; empty if
+  // the caller names none.
+  std::string resumed_id;
 };
 
 // Facts that an attempt sent to a worker carries in addition to the caller's own fields.
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -183,6 +183,8 @@
   void OnCallerGone();
   void Finish(int status, absl::string_view why);
   WorkerDemand Demand() const;
+  // Returns an empty string if the worker or its version is not known.
+  std::string SoftwareVersionOf(const std::string& worker_id) const;
 
   const RelayContext* context_;
   std::shared_ptr<ServerExchange> exchange_;
--- a/include/hingespan/serving/worker_record.h
+++ b/include/hingespan/serving/worker_record.h
@@ -18,6 +18,9 @@
   // "ip:port".
   std::string address;
   std::string zone;
+  // Version of the worker's software, not of its weights; versions have no order. Empty if the
+  // worker doesn't tell it.
+  std::string software_version;
   int slots = 1;
   // True if the worker is leaving and must get no new requests.
   bool draining = false;
--- a/src/serving/gateway_records.cc
+++ b/src/serving/gateway_records.cc
@@ -55,11 +55,13 @@
   }
   const bool draining = record->draining;
   const std::string address = record->address;
+  const std::string software_version = record->software_version;
   const std::size_t models = record->models.size();
   if (workers_.Update(std::move(*record), row.version, parts_.loop->Now())) {
     parts_.log->Write(LogLevel::kInfo, "worker_changed",
                       {{"worker", row.key},
                        {"address", address},
+                       {"software_version", software_version},
                        {"draining", draining ? "true" : "false"},
                        {"models", absl::StrCat(models)},
                        {"row_version", absl::StrCat(row.version)}});
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -236,6 +236,7 @@
   context_->log->Write(LogLevel::kInfo, "attempt_failed",
                        {{"request", facts_.id},
                         {"worker", worker_id_},
+                        {"software_version", SoftwareVersionOf(worker_id_)},
                         {"peer", peer_},
                         {"how", last_failure_},
                         {"framing", std::string(FramingName(answer_head_))},
@@ -312,6 +313,11 @@
   Finish(0, "caller_gone");
 }
 
+std::string RequestRelay::SoftwareVersionOf(const std::string& worker_id) const {
+  const WorkerState* const worker = context_->workers->Find(worker_id);
+  return worker == nullptr ? std::string() : worker->record.software_version;
+}
+
 void RequestRelay::Finish(int status, absl::string_view why) {
   const std::shared_ptr<RequestRelay> self = shared_from_this();
   context_->host->OnRequestEnded(place_.number);
@@ -332,6 +338,9 @@
        {"outcome", std::string(why)},
        {"attempts", absl::StrCat(attempts_)},
        {"worker", worker_id_},
+       {"software_version", SoftwareVersionOf(worker_id_)},
+       {"resumes", facts_.resumed_id},
+       {"last_event", facts_.last_event_id},
        {"peer", peer_},
        {"framing", std::string(FramingName(answer_head_))},
        {"worker_row", absl::StrCat(worker == nullptr ? 0 : worker->row_version)},
