--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -80,7 +80,7 @@
   const Json row{{"service", options_.service},
                  {"address", announced_address_},
                  {"zone", options_.zone},
-                 {"version", "v1"},
+                 {"version", options_.software_version},
                  {"slots", options_.slots},
                  {"state", draining_ ? "draining" : "ready"},
                  {"cold_remaining_ms", 0},
@@ -195,7 +195,7 @@
     return;
   }
   runs_.push_back({id, exchange->head().target, exchange->body(), Field(*exchange, "Deadline-Ms"),
-                   Field(*exchange, "Last-Event-Id"), loop_->Now()});
+                   Field(*exchange, "Last-Event-Id"), Field(*exchange, "Resumes"), loop_->Now()});
   Run* const run = &runs_.back();
   exchange->OnCallerGone([this, run] {
     run->caller_disconnected = true;
@@ -283,10 +283,11 @@
     stream->exchange->FinishChunked();
     return;
   }
-  stream->exchange->WriteChunk(
-      absl::StrCat("id: ", stream->next, "\ndata: event ", stream->next,
-                   options_.includes_request_id ? absl::StrCat(" of ", stream->run->id) : "",
-                   std::string(stream->shape.padding, '.'), "\n\n"));
+  stream->exchange->WriteChunk(absl::StrCat(
+      "id: ", stream->next, "\ndata: event ", stream->next,
+      options_.includes_request_id ? absl::StrCat(" of ", stream->run->id) : "",
+      options_.includes_software_version ? absl::StrCat(" by ", options_.software_version) : "",
+      std::string(stream->shape.padding, '.'), "\n\n"));
   ++stream->next;
   ++stream->sent;
   stream->timer->Set(loop_->Now() + stream->shape.interval, [this, stream] { NextEvent(stream); });
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -51,6 +51,9 @@
   std::string id;
   std::string service;
   std::string zone = "zone-a";
+  // Version of the worker's software. What workers of different versions write doesn't fit
+  // together, and a worker doesn't check which version began a stream.
+  std::string software_version = "v1";
   int slots = 6;
   std::map<std::string, std::set<std::string>> models;
   // Events of a stream and the interval between them.
@@ -64,6 +67,8 @@
   bool unframed_streams = false;
   // True if answers and events name the request they belong to.
   bool includes_request_id = false;
+  // True if events name the version of the software that wrote them.
+  bool includes_software_version = false;
   // True if the worker writes its row when it is constructed.
   bool writes_row_at_start = true;
   // Interval at which a changed row is written again; 0 writes it only when models are loaded or
@@ -88,6 +93,8 @@
     std::string body;
     std::string deadline_ms;
     std::string last_event_id;
+    // Id of the request that began the stream, as the caller names it; empty for a new stream.
+    std::string resumed_id;
     absl::Time began;
     bool ended = false;
     bool caller_disconnected = false;
@@ -118,6 +125,7 @@
   const std::vector<Order>& orders() const { return orders_; }
   bool Holds(const std::string& model) const { return options_.models.contains(model); }
   std::string address() const { return server_.address(); }
+  const std::string& software_version() const { return options_.software_version; }
   // Simulates an order of another holder with this token.
   void SetHighestToken(std::uint64_t token) { highest_token_ = token; }
 
--- /dev/null
+++ b/tests/serving/stream_versions_test.cc
@@ -0,0 +1,170 @@
+// Tests that a stream holds events of one software version only, within one answer and over the
+// tries of its caller.
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "tests/serving/gateway_world.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using emulator::PlatformWorker;
+using emulator::StoreFault;
+using emulator::WorkerFault;
+
+// Long enough for a stream to be under way while workers and nodes come and go.
+constexpr absl::Duration kEventInterval = absl::Milliseconds(30);
+constexpr const char* kFirstId = "first";
+
+PlatformWorker* AddVersion(GatewayFixture* fixture, const std::string& id,
+                           const std::string& version, const std::string& service = "models") {
+  emulator::PlatformWorkerOptions options;
+  options.id = id;
+  options.service = service;
+  options.software_version = version;
+  options.event_interval = kEventInterval;
+  options.models["m1"];
+  return fixture->AddWorker(std::move(options));
+}
+
+// Begins a stream at the node and returns it once its first event has arrived.
+std::unique_ptr<TestCall> BeginStream(GatewayFixture* fixture, TestNode* node) {
+  TestRequest request = StreamRequest("/stream/x", "m1");
+  request.id = kFirstId;
+  std::unique_ptr<TestCall> call = fixture->Send(node, request);
+  REQUIRE(fixture->Wait([&] { return !call->body.empty(); }));
+  return call;
+}
+
+// Returns a request that takes up the stream behind its third event.
+TestRequest TakeUpRequest(const std::string& id, const std::string& began_as = kFirstId) {
+  TestRequest request = StreamRequest("/stream/x", "m1");
+  request.id = id;
+  request.fields.push_back({"Last-Event-Id", "3"});
+  request.fields.push_back({"Resumes", began_as});
+  return request;
+}
+
+// Waits until the node knows a worker.
+void AwaitWorker(GatewayFixture* fixture, TestNode* node, const std::string& id) {
+  REQUIRE(fixture->Wait([&] {
+    for (const std::string& line : node->LogLines()) {
+      if (line.find("worker_changed") != std::string::npos &&
+          line.find(absl::StrCat("\"", id, "\"")) != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }));
+}
+
+// Guards against an answer that joins the events of two software versions.
+TEST_CASE("a stream that breaks off does not go on at a worker of another version") {
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  AddVersion(&fixture, "w1", "v1")->SetFault(WorkerFault::kBreaksStream);
+  const auto call = BeginStream(&fixture, node);
+  const PlatformWorker* const other = AddVersion(&fixture, "w2", "v2");
+  AwaitWorker(&fixture, node, "w2");
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kBroken);
+  CHECK(call->body == Events(1, 3));
+  CHECK(other->runs().empty());
+}
+
+// Guards against breaking a stream off while a worker of its version could go on.
+TEST_CASE("a stream that breaks off goes on at a worker of its own version") {
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  AddVersion(&fixture, "w1", "v1")->SetFault(WorkerFault::kBreaksStream);
+  const auto call = BeginStream(&fixture, node);
+  const PlatformWorker* const other = AddVersion(&fixture, "w2", "v2");
+  const PlatformWorker* const same = AddVersion(&fixture, "w3", "v1");
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, 6));
+  CHECK(other->runs().empty());
+  CHECK(same->runs().size() == 1);
+}
+
+// Guards against a caller's second try at a node that has never seen the stream, or at one whose
+// peers are gone, going on at whatever version is near.
+TEST_CASE("a stream that its caller takes up goes on at its own version, at any node") {
+  GatewayFixture fixture;
+  AddVersion(&fixture, "w1", "v1");
+  TestNode* const first = fixture.AddNode("n1");
+  TestNode* second = fixture.AddNode("n2");
+  TestNode* const third = fixture.AddNode("n3");
+  REQUIRE(fixture.Wait([&] { return first->gateway.fleet_size() == 3; }));
+  const auto call = BeginStream(&fixture, first);
+  call->exchange->Cancel();
+  const PlatformWorker* const other = AddVersion(&fixture, "w2", "v2");
+  const PlatformWorker* const same = AddVersion(&fixture, "w3", "v1");
+  fixture.workers.front()->SetDraining();
+  for (TestNode* const node : {first, second, third}) {
+    AwaitWorker(&fixture, node, "w2");
+    AwaitWorker(&fixture, node, "w3");
+  }
+  SUBCASE("at the node that began it") { second = first; }
+  SUBCASE("at another node") {}
+  SUBCASE("at another node, while the first is gone") { fixture.nodes.front().reset(); }
+  SUBCASE("at another node, while the store is away") {
+    fixture.store.SetFault(StoreFault::kSilent);
+  }
+  const auto next = fixture.Ask(second, TakeUpRequest("second"));
+  CHECK(next->head.status == 200);
+  CHECK(next->body == Events(4, 6));
+  CHECK(other->runs().empty());
+  CHECK(same->runs().size() == 1);
+}
+
+// Guards against joining versions, and against holding the caller, once the last worker of a
+// stream's version is gone.
+TEST_CASE("a stream whose version has no worker left is refused at once") {
+  GatewayFixture fixture;
+  AddVersion(&fixture, "w1", "v1");
+  TestNode* const node = fixture.AddNode("n1");
+  const auto call = BeginStream(&fixture, node);
+  call->exchange->Cancel();
+  const PlatformWorker* const other = AddVersion(&fixture, "w2", "v2");
+  fixture.workers.front()->SetDraining();
+  AwaitWorker(&fixture, node, "w2");
+  REQUIRE(fixture.Wait([&] {
+    for (const std::string& line : node->LogLines()) {
+      if (line.find("\"draining\":\"true\"") != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  TestRequest request = TakeUpRequest("second");
+  request.deadline_ms = 15000;
+  const absl::Time began = fixture.loop.Now();
+  const auto next = fixture.Ask(node, request);
+  CHECK(next->head.status == 503);
+  CHECK(fixture.loop.Now() - began < absl::Seconds(2));
+  CHECK(other->runs().empty());
+}
+
+// Guards against taking a stream for one of the only version that is left.
+TEST_CASE("a stream that no node knows is refused where versions are mixed") {
+  GatewayFixture fixture;
+  const PlatformWorker* const old = AddVersion(&fixture, "w1", "v1");
+  const PlatformWorker* const fresh = AddVersion(&fixture, "w2", "v2");
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.AddNode("n2");
+  REQUIRE(fixture.Wait([&] { return node->gateway.fleet_size() == 2; }));
+  const auto call = fixture.Ask(node, TakeUpRequest("second", "unknown"));
+  CHECK(call->head.status == 503);
+  CHECK(old->runs().empty());
+  CHECK(fresh->runs().empty());
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
