--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -17,6 +17,7 @@
 #include "hingespan/fleet/fleet_placer.h"
 #include "hingespan/fleet/lease_manager.h"
 #include "hingespan/fleet/shared_reading.h"
+#include "hingespan/fleet/version_registry.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/serving/configuration.h"
 #include "hingespan/serving/decision_log.h"
@@ -65,6 +66,7 @@
   SharedStore* store = nullptr;
   WorkerControl* control = nullptr;
   WorkerDirectory* workers = nullptr;
+  VersionRegistry* versions = nullptr;
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
   // Returns true if this node reads the store itself instead of another node's copy.
@@ -98,9 +100,11 @@
   void WorkersChanged();
   // Called when this node has lost or regained its path to the workers.
   void SetWorkersReachable(bool reachable) { lease_.SetSuspended(!reachable); }
-  void OnDatagram(absl::string_view bytes);
-  // Returns the time at which a replica is expected to be ready; InfiniteFuture if unknown.
-  absl::Time ExpectedReady(const ModelKey& model) const;
+  void OnReport(const DemandReport& report);
+  void OnUpdate(const PlacementUpdate& update);
+  // Returns the time at which a replica is expected to be ready, at a worker of this software
+  // version unless it is empty; InfiniteFuture if unknown.
+  absl::Time ExpectedReady(const ModelKey& model, const std::string& software_version) const;
   bool holds_lease() const { return lease_.holding(); }
   int nodes() const { return static_cast<int>(std::max<std::size_t>(1, peers_.size())); }
 
@@ -111,6 +115,10 @@
   void ReadTable();
   void OnTable(const StoreRows& rows, absl::Time read_started);
   void WriteLease();
+  // Takes over the fleet's record of software versions from the table's rows.
+  void ReadVersions(const StoreRows& rows);
+  // Brings the record up to date. Called only while holding the lease.
+  void WriteVersions();
   void AnnounceNode();
   // Removes this node's row only if this process wrote it.
   void WithdrawNode();
@@ -141,7 +149,8 @@
   std::unique_ptr<LoopTimer> withdraw_timer_;
   // Datagram addresses of all nodes, by name.
   std::map<std::string, std::string> peers_;
-  std::map<ModelKey, absl::Time> expected_ready_;
+  // By model and software version; the empty version has the latest expectation for any.
+  std::map<std::pair<ModelKey, std::string>, absl::Time> expected_ready_;
   std::map<std::string, int> own_running_reported_;
   std::map<std::string, int> own_tokens_reported_;
   absl::Time report_due_ = absl::InfiniteFuture();
@@ -155,6 +164,9 @@
   std::string holder_address_;
   // Version of this node's row as written by this process; 0 if unknown.
   std::uint64_t own_row_version_ = 0;
+  // Versions of the rows that record software versions, by service.
+  std::map<std::string, std::uint64_t> version_rows_;
+  bool version_write_in_flight_ = false;
   int store_ticks_ = 0;
   std::uint64_t last_update_token_ = 0;
   std::uint64_t last_update_number_ = 0;
--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -1,4 +1,4 @@
-// Messages between nodes about demand and replicas, and their encoding.
+// Messages between nodes about demand, replicas and streams, and their encoding.
 #ifndef HINGESPAN_FLEET_FLEET_MESSAGES_H_
 #define HINGESPAN_FLEET_FLEET_MESSAGES_H_
 
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
+#include "hingespan/serving/stream_source.h"
 
 namespace hingespan::gateway {
 
@@ -26,6 +27,16 @@
   int arrived_tokens = 0;
 };
 
+// Requests queued at one node that go on with a stream, and so need a replica at a worker of this
+// software version. They are counted in ModelDemand::waiting too.
+struct BoundDemand {
+  std::string service;
+  std::string software_version;
+  std::string model;
+  std::string adapter;
+  int waiting = 0;
+};
+
 // Requests for one model, its adapters included, that run at a worker.
 struct RunningModel {
   std::string model;
@@ -53,6 +64,7 @@
   // Workers that this node could not reach recently, or whose address is now used by another
   // worker.
   std::vector<std::string> unreachable;
+  std::vector<BoundDemand> bound;
 };
 
 enum class ReplicaState { kReady, kLoading, kLeaving };
@@ -79,7 +91,34 @@
   std::optional<std::vector<WorkerLoad>> loads;
 };
 
-using FleetMessage = std::variant<DemandReport, PlacementUpdate>;
+// Sent by the node that has begun a stream to the holders of its record.
+struct StreamNotice {
+  std::string stream_id;
+  StreamSource source;
+  // Milliseconds for which the record is kept.
+  int lifetime_ms = 0;
+};
+
+// Asks a possible holder for the record of a stream.
+struct StreamQuestion {
+  std::string stream_id;
+  // Address to which the reply is sent.
+  std::string reply_address;
+  std::uint64_t number = 0;
+};
+
+struct StreamReply {
+  // Stream and number of the question; both, as a process that has restarted counts anew.
+  std::string stream_id;
+  std::uint64_t number = 0;
+  // Name of the replying node.
+  std::string node;
+  // Absent if the node has no record.
+  std::optional<StreamSource> source;
+};
+
+using FleetMessage =
+    std::variant<DemandReport, PlacementUpdate, StreamNotice, StreamQuestion, StreamReply>;
 
 // Encodes the message as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -158,6 +158,12 @@
     // True while the worker carries out an order that this holder did not send.
     bool busy_with_unknown_order = false;
   };
+  struct BoundKey {
+    std::string service;
+    std::string software_version;
+    ModelKey model;
+    friend auto operator<=>(const BoundKey&, const BoundKey&) = default;
+  };
   using TotalsByModel = std::map<std::pair<std::string, ModelKey>, ModelTotals>;
   // State of one run of Plan.
   struct PlanContext {
@@ -173,6 +179,10 @@
     std::map<std::pair<std::string, std::string>, int> running_at;
     // Workers that take requests and orders, as far as is known.
     std::set<std::string> usable;
+    // Waiting requests that are bound to a software version, by service, version and model.
+    std::map<BoundKey, ModelTotals> bound;
+    // Software version of the workers to which the current step is limited; empty for all.
+    std::string software_version;
     absl::Time now;
     std::vector<PlannedOrder> orders;
   };
@@ -203,11 +213,20 @@
   void PlanModels(const Service& service, PlanContext* context);
   std::vector<ReplicaCandidate> FindCandidates(const Service& service, const PlanContext& context);
   void PlanAdapters(const Service& service, PlanContext* context);
+  // Plans replicas for requests that are bound to a software version none of whose workers holds
+  // what they need.
+  void PlanBound(const Service& service, PlanContext* context);
+  // Returns whether the current step is limited to other workers than this one.
+  static bool IsLeftOut(const std::string& worker_id, const PlanContext& context);
+  // Returns whether a worker of the current step holds the model or is about to.
+  bool AnyHolds(const Service& service, const std::string& model, const PlanContext& context) const;
   // Announces to all nodes when the models that requests wait for, and that no worker loads yet,
   // are expected.
   void AnnounceExpectedLoads(const Service& service, const std::vector<ReplicaCandidate>& waiting,
                              const PlanContext& context);
-  void AnnounceExpected(const std::string& model, absl::Time expected, absl::Time now);
+  // `worker_id` is empty while the worker is not chosen.
+  void AnnounceExpected(const std::string& model, const std::string& worker_id, absl::Time expected,
+                        absl::Time now);
   // Returns the times at which the slots of the weight store become free, in order, one entry per
   // slot.
   std::vector<absl::Time> StoreSlotFreeTimes(absl::Time now) const;
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -56,6 +56,8 @@
   double link_mbps = 0;
   // Address at which it takes forwarded requests, "ip:port"; empty if it takes none.
   std::string forward_address;
+  // Address at which it receives datagrams, "ip:port".
+  std::string datagram_address;
 };
 
 // Not thread-safe; runs on the thread of its event loop.
--- /dev/null
+++ b/include/hingespan/fleet/stream_directory.h
@@ -0,0 +1,92 @@
+// Finds the workers at which a stream that a caller takes up again has begun.
+//
+// The node that passes on a stream's first event keeps a record of its source. Unless the service is
+// known to have workers of one software version only, it also sends the record to the holders, so
+// that it outlives the node. A node without the record asks the nodes that may hold it.
+#ifndef HINGESPAN_FLEET_STREAM_DIRECTORY_H_
+#define HINGESPAN_FLEET_STREAM_DIRECTORY_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/fleet/stream_holders.h"
+#include "hingespan/fleet/stream_registry.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/serving/gateway_metrics.h"
+#include "hingespan/serving/stream_source.h"
+
+namespace hingespan::gateway {
+
+struct StreamDirectoryParts {
+  EventLoop* loop = nullptr;
+  GatewayMetrics* metrics = nullptr;
+  // Sends a datagram to a node's address.
+  std::function<void(const std::string& address, absl::string_view bytes)> send;
+};
+
+// Not thread-safe; runs on the thread of its event loop.
+class StreamDirectory {
+ public:
+  // Gets std::nullopt if no node that answered in time has a record.
+  using Callback = std::function<void(std::optional<StreamSource>)>;
+
+  StreamDirectory(std::string node, StreamDirectoryParts parts);
+  ~StreamDirectory();
+  StreamDirectory(const StreamDirectory&) = delete;
+  StreamDirectory& operator=(const StreamDirectory&) = delete;
+
+  // Sets this node's own address for datagrams.
+  void SetAddress(std::string address) { address_ = std::move(address); }
+  void SetNodes(std::vector<StreamNode> nodes) { nodes_ = std::move(nodes); }
+  // Sets the services whose workers have several software versions, as far as is known. Records of
+  // streams that have begun before are sent to their holders now.
+  void SetMixedServices(std::set<std::string> services);
+
+  // Records a stream, just before its first event is passed on. `lifetime` is the time for which
+  // its caller may take it up.
+  void Add(const std::string& stream_id, const StreamSource& source, absl::Duration lifetime);
+  std::optional<StreamSource> FindHere(const std::string& stream_id) const;
+  // Asks the other nodes. Calls `done` from the loop, never from within this call.
+  void Ask(const std::string& stream_id, Callback done);
+
+  void OnNotice(const StreamNotice& notice);
+  void OnQuestion(const StreamQuestion& question);
+  void OnReply(const StreamReply& reply);
+
+ private:
+  struct Search {
+    std::string stream_id;
+    Callback done;
+    // Nodes that have not replied, by name.
+    std::map<std::string, std::string> addresses;
+    std::unique_ptr<LoopTimer> timer;
+    int rounds = 0;
+  };
+
+  void SendNotice(const std::string& stream_id, const StreamRegistry::Record& record);
+  // Asks those that have not replied, or ends the search.
+  void NextRound(std::uint64_t number);
+  void End(std::uint64_t number, std::optional<StreamSource> source);
+
+  std::string node_;
+  StreamDirectoryParts parts_;
+  std::string address_;
+  std::vector<StreamNode> nodes_;
+  std::set<std::string> mixed_services_;
+  StreamRegistry registry_;
+  std::map<std::uint64_t, Search> searches_;
+  std::uint64_t last_number_ = 0;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_FLEET_STREAM_DIRECTORY_H_
--- a/include/hingespan/serving/forwarding.h
+++ b/include/hingespan/serving/forwarding.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "hingespan/http/message_head.h"
+#include "hingespan/serving/stream_source.h"
 
 namespace hingespan::gateway {
 
@@ -20,6 +21,8 @@
   bool counted = false;
   // Workers that may have received the request.
   std::set<std::string> tried_workers;
+  // Source of the stream that the request goes on with; absent for a new stream.
+  std::optional<StreamSource> source;
 };
 
 // A node's own answer to a forwarded request.
@@ -36,6 +39,11 @@
 HeaderFields OriginFields(const RequestOrigin& origin);
 RequestOrigin ReadOrigin(const RequestHead& head);
 
+// The source of a stream, in a forwarded request or in a worker's answer that is passed back.
+HeaderFields SourceFields(const StreamSource& source);
+std::optional<StreamSource> ReadSource(const HeaderFields& fields);
+void RemoveSource(HeaderFields* fields);
+
 HeaderField VerdictField(PeerVerdict verdict);
 // Returns std::nullopt if the answer is a worker's. An unknown verdict promises nothing.
 std::optional<PeerVerdict> ReadVerdict(const AnswerHead& head);
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -15,6 +15,8 @@
 #include "hingespan/fleet/fleet_coordinator.h"
 #include "hingespan/fleet/peer_link.h"
 #include "hingespan/fleet/shared_reading.h"
+#include "hingespan/fleet/stream_directory.h"
+#include "hingespan/fleet/version_registry.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/http/http_client.h"
 #include "hingespan/http/http_server.h"
@@ -68,9 +70,15 @@
   void Dequeue(const QueuePlace& place) override;
   void ScheduleDispatch() override;
   void RunningChanged(const std::string& service, const ModelKey& model, int change) override;
-  absl::Time ExpectedReady(const ModelKey& model) const override;
-  void ExpectReturn(const std::string& service, const ModelKey& model, absl::Time at) override;
+  absl::Time ExpectedReady(const ModelKey& model,
+                           const std::string& software_version) const override;
+  void ExpectReturn(const std::string& service, const ModelKey& model,
+                    const std::string& software_version, absl::Time at) override;
   absl::Time StopLimit() const override;
+  void RecordStream(const std::string& id, const StreamSource& source,
+                    absl::Duration lifetime) override;
+  void FindStream(const std::string& id, const std::string& service,
+                  std::function<void(std::optional<StreamSource>)> done) override;
   WorkerPath* PathOf(const std::string& service) override;
   void OnPathEvent(const std::string& service) override;
   void OnRequestStarted(std::shared_ptr<RequestRelay> request) override;
@@ -119,6 +127,14 @@
   void ApplyConfiguration(const StoreRow& row);
   void ApplyWorkerRow(const StoreRow& row);
   void ApplyWorkerSnapshot(const StoreRows& rows);
+  void OnDatagram(absl::string_view bytes);
+  // Notes the software versions of the workers that are present.
+  void ObserveVersions();
+  // Returns the only software version at which a stream of the service may have begun, if it is
+  // known that there is only one.
+  std::optional<std::string> OnlyVersion(const std::string& service) const;
+  // Decides for which services the records of streams are sent to other nodes.
+  void UpdateMixedServices();
   void FillReport(DemandReport* report);
   void CheckStopped();
   void LogStop(absl::string_view event, std::string why);
@@ -138,6 +154,8 @@
   // Serves only metrics; listens only if an address is configured.
   HttpServer metrics_;
   PeerLink peers_;
+  VersionRegistry versions_;
+  StreamDirectory streams_;
   SharedReading reading_;
   std::unique_ptr<FleetCoordinator> fleet_;
   std::unique_ptr<TableFollower> configuration_follower_;
@@ -153,6 +171,12 @@
     absl::Time until;
   };
   std::vector<ReturningCaller> returning_;
+  // Of these callers, those that go on with a stream: by service, software version and model.
+  struct ReturningStream {
+    std::tuple<std::string, std::string, ModelKey> key;
+    absl::Time until;
+  };
+  std::vector<ReturningStream> returning_streams_;
   std::shared_ptr<const RouteTable> routes_;
   std::unique_ptr<LoopTimer> stop_timer_;
   std::unique_ptr<LoopTimer> dispatch_timer_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -39,6 +39,13 @@
   std::uint64_t repeats_denied = 0;
   std::uint64_t streams_resumed = 0;
   std::uint64_t streams_broken = 0;
+  // Streams that callers took up again, and those of them that went on. The others are counted in
+  // `refusals`.
+  std::uint64_t streams_taken_up = 0;
+  std::uint64_t streams_gone_on = 0;
+  // Datagrams about streams: records sent to holders, and questions for records.
+  std::uint64_t stream_notices = 0;
+  std::uint64_t stream_questions = 0;
   std::uint64_t callers_gone = 0;
   // Attempts that were forwarded to another node, and those that it couldn't take.
   std::uint64_t forwards = 0;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -1,15 +1,18 @@
 // Handles one caller's request: queues it, sends it to one or more workers and relays the answer.
 //
-// States: waiting (in the queue), running (an attempt is in flight), ended. An attempt goes to a
-// worker, or to a peer if this node can't reach the workers but another node may. A request that
-// may have been executed is sent again only if its route allows it. A request that was certainly
-// not executed is refused with 503, which guarantees this; all other failures end with 502 or 504,
-// which don't.
+// States: finding (the source of a stream that the caller takes up), waiting (in the queue),
+// running (an attempt is in flight), ended. An attempt goes to a worker, or to a peer if this node
+// can't reach the workers but another node may. A stream goes on only at its source, the workers of
+// the service and software version that began it. A request that may have been executed is sent
+// again only if its route allows it. A request that was certainly not executed is refused with 503,
+// which guarantees this; all other failures end with 502 or 504, which don't.
 #ifndef HINGESPAN_SERVING_REQUEST_RELAY_H_
 #define HINGESPAN_SERVING_REQUEST_RELAY_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -26,6 +29,7 @@
 #include "hingespan/serving/request_queue.h"
 #include "hingespan/serving/retry_budget.h"
 #include "hingespan/serving/route_table.h"
+#include "hingespan/serving/stream_source.h"
 #include "hingespan/serving/worker_directory.h"
 #include "hingespan/serving/worker_path.h"
 
@@ -43,13 +47,23 @@
   // Nothing is dispatched within this call.
   virtual void ScheduleDispatch() = 0;
   virtual void RunningChanged(const std::string& service, const ModelKey& model, int change) = 0;
-  // Time at which a replica is expected to be ready; InfiniteFuture if nothing is known.
-  virtual absl::Time ExpectedReady(const ModelKey& model) const = 0;
+  // Time at which a replica is expected to be ready; InfiniteFuture if nothing is known. An empty
+  // software version stands for any.
+  virtual absl::Time ExpectedReady(const ModelKey& model,
+                                   const std::string& software_version) const = 0;
   // Called when a caller was refused and asked to retry at `at`; there is still demand for the
   // model.
-  virtual void ExpectReturn(const std::string& service, const ModelKey& model, absl::Time at) = 0;
+  virtual void ExpectReturn(const std::string& service, const ModelKey& model,
+                            const std::string& software_version, absl::Time at) = 0;
   // Time by which this node must have answered all requests; InfiniteFuture unless it is stopping.
   virtual absl::Time StopLimit() const = 0;
+  // Records the source of a stream that its caller may take up for `lifetime`.
+  virtual void RecordStream(const std::string& id, const StreamSource& source,
+                            absl::Duration lifetime) = 0;
+  // Finds the source of the stream that began with request `id`. `service` is empty if the stream
+  // may have begun at several services. May call `done` within this call.
+  virtual void FindStream(const std::string& id, const std::string& service,
+                          std::function<void(std::optional<StreamSource>)> done) = 0;
   // This node's path to the workers of a service; valid as long as the host.
   virtual WorkerPath* PathOf(const std::string& service) = 0;
   // Called when an attempt has shown something about that path.
@@ -81,7 +95,7 @@
                RequestFacts facts, RequestOrigin origin, std::shared_ptr<const RouteTable> routes,
                const Route* route, std::uint64_t number);
 
-  // Adds the request to the queue.
+  // Adds the request to the queue, after finding the source of a stream that it takes up.
   void Start();
   // Sends the request to a worker if one has room. Returns whether the request left the queue.
   bool TryDispatch(absl::Time now);
@@ -107,6 +121,10 @@
   std::uint64_t number() const { return place_.number; }
   const std::string& service() const { return service_; }
   const ModelKey& model() const { return model_; }
+  // Software version that the request is bound to; empty if it may run at any.
+  std::string software_version() const {
+    return source_.has_value() ? source_->software_version : std::string();
+  }
   int prompt_tokens() const { return facts_.prompt_tokens; }
   bool waiting() const { return state_ == State::kWaiting; }
   // True before the first attempt. Such requests with an equal demand wait for the same workers.
@@ -117,11 +135,24 @@
   void OnEnd(ExchangeResult result) override;
 
  private:
-  enum class State { kWaiting, kRunning, kEnded };
+  enum class State { kFinding, kWaiting, kRunning, kEnded };
   // Outcome of a request for which no worker could be reached.
   static constexpr const char* kUnreachable = "unreachable";
+  // Outcomes of a request that takes up a stream: no node knows the stream, its service has no
+  // worker of its software version, or the route doesn't lead to its service any more.
+  static constexpr const char* kUnknownStream = "unknown_stream";
+  static constexpr const char* kVersionAbsent = "version_absent";
+  static constexpr const char* kOtherService = "other_service";
   static constexpr const char* kRetryAfter = "Retry-After";
 
+  // Returns whether the caller goes on with a stream of an earlier request.
+  bool TakesUpStream() const;
+  void FindSource();
+  void OnSource(std::optional<StreamSource> source);
+  // Keeps the source of a stream whose first event is about to be passed on.
+  void RecordSource();
+  // Returns whether another attempt could go on with what the caller has received.
+  bool CanGoOn() const;
   void BeginWaiting();
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
   // Sets the state that a new attempt begins with.
@@ -173,6 +204,8 @@
   bool EndsInsideStream() const;
   void OnFailedAttempt(absl::string_view how);
   void ForwardEvents(const std::string& events);
+  // Sends the head of a stream to the caller.
+  void StartStream();
   void SendWholeAnswer();
   // Ends a request that is not served: a stream that has started is broken off, a request that may
   // have been executed gets `unknown_status`, any other is refused as not executed.
@@ -215,6 +248,8 @@
   // Number of attempts at peers whose workers are not known.
   int lost_forwards_ = 0;
   bool may_have_run_ = false;
+  // Set once the caller has events, of this request or of an earlier one.
+  std::optional<StreamSource> source_;
   ChoiceProblem last_problem_ = ChoiceProblem::kNone;
   std::string last_failure_;
 
@@ -224,6 +259,8 @@
   // Peer to which the attempt was forwarded; empty if it was sent to a worker.
   std::string peer_;
   std::optional<PeerVerdict> verdict_;
+  // Absent if a peer doesn't tell it.
+  std::optional<StreamSource> attempt_source_;
   absl::Time attempt_started_;
   absl::Time last_progress_;
   absl::Time stall_checked_ = absl::InfinitePast();
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -99,9 +99,19 @@
   int output_tokens = 0;
   // Workers that must not be chosen.
   const std::set<std::string>* excluded = nullptr;
+  // Software version that the worker must have; null for any.
+  const std::string* software_version = nullptr;
 };
 
-enum class ChoiceProblem { kNone, kNoWorkers, kModelAbsent, kAdapterAbsent, kAllBusy };
+enum class ChoiceProblem {
+  kNone,
+  kNoWorkers,
+  // The service has workers, but none of the wanted software version.
+  kVersionAbsent,
+  kModelAbsent,
+  kAdapterAbsent,
+  kAllBusy,
+};
 
 struct WorkerChoice {
   // Null if there is a problem.
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -99,6 +99,7 @@
   // The holder's renewals tell it all it needs; other nodes read the row.
   if (lease_.holding() && !lease_.needs_read() && announced_) {
     WriteLease();
+    WriteVersions();
     const bool due = store_ticks_ % settings_.renewals_between_reads == 0;
     if (!due && !parts_.reads_for_others()) {
       return;
@@ -196,6 +197,7 @@
 
 void FleetCoordinator::OnTable(const StoreRows& rows, absl::Time read_started) {
   CheckOwnRow(rows);
+  ReadVersions(rows);
   std::optional<LeaseRecord> lease;
   std::uint64_t lease_version = 0;
   std::map<std::string, std::string> peers;
@@ -214,7 +216,7 @@
       const std::string name = row.key.substr(kNodePrefix.size());
       peers[name] = json["address"].get<std::string>();
       nodes.push_back({name, json.value("zone", ""), json.value("copies", ""),
-                       json.value("link_mbps", 0.0), json.value("forward", "")});
+                       json.value("link_mbps", 0.0), json.value("forward", ""), peers[name]});
     }
   }
   peers_ = std::move(peers);
@@ -337,23 +339,19 @@
 
 void FleetCoordinator::WorkersChanged() {
   if (lease_.holding()) {
+    WriteVersions();
     SchedulePlacement(parts_.loop->Now());
   }
 }
 
-void FleetCoordinator::OnDatagram(absl::string_view bytes) {
-  const std::optional<FleetMessage> message = DecodeFleetMessage(bytes);
-  if (!message.has_value()) {
-    return;
-  }
-  if (const auto* const report = std::get_if<DemandReport>(&*message)) {
-    placer_.OnReport(*report, parts_.loop->Now());
-    if (lease_.holding()) {
-      SchedulePlacement(parts_.loop->Now());
-    }
-    return;
+void FleetCoordinator::OnReport(const DemandReport& report) {
+  placer_.OnReport(report, parts_.loop->Now());
+  if (lease_.holding()) {
+    SchedulePlacement(parts_.loop->Now());
   }
-  const auto& update = std::get<PlacementUpdate>(*message);
+}
+
+void FleetCoordinator::OnUpdate(const PlacementUpdate& update) {
   const bool older = update.token < last_update_token_ ||
                      (update.token == last_update_token_ && update.number <= last_update_number_);
   if (older) {
--- a/src/fleet/fleet_coordinator_placement.cc
+++ b/src/fleet/fleet_coordinator_placement.cc
@@ -44,16 +44,20 @@
   const absl::Time now = parts_.loop->Now();
   for (const ReplicaUpdate& replica : update.replicas) {
     const ModelKey key{replica.model, replica.adapter};
+    const WorkerState* const worker = parts_.workers->Find(replica.worker_id);
+    const std::string version = worker == nullptr ? std::string() : worker->record.software_version;
     switch (replica.state) {
       case ReplicaState::kReady:
         parts_.workers->NoteReplica(replica.worker_id, key, true, now + kUpdateLifetime);
-        expected_ready_.erase(key);
+        expected_ready_.erase({key, std::string()});
+        expected_ready_.erase({key, version});
         break;
       case ReplicaState::kLeaving:
         parts_.workers->NoteReplica(replica.worker_id, key, false, now + kUpdateLifetime);
         break;
       case ReplicaState::kLoading:
-        expected_ready_[key] = now + absl::Milliseconds(replica.expected_in_ms);
+        expected_ready_[{key, std::string()}] = now + absl::Milliseconds(replica.expected_in_ms);
+        expected_ready_[{key, version}] = now + absl::Milliseconds(replica.expected_in_ms);
         break;
     }
   }
@@ -69,8 +73,9 @@
   parts_.on_update();
 }
 
-absl::Time FleetCoordinator::ExpectedReady(const ModelKey& model) const {
-  const auto entry = expected_ready_.find(ModelKey{model.model, ""});
+absl::Time FleetCoordinator::ExpectedReady(const ModelKey& model,
+                                           const std::string& software_version) const {
+  const auto entry = expected_ready_.find({ModelKey{model.model, ""}, software_version});
   if (entry == expected_ready_.end() || entry->second + kExpectedSlack < parts_.loop->Now()) {
     return absl::InfiniteFuture();
   }
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -14,6 +14,9 @@
 // entries is the protocol; the first entry is the message type.
 constexpr int kDemandReport = 1;
 constexpr int kPlacementUpdate = 2;
+constexpr int kStreamNotice = 3;
+constexpr int kStreamQuestion = 4;
+constexpr int kStreamReply = 5;
 
 Json Encode(const WorkerLoad& load) {
   Json list = Json::array({load.worker_id, load.running, load.unread_tokens});
@@ -55,8 +58,14 @@
     demands.push_back(Json::array({demand.service, demand.model, demand.adapter, demand.waiting,
                                    demand.running, demand.arrived, demand.arrived_tokens}));
   }
+  Json bound = Json::array();
+  for (const BoundDemand& demand : report.bound) {
+    bound.push_back(Json::array(
+        {demand.service, demand.software_version, demand.model, demand.adapter, demand.waiting}));
+  }
   return Json::array({kDemandReport, report.node, report.incarnation, report.number,
-                      std::move(demands), EncodeLoads(report.loads), report.unreachable});
+                      std::move(demands), EncodeLoads(report.loads), report.unreachable,
+                      std::move(bound)});
 }
 
 DemandReport DecodeReport(const Json& json) {
@@ -72,6 +81,15 @@
   }
   report.loads = DecodeLoads(json.at(5));
   report.unreachable = json.at(6).get<std::vector<std::string>>();
+  // Nodes of an earlier release send none.
+  constexpr std::size_t kBoundEntry = 7;
+  if (json.size() > kBoundEntry) {
+    for (const Json& entry : json.at(kBoundEntry)) {
+      report.bound.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
+                              entry.at(2).get<std::string>(), entry.at(3).get<std::string>(),
+                              entry.at(4).get<int>()});
+    }
+  }
   return report;
 }
 
@@ -107,6 +125,46 @@
   return update;
 }
 
+Json Encode(const StreamNotice& notice) {
+  return Json::array({kStreamNotice, notice.stream_id, notice.source.service,
+                      notice.source.software_version, notice.lifetime_ms});
+}
+
+StreamNotice DecodeNotice(const Json& json) {
+  return {json.at(1).get<std::string>(),
+          {json.at(2).get<std::string>(), json.at(3).get<std::string>()},
+          json.at(4).get<int>()};
+}
+
+Json Encode(const StreamQuestion& question) {
+  return Json::array(
+      {kStreamQuestion, question.stream_id, question.reply_address, question.number});
+}
+
+StreamQuestion DecodeQuestion(const Json& json) {
+  return {json.at(1).get<std::string>(), json.at(2).get<std::string>(),
+          json.at(3).get<std::uint64_t>()};
+}
+
+Json Encode(const StreamReply& reply) {
+  Json list = Json::array({kStreamReply, reply.stream_id, reply.number, reply.node});
+  if (reply.source.has_value()) {
+    list.push_back(reply.source->service);
+    list.push_back(reply.source->software_version);
+  }
+  return list;
+}
+
+StreamReply DecodeReply(const Json& json) {
+  constexpr std::size_t kEntriesWithSource = 6;
+  StreamReply reply{json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(),
+                    json.at(3).get<std::string>(), std::nullopt};
+  if (json.size() >= kEntriesWithSource) {
+    reply.source = StreamSource{json.at(4).get<std::string>(), json.at(5).get<std::string>()};
+  }
+  return reply;
+}
+
 }  // namespace
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
@@ -118,7 +176,7 @@
 
 std::optional<FleetMessage> DecodeFleetMessage(absl::string_view bytes) {
   const Json json = ReadCbor(bytes);
-  if (!json.is_array() || json.size() < 6 || !json.at(0).is_number_integer()) {
+  if (!json.is_array() || json.empty() || !json.at(0).is_number_integer()) {
     return std::nullopt;
   }
   try {
@@ -127,6 +185,12 @@
         return DecodeReport(json);
       case kPlacementUpdate:
         return DecodeUpdate(json);
+      case kStreamNotice:
+        return DecodeNotice(json);
+      case kStreamQuestion:
+        return DecodeQuestion(json);
+      case kStreamReply:
+        return DecodeReply(json);
       default:
         return std::nullopt;
     }
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -116,6 +116,10 @@
       continue;
     }
     unreachable.insert(known.report.unreachable.begin(), known.report.unreachable.end());
+    for (const BoundDemand& demand : known.report.bound) {
+      const ModelKey model{demand.model, demand.adapter};
+      context->bound[{demand.service, demand.software_version, model}].waiting += demand.waiting;
+    }
     for (const WorkerLoad& load : known.report.loads) {
       for (const RunningModel& running : load.models) {
         context->running_at[{load.worker_id, running.model}] += running.running;
@@ -170,6 +174,7 @@
 }
 
 void FleetPlacer::PlanService(const Service& service, PlanContext* context) {
+  PlanBound(service, context);
   PlanModels(service, context);
   PlanAdapters(service, context);
 }
@@ -234,8 +239,8 @@
     ledger.reserved_from_store = !local;
     ledger.reserved_until = context->now + kReservation;
     if (replicas == 0) {
-      AnnounceExpected(model.name, context->now + kUnloadEstimate + LoadTime(model, record),
-                       context->now);
+      AnnounceExpected(model.name, placement->worker_id,
+                       context->now + kUnloadEstimate + LoadTime(model, record), context->now);
     }
     AddOrder(OrderKind::kUnload, placement->worker_id, placement->victim,
              absl::StrCat("room for ", model.name), totals, context);
@@ -323,7 +328,7 @@
                                       const PlanContext& context) const {
   int count = 0;
   for (const auto& [id, ledger] : ledgers_) {
-    if (ledger.service != service.name || !context.usable.contains(id)) {
+    if (ledger.service != service.name || !context.usable.contains(id) || IsLeftOut(id, context)) {
       continue;
     }
     const auto model = ledger.models.find(key.model);
--- a/src/fleet/fleet_placer_choice.cc
+++ b/src/fleet/fleet_placer_choice.cc
@@ -39,7 +39,8 @@
   for (const auto& [id, ledger] : ledgers_) {
     if (ledger.service != service.name || ledger.models.contains(model.name) ||
         ledger.model_load.has_value() || ledger.model_unload.has_value() ||
-        !ledger.adapter_loads.empty() || !MayTakeOrder(id, service, *context)) {
+        !ledger.adapter_loads.empty() || IsLeftOut(id, *context) ||
+        !MayTakeOrder(id, service, *context)) {
       continue;
     }
     if (!ledger.reserved_for.empty() && ledger.reserved_for != model.name &&
@@ -144,7 +145,7 @@
   for (const auto& [id, ledger] : ledgers_) {
     if (ledger.service != service.name || !ledger.models.contains(key.model) ||
         ledger.model_load.has_value() || ledger.model_unload.has_value() ||
-        ledger.adapter_loads.size() >= kAdapterLoadsAtOnce ||
+        ledger.adapter_loads.size() >= kAdapterLoadsAtOnce || IsLeftOut(id, *context) ||
         !MayTakeOrder(id, service, *context)) {
       continue;
     }
--- a/src/fleet/fleet_placer_waits.cc
+++ b/src/fleet/fleet_placer_waits.cc
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-void FleetPlacer::AnnounceExpected(const std::string& model, absl::Time expected, absl::Time now) {
+void FleetPlacer::AnnounceExpected(const std::string& model, const std::string& worker_id,
+                                   absl::Time expected, absl::Time now) {
   AnnouncedExpectation& announced = announced_expectations_[model];
   const absl::Duration moved =
       expected > announced.expected ? expected - announced.expected : announced.expected - expected;
@@ -28,7 +29,7 @@
     return;
   }
   announced = {expected, now};
-  updates_.push_back({"", model, "", ReplicaState::kLoading,
+  updates_.push_back({worker_id, model, "", ReplicaState::kLoading,
                       static_cast<int>(absl::ToInt64Milliseconds(expected - now))});
 }
 
@@ -105,7 +106,7 @@
           slots[queued % slots.size()] + kMakeRoomTime + (rounds + 1) * candidate.model->load_time;
       ++queued;
     }
-    AnnounceExpected(candidate.model->name, expected, context.now);
+    AnnounceExpected(candidate.model->name, "", expected, context.now);
   }
 }
 
--- /dev/null
+++ b/src/fleet/stream_directory.cc
@@ -0,0 +1,118 @@
+#include "hingespan/fleet/stream_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hingespan::gateway {
+namespace {
+
+// Time for the replies of one round. A datagram may be lost, so nodes that did not reply are asked
+// again.
+constexpr absl::Duration kRoundTime = absl::Milliseconds(60);
+constexpr int kRounds = 4;
+
+}  // namespace
+
+StreamDirectory::StreamDirectory(std::string node, StreamDirectoryParts parts)
+    : node_(std::move(node)), parts_(std::move(parts)) {}
+
+StreamDirectory::~StreamDirectory() = default;
+
+void StreamDirectory::SetMixedServices(std::set<std::string> services) {
+  const std::set<std::string> before = std::exchange(mixed_services_, std::move(services));
+  registry_.ForEachOwn(parts_.loop->Now(),
+                       [&](const std::string& stream_id, const StreamRegistry::Record& record) {
+                         const std::string& service = record.source.service;
+                         if (mixed_services_.contains(service) && !before.contains(service)) {
+                           SendNotice(stream_id, record);
+                         }
+                       });
+}
+
+void StreamDirectory::Add(const std::string& stream_id, const StreamSource& source,
+                          absl::Duration lifetime) {
+  const absl::Time now = parts_.loop->Now();
+  const StreamRegistry::Record record{source, now + lifetime, true};
+  registry_.Add(stream_id, record, now);
+  if (mixed_services_.contains(source.service)) {
+    SendNotice(stream_id, record);
+  }
+}
+
+void StreamDirectory::SendNotice(const std::string& stream_id,
+                                 const StreamRegistry::Record& record) {
+  const absl::Duration left = record.expires - parts_.loop->Now();
+  const std::string bytes = EncodeFleetMessage(
+      StreamNotice{stream_id, record.source, static_cast<int>(absl::ToInt64Milliseconds(left))});
+  for (const StreamNode& holder : ChooseHolders(stream_id, nodes_, node_)) {
+    ++parts_.metrics->stream_notices;
+    parts_.send(holder.address, bytes);
+  }
+}
+
+std::optional<StreamSource> StreamDirectory::FindHere(const std::string& stream_id) const {
+  return registry_.Find(stream_id, parts_.loop->Now());
+}
+
+void StreamDirectory::Ask(const std::string& stream_id, Callback done) {
+  const std::uint64_t number = ++last_number_;
+  Search& search = searches_[number];
+  search.stream_id = stream_id;
+  search.done = std::move(done);
+  search.timer = parts_.loop->MakeTimer();
+  for (const StreamNode& node : PossibleHolders(stream_id, nodes_, node_)) {
+    search.addresses[node.name] = node.address;
+  }
+  search.timer->Set(parts_.loop->Now(), [this, number] { NextRound(number); });
+}
+
+void StreamDirectory::NextRound(std::uint64_t number) {
+  const auto entry = searches_.find(number);
+  if (entry == searches_.end()) {
+    return;
+  }
+  Search& search = entry->second;
+  if (search.addresses.empty() || search.rounds == kRounds) {
+    End(number, FindHere(search.stream_id));
+    return;
+  }
+  ++search.rounds;
+  const std::string bytes = EncodeFleetMessage(StreamQuestion{search.stream_id, address_, number});
+  for (const auto& [name, address] : search.addresses) {
+    ++parts_.metrics->stream_questions;
+    parts_.send(address, bytes);
+  }
+  search.timer->Set(parts_.loop->Now() + kRoundTime, [this, number] { NextRound(number); });
+}
+
+void StreamDirectory::End(std::uint64_t number, std::optional<StreamSource> source) {
+  const auto entry = searches_.find(number);
+  const Callback done = std::move(entry->second.done);
+  searches_.erase(entry);
+  done(std::move(source));
+}
+
+void StreamDirectory::OnNotice(const StreamNotice& notice) {
+  const absl::Time now = parts_.loop->Now();
+  registry_.Add(notice.stream_id,
+                {notice.source, now + absl::Milliseconds(notice.lifetime_ms), false}, now);
+}
+
+void StreamDirectory::OnQuestion(const StreamQuestion& question) {
+  parts_.send(question.reply_address,
+              EncodeFleetMessage(StreamReply{question.stream_id, question.number, node_,
+                                             FindHere(question.stream_id)}));
+}
+
+void StreamDirectory::OnReply(const StreamReply& reply) {
+  const auto entry = searches_.find(reply.number);
+  if (entry == searches_.end() || entry->second.stream_id != reply.stream_id) {
+    return;
+  }
+  entry->second.addresses.erase(reply.node);
+  if (reply.source.has_value() || entry->second.addresses.empty()) {
+    End(reply.number, reply.source);
+  }
+}
+
+}  // namespace hingespan::gateway
--- a/src/serving/forwarding.cc
+++ b/src/serving/forwarding.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/string_view.h"
@@ -11,6 +12,8 @@
 
 constexpr char kOriginField[] = "Hingespan-Origin";
 constexpr char kVerdictField[] = "Hingespan-Verdict";
+constexpr char kServiceField[] = "Hingespan-Stream-Service";
+constexpr char kVersionField[] = "Hingespan-Stream-Version";
 constexpr absl::string_view kCounted = "counted";
 constexpr absl::string_view kNotCounted = "not-counted";
 
@@ -35,12 +38,40 @@
   for (const std::string& worker_id : origin.tried_workers) {
     absl::StrAppend(&value, ",", worker_id);
   }
-  return {{"Connection", kOriginField}, {kOriginField, std::move(value)}};
+  HeaderFields fields = {
+      {"Connection", absl::StrCat(kOriginField, ", ", kServiceField, ", ", kVersionField)},
+      {kOriginField, std::move(value)}};
+  if (origin.source.has_value()) {
+    const HeaderFields source = SourceFields(*origin.source);
+    fields.insert(fields.end(), source.begin(), source.end());
+  }
+  return fields;
+}
+
+HeaderFields SourceFields(const StreamSource& source) {
+  return {{kServiceField, source.service}, {kVersionField, source.software_version}};
+}
+
+std::optional<StreamSource> ReadSource(const HeaderFields& fields) {
+  const std::string* const service = FindField(fields, kServiceField);
+  const std::string* const version = FindField(fields, kVersionField);
+  if (service == nullptr || version == nullptr) {
+    return std::nullopt;
+  }
+  return StreamSource{*service, *version};
+}
+
+void RemoveSource(HeaderFields* fields) {
+  std::erase_if(*fields, [](const HeaderField& field) {
+    return absl::EqualsIgnoreCase(field.name, kServiceField) ||
+           absl::EqualsIgnoreCase(field.name, kVersionField);
+  });
 }
 
 RequestOrigin ReadOrigin(const RequestHead& head) {
   RequestOrigin origin;
   origin.forwarded = true;
+  origin.source = ReadSource(head.fields);
   const std::string* const value = FindField(head.fields, kOriginField);
   if (value == nullptr) {
     return origin;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -81,7 +82,11 @@
       metrics_(
           parts_.loop,
           [this](const std::shared_ptr<ServerExchange>& exchange) { OnMetricsRequest(exchange); }),
-      peers_(parts_.loop, [this](absl::string_view bytes) { fleet_->OnDatagram(bytes); }),
+      peers_(parts_.loop, [this](absl::string_view bytes) { OnDatagram(bytes); }),
+      streams_(settings_.node, {parts_.loop, parts_.metrics,
+                                [this](const std::string& address, absl::string_view bytes) {
+                                  peers_.Send(address, bytes);
+                                }}),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
       dispatch_timer_(parts_.loop->MakeTimer()) {
@@ -129,6 +134,7 @@
     return error;
   }
   settings_.peer_listen = peers_.address();
+  streams_.SetAddress(peers_.address());
   reading_.Share(parts_.reader->configuration_table(), nullptr);
   reading_.Share(parts_.reader->worker_table(),
                  [this](const StoreRow& left, const StoreRow& right) {
@@ -145,6 +151,7 @@
   fleet_parts.store = &reading_;
   fleet_parts.control = parts_.control;
   fleet_parts.workers = &workers_;
+  fleet_parts.versions = &versions_;
   fleet_parts.log = parts_.log;
   fleet_parts.metrics = parts_.metrics;
   fleet_parts.send = [this](const std::string& address, absl::string_view bytes) {
@@ -163,13 +170,18 @@
     reading_.SetNodes(nodes);
     std::vector<std::string> names;
     std::vector<Peer> peers;
+    std::vector<StreamNode> stream_nodes;
     names.reserve(nodes.size());
     peers.reserve(nodes.size());
+    stream_nodes.reserve(nodes.size());
     for (const FleetNode& node : nodes) {
       names.push_back(node.name);
       peers.push_back({node.name, node.zone, node.forward_address});
+      stream_nodes.push_back({node.name, node.zone, node.datagram_address});
     }
     peer_directory_.SetPeers(peers);
+    streams_.SetNodes(std::move(stream_nodes));
+    UpdateMixedServices();
     budget_.SetNodes(names, read_started, parts_.loop->Now());
   };
   const std::uint64_t seed = fleet.incarnation;
@@ -196,13 +208,18 @@
   TableFollower::Callbacks workers;
   workers.on_snapshot = [this](const StoreRows& rows) { ApplyWorkerSnapshot(rows); };
   workers.on_changes = [this](const StoreRows& rows) {
+    ObserveVersions();
     for (const StoreRow& row : rows.rows) {
       ApplyWorkerRow(row);
     }
+    UpdateMixedServices();
     fleet_->WorkersChanged();
     ScheduleDispatch();
   };
-  workers.on_connection_change = log_connection_change("workers");
+  workers.on_connection_change = [this, log = log_connection_change("workers")](bool connected) {
+    log(connected);
+    UpdateMixedServices();
+  };
   worker_follower_ = std::make_unique<TableFollower>(parts_.loop, &reading_, worker_settings,
                                                      seed + 1, std::move(workers));
   configuration_follower_->Start();
@@ -324,12 +341,12 @@
 void Gateway::DispatchWaiting() {
   const absl::Time now = parts_.loop->Now();
   // First attempts for the same model wait for the same workers, so one choice decides for all.
-  std::map<std::pair<std::string, ModelKey>, ChoiceProblem> blocked;
+  std::map<std::tuple<std::string, ModelKey, std::string>, ChoiceProblem> blocked;
   for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
     if (!request->waiting()) {
       continue;
     }
-    const std::pair<std::string, ModelKey> key{request->service(), request->model()};
+    const std::tuple key{request->service(), request->model(), request->software_version()};
     const auto known = request->first_attempt() ? blocked.find(key) : blocked.end();
     if (known != blocked.end()) {
       request->NoteProblem(known->second);
@@ -352,8 +369,10 @@
   fleet_->DemandChanged();
 }
 
-absl::Time Gateway::ExpectedReady(const ModelKey& model) const {
-  return model.model.empty() ? absl::InfiniteFuture() : fleet_->ExpectedReady(model);
+absl::Time Gateway::ExpectedReady(const ModelKey& model,
+                                  const std::string& software_version) const {
+  return model.model.empty() ? absl::InfiniteFuture()
+                             : fleet_->ExpectedReady(model, software_version);
 }
 
 absl::Time Gateway::StopLimit() const {
--- a/src/serving/gateway_demand.cc
+++ b/src/serving/gateway_demand.cc
@@ -2,6 +2,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "hingespan/serving/gateway.h"
@@ -14,9 +15,13 @@
 
 }  // namespace
 
-void Gateway::ExpectReturn(const std::string& service, const ModelKey& model, absl::Time at) {
+void Gateway::ExpectReturn(const std::string& service, const ModelKey& model,
+                           const std::string& software_version, absl::Time at) {
   if (settings_.serving.count_returning && !model.model.empty()) {
     returning_.push_back({{service, model}, at + kReturnSlack});
+    if (!software_version.empty()) {
+      returning_streams_.push_back({{service, software_version, model}, at + kReturnSlack});
+    }
     fleet_->DemandWaits();
   }
 }
@@ -25,12 +30,25 @@
   std::map<std::pair<std::string, ModelKey>, int> waiting;
   const absl::Time now = parts_.loop->Now();
   std::erase_if(returning_, [&](const ReturningCaller& caller) { return caller.until <= now; });
+  std::erase_if(returning_streams_,
+                [&](const ReturningStream& stream) { return stream.until <= now; });
   for (const ReturningCaller& caller : returning_) {
     ++waiting[caller.key];
     demand_.try_emplace(caller.key);
   }
+  std::map<std::tuple<std::string, std::string, ModelKey>, int> bound;
   for (const std::shared_ptr<RequestRelay>& request : queue_.InOrder()) {
     ++waiting[{request->service(), request->model()}];
+    if (!request->software_version().empty()) {
+      ++bound[{request->service(), request->software_version(), request->model()}];
+    }
+  }
+  for (const ReturningStream& stream : returning_streams_) {
+    ++bound[stream.key];
+  }
+  for (const auto& [key, count] : bound) {
+    const auto& [service, version, model] = key;
+    report->bound.push_back({service, version, model.model, model.adapter, count});
   }
   for (auto entry = demand_.begin(); entry != demand_.end();) {
     const auto& [service, model] = entry->first;
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -154,6 +154,13 @@
   count("hingespan_streams_resumed_total", "Streams continued at another worker",
         metrics.streams_resumed);
   count("hingespan_streams_broken_total", "Streams broken off", metrics.streams_broken);
+  count("hingespan_streams_taken_up_total", "Streams that callers took up again",
+        metrics.streams_taken_up);
+  count("hingespan_streams_gone_on_total", "Of them, those that went on", metrics.streams_gone_on);
+  count("hingespan_stream_notices_total", "Records of streams sent to their holders",
+        metrics.stream_notices);
+  count("hingespan_stream_questions_total", "Questions to other nodes for records of streams",
+        metrics.stream_questions);
   count("hingespan_callers_gone_total", "Callers that left before their answer",
         metrics.callers_gone);
   count("hingespan_forwards_total", "Attempts forwarded to another node", metrics.forwards);
--- a/src/serving/gateway_records.cc
+++ b/src/serving/gateway_records.cc
@@ -69,6 +69,7 @@
 }
 
 void Gateway::ApplyWorkerSnapshot(const StoreRows& rows) {
+  ObserveVersions();
   std::set<std::string> present;
   for (const StoreRow& row : rows.rows) {
     present.insert(row.key);
@@ -76,6 +77,7 @@
   }
   workers_.RetainOnly(present, rows.version);
   workers_known_ = true;
+  UpdateMixedServices();
   fleet_->WorkersChanged();
   ScheduleDispatch();
 }
--- /dev/null
+++ b/src/serving/gateway_streams.cc
@@ -0,0 +1,73 @@
+// The gateway's part in taking up streams: which workers began them.
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "hingespan/serving/gateway.h"
+
+namespace hingespan::gateway {
+
+void Gateway::OnDatagram(absl::string_view bytes) {
+  const std::optional<FleetMessage> message = DecodeFleetMessage(bytes);
+  if (!message.has_value()) {
+    return;
+  }
+  if (const auto* const report = std::get_if<DemandReport>(&*message)) {
+    fleet_->OnReport(*report);
+  } else if (const auto* const update = std::get_if<PlacementUpdate>(&*message)) {
+    fleet_->OnUpdate(*update);
+  } else if (const auto* const notice = std::get_if<StreamNotice>(&*message)) {
+    streams_.OnNotice(*notice);
+  } else if (const auto* const question = std::get_if<StreamQuestion>(&*message)) {
+    streams_.OnQuestion(*question);
+  } else if (const auto* const reply = std::get_if<StreamReply>(&*message)) {
+    streams_.OnReply(*reply);
+  }
+}
+
+void Gateway::ObserveVersions() { versions_.Observe(workers_.workers(), parts_.loop->Now()); }
+
+std::optional<std::string> Gateway::OnlyVersion(const std::string& service) const {
+  // A node that doesn't hear from the store may not know a version at which others begin streams.
+  if (worker_follower_ == nullptr || !worker_follower_->connected()) {
+    return std::nullopt;
+  }
+  return versions_.OnlyVersion(service, parts_.loop->Now());
+}
+
+void Gateway::UpdateMixedServices() {
+  ObserveVersions();
+  std::set<std::string> mixed;
+  for (const auto& [id, worker] : workers_.workers()) {
+    const std::string& service = worker.record.service;
+    if (!OnlyVersion(service).has_value()) {
+      mixed.insert(service);
+    }
+  }
+  streams_.SetMixedServices(std::move(mixed));
+}
+
+void Gateway::RecordStream(const std::string& id, const StreamSource& source,
+                           absl::Duration lifetime) {
+  streams_.Add(id, source, lifetime);
+}
+
+void Gateway::FindStream(const std::string& id, const std::string& service,
+                         std::function<void(std::optional<StreamSource>)> done) {
+  std::optional<StreamSource> source = streams_.FindHere(id);
+  if (!source.has_value() && !service.empty()) {
+    ObserveVersions();
+    const std::optional<std::string> only = OnlyVersion(service);
+    if (only.has_value()) {
+      source = StreamSource{service, *only};
+    }
+  }
+  if (source.has_value() || id.empty()) {
+    done(std::move(source));
+    return;
+  }
+  streams_.Ask(id, std::move(done));
+}
+
+}  // namespace hingespan::gateway
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -51,6 +51,8 @@
       return "none";
     case ChoiceProblem::kNoWorkers:
       return "no_workers";
+    case ChoiceProblem::kVersionAbsent:
+      return "version_absent";
     case ChoiceProblem::kModelAbsent:
       return "model_absent";
     case ChoiceProblem::kAdapterAbsent:
@@ -99,6 +101,10 @@
       self->upstream_->ResumeReading();
     }
   });
+  if (TakesUpStream()) {
+    FindSource();
+    return;
+  }
   BeginWaiting();
 }
 
@@ -131,6 +137,9 @@
   demand.prompt_tokens = facts_.prompt_tokens;
   demand.output_tokens = facts_.max_output_tokens;
   demand.excluded = &excluded_workers_;
+  if (source_.has_value()) {
+    demand.software_version = &source_->software_version;
+  }
   return demand;
 }
 
@@ -153,6 +162,10 @@
     }
     return true;
   }
+  if (choice.problem == ChoiceProblem::kVersionAbsent) {
+    GiveUp(502, kVersionAbsent);
+    return true;
+  }
   if (choice.worker == nullptr) {
     NoteProblem(choice.problem);
     return false;
@@ -204,12 +217,14 @@
   answer_body_.clear();
   events_.DropRest();
   verdict_.reset();
+  attempt_source_.reset();
 }
 
 void RequestRelay::Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now) {
   BeginAttempt(now);
   peer_.clear();
   worker_id_ = worker->record.id;
+  attempt_source_ = StreamSource{service_, worker->record.software_version};
   tried_workers_.insert(worker_id_);
   excluded_workers_.insert(worker_id_);
   context_->workers->AttemptStarted(worker, demand, now);
@@ -253,7 +268,7 @@
                            (deadline_ - arrived_) * 0.25);
   absl::Time limit = arrived_ + (deadline_ - arrived_) * kMaxQueuedFraction;
   const absl::Time first_event_limit = arrived_ + FirstEventTimeout();
-  const absl::Time expected = context_->host->ExpectedReady(model_);
+  const absl::Time expected = context_->host->ExpectedReady(model_, software_version());
   if (last_problem_ == ChoiceProblem::kModelAbsent && expected != absl::InfiniteFuture()) {
     limit = MayWaitFor(expected, std::min(latest, first_event_limit)) ? latest : arrived_;
   }
@@ -360,6 +375,10 @@
 
 void RequestRelay::OnTimer() {
   const absl::Time now = context_->loop->Now();
+  if (state_ == State::kFinding && now >= Deadline()) {
+    Refuse(kUnknownStream);
+    return;
+  }
   if (state_ == State::kWaiting) {
     if (now < WaitLimit() && now < Deadline()) {
       SetTimer(now);
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -56,6 +56,13 @@
     return false;
   }
   answer_head_ = head;
+  if (!peer_.empty()) {
+    attempt_source_ = ReadSource(head.fields);
+    RemoveSource(&answer_head_.fields);
+  }
+  if (success && source_.has_value() && attempt_source_ != source_) {
+    return false;  // The peer's worker can't go on with the stream.
+  }
   forwarding_events_ = success && route_->kind == RouteKind::kStreaming;
   return true;
 }
@@ -83,11 +90,10 @@
     SetTimer(now);
   }
   if (!stream_started_) {
-    stream_started_ = true;
     first_byte_at_ = now;
     context_->metrics->first_byte.Record(now - arrived_);
-    exchange_->StartChunked(answer_head_.status, answer_head_.reason,
-                            context_->dialect->CallerFields(answer_head_));
+    RecordSource();
+    StartStream();
   }
   exchange_->WriteChunk(events);
   if (upstream_ != nullptr && exchange_->pending_bytes() > kMaxPendingBytes) {
@@ -95,6 +101,16 @@
   }
 }
 
+void RequestRelay::StartStream() {
+  stream_started_ = true;
+  HeaderFields fields = context_->dialect->CallerFields(answer_head_);
+  if (origin_.forwarded && attempt_source_.has_value()) {
+    const HeaderFields source = SourceFields(*attempt_source_);
+    fields.insert(fields.end(), source.begin(), source.end());
+  }
+  exchange_->StartChunked(answer_head_.status, answer_head_.reason, fields);
+}
+
 void RequestRelay::OnEnd(ExchangeResult result) {
   const std::shared_ptr<RequestRelay> self = shared_from_this();
   if (state_ != State::kRunning) {
@@ -170,9 +186,7 @@
     ForwardEvents(events_.TakeRest());
     EndAttempt(AttemptOutcome::kServed);
     if (!stream_started_) {
-      stream_started_ = true;
-      exchange_->StartChunked(answer_head_.status, answer_head_.reason,
-                              context_->dialect->CallerFields(answer_head_));
+      StartStream();
     }
     exchange_->FinishChunked();
     Finish(answer_head_.status, "served");
@@ -242,7 +256,7 @@
                         {"framing", std::string(FramingName(answer_head_))},
                         {"attempt", absl::StrCat(attempts_)},
                         {"after_ms", Milliseconds(now - attempt_started_)}});
-  const bool may_repeat = !may_have_run_ || route_->MayRunAgain();
+  const bool may_repeat = (!may_have_run_ || route_->MayRunAgain()) && CanGoOn();
   if (may_repeat && MayTryAnotherOrRecordDenial(now)) {
     if (stream_started_) {
       ++context_->metrics->streams_resumed;
@@ -268,14 +282,17 @@
   context_->host->Dequeue(place_);
   const absl::Time now = context_->loop->Now();
   absl::Duration retry_after = kDefaultRetryAfter;
-  const absl::Time expected = context_->host->ExpectedReady(model_);
+  const absl::Time expected = context_->host->ExpectedReady(model_, software_version());
   if (expected != absl::InfiniteFuture()) {
     retry_after = std::max(retry_after, expected - now + kReadyMargin);
-    context_->host->ExpectReturn(service_, model_, now + retry_after);
+    context_->host->ExpectReturn(service_, model_, software_version(), now + retry_after);
   }
   ++context_->metrics->refusals[std::string(why)];
-  HeaderFields fields = {
-      {"Retry-After", absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))}};
+  HeaderFields fields;
+  // A caller whose stream can't go on would return in vain.
+  if (why != kUnknownStream && why != kVersionAbsent && why != kOtherService) {
+    fields.push_back({kRetryAfter, absl::StrFormat("%.2f", absl::ToDoubleSeconds(retry_after))});
+  }
   if (origin_.forwarded) {
     const bool elsewhere = why == kUnreachable && arrivals_ == 0;
     fields.push_back(VerdictField(elsewhere ? PeerVerdict::kUnavailable : PeerVerdict::kRefused));
--- a/src/serving/request_relay_forwards.cc
+++ b/src/serving/request_relay_forwards.cc
@@ -61,6 +61,7 @@
   attempt.last_event_id = events_.last_event_id();
   RequestOrigin origin = origin_;
   origin.tried_workers = tried_workers_;
+  origin.source = source_;
   SendAttempt(peer->address, attempt, OriginFields(origin));
   SetTimer(now);
   return true;
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -202,6 +202,7 @@
   const Service* const service = configuration.FindService(demand.service);
   WorkerChoice choice;
   bool any_worker = false;
+  bool any_other_version = false;
   bool any_model = false;
   bool any_replica = false;
   double best = std::numeric_limits<double>::infinity();
@@ -210,6 +211,11 @@
     if (worker.record.service != demand.service || worker.record.draining || worker.ended) {
       continue;
     }
+    if (demand.software_version != nullptr &&
+        worker.record.software_version != *demand.software_version) {
+      any_other_version = true;
+      continue;
+    }
     any_worker = true;
     if (!demand.model.model.empty()) {
       if (!worker.Holds(ModelKey{demand.model.model, ""}, now)) {
@@ -241,7 +247,7 @@
     return choice;
   }
   if (!any_worker) {
-    choice.problem = ChoiceProblem::kNoWorkers;
+    choice.problem = any_other_version ? ChoiceProblem::kVersionAbsent : ChoiceProblem::kNoWorkers;
   } else if (any_replica || demand.model.model.empty()) {
     choice.problem = ChoiceProblem::kAllBusy;
   } else {
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -100,10 +100,20 @@
     running = count;
     coordinator->DemandChanged();
   }
+  void Receive(const std::string& datagram) {
+    const std::optional<FleetMessage> message = DecodeFleetMessage(datagram);
+    REQUIRE(message.has_value());
+    if (const auto* const report = std::get_if<DemandReport>(&*message)) {
+      coordinator->OnReport(*report);
+    } else {
+      coordinator->OnUpdate(std::get<PlacementUpdate>(*message));
+    }
+  }
   int peers_running() { return workers.Find("w")->peers_running; }
 
   int running = 0;
   WorkerDirectory workers;
+  VersionRegistry versions;
   DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
   GatewayMetrics metrics;
   NoControl control;
@@ -146,13 +156,14 @@
   parts.store = &fleet->store;
   parts.control = &control;
   parts.workers = &workers;
+  parts.versions = &versions;
   parts.log = &log;
   parts.metrics = &metrics;
   parts.reads_store = [] { return true; };
   parts.reads_for_others = [] { return true; };
   parts.send = [fleet](const std::string& address, absl::string_view bytes) {
     fleet->loop.Post([fleet, address, datagram = std::string(bytes)] {
-      fleet->nodes.at(address)->coordinator->OnDatagram(datagram);
+      fleet->nodes.at(address)->Receive(datagram);
     });
   };
   parts.fill_report = [this](DemandReport* report) {
@@ -192,7 +203,7 @@
   update.token = 1;
   update.number = 1;
   update.loads = {{"w", 3, 0, {}}};
-  node->coordinator->OnDatagram(EncodeFleetMessage(update));
+  node->coordinator->OnUpdate(update);
   REQUIRE(node->peers_running() == 3);
   REQUIRE(fleet.Wait([&] { return node->coordinator->holds_lease(); }));
   CHECK(node->peers_running() == 3);
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -9,8 +9,13 @@
 namespace {
 
 TEST_CASE("a demand report is decoded as it was encoded") {
-  const DemandReport report{
-      "n1", 5, 9, {{"s", "m", "a1", 1, 2, 3, 900}}, {{"w1", 4, 500, {{"m", 3}, {"n", 1}}}}, {"w7"}};
+  const DemandReport report{"n1",
+                            5,
+                            9,
+                            {{"s", "m", "a1", 1, 2, 3, 900}},
+                            {{"w1", 4, 500, {{"m", 3}, {"n", 1}}}},
+                            {"w7"},
+                            {{"s", "v1.1", "m", "a1", 2}}};
   const auto read = DecodeFleetMessage(EncodeFleetMessage(report));
   REQUIRE(read.has_value());
   const auto* const same = std::get_if<DemandReport>(&*read);
@@ -27,6 +32,9 @@
   CHECK(same->loads[0].models[1].model == "n");
   CHECK(same->loads[0].models[1].running == 1);
   CHECK(same->unreachable == std::vector<std::string>{"w7"});
+  REQUIRE(same->bound.size() == 1);
+  CHECK(same->bound[0].software_version == "v1.1");
+  CHECK(same->bound[0].waiting == 2);
 }
 
 TEST_CASE("a placement update is decoded as it was encoded") {
@@ -44,6 +52,26 @@
   CHECK(!same->loads.has_value());
 }
 
+TEST_CASE("messages about streams are decoded as they were encoded") {
+  const StreamSource source{"s", "v1.2"};
+  const auto notice = DecodeFleetMessage(EncodeFleetMessage(StreamNotice{"id", source, 700}));
+  REQUIRE(notice.has_value());
+  CHECK(std::get<StreamNotice>(*notice).stream_id == "id");
+  CHECK(std::get<StreamNotice>(*notice).source == source);
+  CHECK(std::get<StreamNotice>(*notice).lifetime_ms == 700);
+  const auto question = DecodeFleetMessage(EncodeFleetMessage(StreamQuestion{"id", "a:1", 7}));
+  REQUIRE(question.has_value());
+  CHECK(std::get<StreamQuestion>(*question).reply_address == "a:1");
+  CHECK(std::get<StreamQuestion>(*question).number == 7);
+  for (const std::optional<StreamSource>& known : {std::optional(source), {}}) {
+    const auto reply = DecodeFleetMessage(EncodeFleetMessage(StreamReply{"id", 7, "n2", known}));
+    REQUIRE(reply.has_value());
+    CHECK(std::get<StreamReply>(*reply).stream_id == "id");
+    CHECK(std::get<StreamReply>(*reply).node == "n2");
+    CHECK(std::get<StreamReply>(*reply).source == known);
+  }
+}
+
 TEST_CASE("an update without loads differs from one with no loaded workers") {
   PlacementUpdate update;
   update.loads.emplace();
--- a/tests/fleet/fleet_placer_test.cc
+++ b/tests/fleet/fleet_placer_test.cc
@@ -101,6 +101,46 @@
   std::uint64_t number = 0;
 };
 
+// Guards against refusing a stream that is taken up, as its model is loaded only at workers of
+// another software version, and that there counts as enough.
+TEST_CASE("a stream that is bound to a version gets its model at a worker of that version") {
+  PlacerFixture fixture(4);
+  for (const char* const id : {"w0", "w1"}) {
+    fixture.workers[id].record.software_version = "v2";
+  }
+  fixture.workers["w2"].record.software_version = "v1";
+  fixture.workers["w3"].record.software_version = "v1";
+  fixture.Hold("w2", "m1");
+  DemandReport report;
+  report.node = "n1";
+  report.number = 1;
+  report.demands.push_back({"s", "m1", "a1", 1, 0, 1, 100});
+  report.bound.push_back({"s", "v2", "m1", "a1", 1});
+  fixture.placer.OnReport(report, At(5));
+  const auto of_model = [](const std::vector<PlannedOrder>& orders, bool adapter) {
+    std::vector<std::string> ids;
+    for (const PlannedOrder& planned : orders) {
+      if (planned.order.kind == OrderKind::kLoad && planned.order.adapter.empty() != adapter) {
+        ids.push_back(planned.order.worker_id);
+      }
+    }
+    return ids;
+  };
+  const std::vector<PlannedOrder> orders = fixture.Plan(5);
+  const std::vector<std::string> loads = of_model(orders, false);
+  REQUIRE(loads.size() == 1);
+  CHECK((loads[0] == "w0" || loads[0] == "w1"));
+  for (const PlannedOrder& planned : orders) {
+    fixture.Accept(planned.order, 5.1);
+  }
+  fixture.Reports(6.3);
+  ++report.number;
+  fixture.placer.OnReport(report, At(6.3));
+  // The adapter, too, is needed at that worker, though another one has it.
+  const std::vector<std::string> adapters = of_model(fixture.Plan(6.3), true);
+  CHECK(adapters == loads);
+}
+
 TEST_CASE("nothing is ordered at a worker before a report shows its sequence") {
   PlacerFixture fixture(1);
   fixture.Demand(5, "m1", "", 1, 0, 1);
--- /dev/null
+++ b/tests/fleet/stream_directory_test.cc
@@ -0,0 +1,178 @@
+#include "hingespan/fleet/stream_directory.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr absl::Duration kLimit = absl::Seconds(10);
+const StreamSource kSource{"s", "v1"};
+
+// Directories that are connected to each other. Those in `down` neither send nor receive.
+struct Fleet {
+  explicit Fleet(int count) {
+    std::vector<StreamNode> all;
+    for (int number = 0; number < count; ++number) {
+      const std::string name = absl::StrCat("n", number);
+      all.push_back({name, absl::StrCat("zone-", number % 3), name});
+      Start(name);
+    }
+    for (const auto& [name, node] : nodes) {
+      node->SetNodes(all);
+    }
+    known = all;
+  }
+
+  // Starts a process without records; it replaces an earlier one of the same name.
+  StreamDirectory* Start(const std::string& name) {
+    StreamDirectoryParts parts;
+    parts.loop = &loop;
+    parts.metrics = &metrics;
+    parts.send = [this, name](const std::string& address, absl::string_view bytes) {
+      loop.Post([this, name, address, datagram = std::string(bytes)] {
+        if (!down.contains(name) && !down.contains(address)) {
+          Deliver(address, datagram);
+        }
+      });
+    };
+    nodes[name] = std::make_unique<StreamDirectory>(name, parts);
+    nodes[name]->SetAddress(name);
+    nodes[name]->SetNodes(known);
+    return nodes[name].get();
+  }
+
+  void Deliver(const std::string& address, const std::string& datagram) {
+    const auto message = DecodeFleetMessage(datagram);
+    REQUIRE(message.has_value());
+    StreamDirectory* const node = nodes.at(address).get();
+    if (const auto* const notice = std::get_if<StreamNotice>(&*message)) {
+      node->OnNotice(*notice);
+    } else if (const auto* const question = std::get_if<StreamQuestion>(&*message)) {
+      node->OnQuestion(*question);
+    } else {
+      node->OnReply(std::get<StreamReply>(*message));
+    }
+  }
+
+  // Asks at a node, and waits for the result.
+  std::optional<StreamSource> Ask(const std::string& name, const std::string& stream) {
+    bool ended = false;
+    std::optional<StreamSource> found;
+    nodes.at(name)->Ask(stream, [&](std::optional<StreamSource> source) {
+      found = std::move(source);
+      ended = true;
+    });
+    REQUIRE(loop.RunUntil([&] { return ended; }, kLimit));
+    return found;
+  }
+
+  // Delivers all datagrams that were sent.
+  void Settle() {
+    bool done = false;
+    loop.Post([&] { loop.Post([&] { done = true; }); });
+    REQUIRE(loop.RunUntil([&] { return done; }, kLimit));
+  }
+
+  EventLoop loop;
+  GatewayMetrics metrics;
+  std::vector<StreamNode> known;
+  std::set<std::string> down;
+  std::map<std::string, std::unique_ptr<StreamDirectory>> nodes;
+};
+
+// Guards against losing a stream's source with the process that began the stream.
+TEST_CASE("a stream is found at every node after its own node has restarted") {
+  Fleet fleet(6);
+  fleet.nodes["n0"]->SetMixedServices({"s"});
+  fleet.nodes["n0"]->Add("stream", kSource, absl::Seconds(30));
+  fleet.Settle();
+  fleet.Start("n0");
+  for (const auto& [name, node] : fleet.nodes) {
+    const std::optional<StreamSource> here = node->FindHere("stream");
+    CHECK((here.has_value() ? here : fleet.Ask(name, "stream")) == kSource);
+  }
+}
+
+// Guards against an answer that a lost datagram, or a node that doesn't answer, delays forever.
+TEST_CASE("a search ends though nodes don't answer") {
+  Fleet fleet(6);
+  fleet.nodes["n0"]->SetMixedServices({"s"});
+  fleet.nodes["n0"]->Add("stream", kSource, absl::Seconds(30));
+  fleet.Settle();
+  SUBCASE("one holder is enough") {
+    fleet.down.insert("n0");
+    std::string asks;
+    for (const auto& [name, node] : fleet.nodes) {
+      if (name != "n0" && !node->FindHere("stream").has_value()) {
+        asks = name;
+      }
+    }
+    CHECK(fleet.Ask(asks, "stream") == kSource);
+  }
+  SUBCASE("none answers") {
+    for (int number = 1; number < 6; ++number) {
+      fleet.down.insert(absl::StrCat("n", number));
+    }
+    fleet.down.insert("n0");
+    fleet.Start("n1");
+    CHECK(!fleet.Ask("n1", "stream").has_value());
+  }
+}
+
+TEST_CASE("records are sent only while versions are mixed, and then those of running streams too") {
+  Fleet fleet(6);
+  StreamDirectory* const node = fleet.nodes["n0"].get();
+  node->Add("before", kSource, absl::Seconds(30));
+  fleet.Settle();
+  CHECK(fleet.metrics.stream_notices == 0);
+  node->SetMixedServices({"s"});
+  fleet.Settle();
+  CHECK(fleet.metrics.stream_notices == 2);
+  fleet.Start("n0");
+  CHECK(fleet.Ask("n0", "before") == kSource);
+}
+
+// Guards against a late reply to a process of the same address that has ended.
+TEST_CASE("a reply about another stream is no answer") {
+  Fleet fleet(2);
+  fleet.down.insert("n1");
+  StreamDirectory* const node = fleet.nodes["n0"].get();
+  bool ended = false;
+  std::optional<StreamSource> found;
+  node->Ask("stream", [&](std::optional<StreamSource> source) {
+    found = std::move(source);
+    ended = true;
+  });
+  node->OnReply({"earlier", 1, "n1", kSource});
+  CHECK(!ended);
+  REQUIRE(fleet.loop.RunUntil([&] { return ended; }, kLimit));
+  CHECK(!found.has_value());
+}
+
+TEST_CASE("the registry forgets records that have expired, and bounds their number") {
+  StreamRegistry registry;
+  const absl::Time start = absl::FromUnixSeconds(1000);
+  registry.Add("short", {kSource, start + absl::Seconds(1), true}, start);
+  registry.Add("again", {kSource, start + absl::Seconds(1), true}, start);
+  registry.Add("again", {{"s", "v2"}, start + absl::Seconds(9), true}, start);
+  CHECK(!registry.Find("short", start + absl::Seconds(2)).has_value());
+  registry.Add("other", {kSource, start + absl::Seconds(9), true}, start + absl::Seconds(2));
+  CHECK(registry.size() == 2);
+  CHECK(registry.Find("again", start + absl::Seconds(2))->software_version == "v2");
+  for (std::size_t number = 0; number < StreamRegistry::kMaxRecords + 10; ++number) {
+    registry.Add(absl::StrCat(number), {kSource, start + absl::Seconds(9), false}, start);
+  }
+  CHECK(registry.size() <= StreamRegistry::kMaxRecords);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
--- a/tests/serving/stream_versions_test.cc
+++ b/tests/serving/stream_versions_test.cc
@@ -166,5 +166,44 @@
   CHECK(fresh->runs().empty());
 }
 
+// Guards against refusing streams whose node has ended, though all workers have the same version.
+TEST_CASE("a stream that no node knows goes on at the service's only version") {
+  GatewayFixture fixture;
+  AddVersion(&fixture, "w1", "v1");
+  TestNode* const node = fixture.AddNode("n1");
+  REQUIRE(
+      fixture.Wait([&] { return !fixture.store.Value("hingespan", "versions/models").empty(); }));
+  const auto earn = [&] { return fixture.Ask(node, TakeUpRequest("second", "unknown")); };
+  // The node reads the record of versions within a second or so.
+  std::unique_ptr<TestCall> call = earn();
+  const absl::Time began = fixture.loop.Now();
+  while (call->head.status != 200 && fixture.loop.Now() - began < absl::Seconds(10)) {
+    call = earn();
+  }
+  CHECK(call->head.status == 200);
+  CHECK(call->body == Events(4, 6));
+  CHECK(node->metrics.stream_notices == 0);
+}
+
+// Guards against an answer that another node's worker, of another version, goes on with.
+TEST_CASE("a record of a version that has left outlives its workers") {
+  GatewayFixture fixture;
+  AddVersion(&fixture, "w1", "v1");
+  TestNode* const node = fixture.AddNode("n1");
+  REQUIRE(
+      fixture.Wait([&] { return !fixture.store.Value("hingespan", "versions/models").empty(); }));
+  AddVersion(&fixture, "w2", "v2");
+  AwaitWorker(&fixture, node, "w2");
+  REQUIRE(fixture.Wait([&] {
+    return fixture.store.Value("hingespan", "versions/models").find("v2") != std::string::npos;
+  }));
+  fixture.store.Remove("servers", "w1");
+  // A process that starts now has never seen the worker that left.
+  TestNode* const fresh = fixture.AddNode("n2");
+  const auto call = fixture.Ask(fresh, TakeUpRequest("second", "unknown"));
+  CHECK(call->head.status == 503);
+  CHECK(fixture.workers[1]->runs().empty());
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
