HTTP clients: an answer without an end has a bound

Read in the code: the gateway's client bounded a head (64 KB, Beast) but not a chunk header or a trailer, nor the number of interim answers; a whole answer, an event and the body of a report were kept without a bound, and a report that kept arriving never timed out. hingespand's client bounded neither a head nor a kept body.

Beyond them the attempt has failed and its connection is closed.

--- a/include/hingespan/serving/event_splitter.h
+++ b/include/hingespan/serving/event_splitter.h
@@ -2,6 +2,7 @@
 #ifndef HINGESPAN_SERVING_EVENT_SPLITTER_H_
 #define HINGESPAN_SERVING_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <string>
 
 #include "absl/strings/string_view.h"
@@ -12,6 +13,9 @@
 // in the middle of an event can be resumed at another worker. Not thread-safe.
 class EventSplitter {
  public:
+  // An event that is longer has no end that could be waited for.
+  static constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
   // Returns the events that `piece` completes, including their bytes that were held back before.
   std::string Feed(absl::string_view piece);
   // Returns and clears the bytes that were held back, which are line ends after a whole stream.
@@ -20,6 +24,8 @@
   void DropRest() { pending_.clear(); }
   // True if the bytes held back begin an event, so that a stream that ends here was broken off.
   bool InsideEvent() const { return pending_.find_first_not_of("\r\n") != std::string::npos; }
+  // True if the bytes held back are more than an event may have.
+  bool EventTooLarge() const { return pending_.size() > kMaxEventBytes; }
   // Id of the last complete event; empty if there is none yet.
   const std::string& last_event_id() const { return last_event_id_; }
   bool any_event() const { return any_event_; }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -27,6 +27,7 @@
 // An idle connection is reused only within this fraction of the peer's keep-alive timeout, so that
 // the peer does not close it just as a request is sent.
 constexpr double kKeepAliveFraction = 0.7;
+constexpr int kMaxInterimAnswers = 16;
 
 class Connection;
 
@@ -63,6 +64,7 @@
     received_any_ = false;
     written_ = false;
     paused_ = false;
+    interim_answers_ = 0;
     parser_ =
         std::make_unique<AnswerParser>([this](absl::string_view piece) { DeliverBody(piece); });
     head_delivered_ = false;
@@ -268,6 +270,7 @@
   std::string message_;
   Exchange* exchange_ = nullptr;
   absl::Duration idle_timeout_;
+  int interim_answers_ = 0;
   bool connected_ = false;
   bool written_ = false;
   bool reading_ = false;
@@ -339,6 +342,10 @@
   }
   // An interim answer (1xx) is followed by the final one.
   if (parser_->complete() && parser_->head().status / 100 == 1) {
+    if (++interim_answers_ > kMaxInterimAnswers) {
+      End(ExchangeResult::kMalformed);
+      return;
+    }
     parser_ =
         std::make_unique<AnswerParser>([this](absl::string_view piece) { DeliverBody(piece); });
     Feed(bytes.substr(taken));
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -11,7 +11,10 @@
 using BeastView = boost::beast::string_view;
 
 constexpr std::uint32_t kAnswerHeadLimit = 64 * 1024;
+// Streams have no length; receivers that keep a body whole bound it themselves.
 constexpr std::uint64_t kAnswerBodyLimit = 1ULL << 40;
+// Bytes of a chunk header or trailer that may come without its end.
+constexpr std::size_t kMaxFramingBytes = 64 * 1024;
 
 std::string ToString(BeastView view) { return {view.data(), view.size()}; }
 
@@ -54,6 +57,9 @@
     }
     pending_.erase(0, taken);
     if (!this->is_done()) {
+      if (this->is_header_done() && pending_.size() > kMaxFramingBytes) {
+        fault_ = ParseFault::kMalformed;
+      }
       return bytes.size();
     }
     const std::size_t surplus = pending_.size();
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -17,6 +17,10 @@
 namespace {
 
 constexpr absl::Duration kMinTimeout = absl::Milliseconds(1);
+// Bytes that may come without completing a head, or the framing between two pieces of a body.
+constexpr std::size_t kMaxFramingBytes = 256 * 1024;
+// Size of a body that is kept whole.
+constexpr std::size_t kMaxBodyBytes = 16 * 1024 * 1024;
 
 // A client connection, used for one exchange at a time.
 class Connection {
@@ -29,9 +33,13 @@
     end_ = ReadEnd::kNone;
     sent_ = false;
     received_ = false;
+    bytes_since_piece_ = 0;
   }
   // Called for each received piece of the body; from then on the idle limit applies, if any.
-  void OnPiece() { received_ = true; }
+  void OnPiece() {
+    received_ = true;
+    bytes_since_piece_ = 0;
+  }
   ReadEnd read_end() const { return end_; }
   // True if the connection was established, so that something may have been sent.
   bool sent() const { return sent_; }
@@ -41,13 +49,17 @@
   // Stream that extends its deadline by the idle limit as pieces arrive.
   class ExchangeStream : public DeadlineStream {
    public:
-    ExchangeStream(int socket, SSL* ssl, const Connection& connection)
+    ExchangeStream(int socket, SSL* ssl, Connection& connection)
         : DeadlineStream(socket, ssl), connection_(connection) {}
     ssize_t read(char* data, std::size_t size) override {
       if (connection_.received_ && !is_buffered()) {
         BeforeWait();
       }
-      return DeadlineStream::read(data, size);
+      const ssize_t count = DeadlineStream::read(data, size);
+      if (count > 0) {
+        connection_.bytes_since_piece_ += static_cast<std::size_t>(count);
+      }
+      return connection_.bytes_since_piece_ > kMaxFramingBytes ? -1 : count;
     }
 
    private:
@@ -61,7 +73,7 @@
       }
     }
 
-    const Connection& connection_;
+    Connection& connection_;
   };
 
   bool Process(int socket, SSL* ssl, const std::function<bool(httplib::Stream&)>& callback) {
@@ -83,6 +95,7 @@
   ReadEnd end_ = ReadEnd::kNone;
   bool sent_ = false;
   bool received_ = false;
+  std::size_t bytes_since_piece_ = 0;
 };
 
 class PlainConnection : public httplib::ClientImpl, public Connection {
@@ -263,12 +276,14 @@
     return true;
   };
   Connection* const raw = connection.get();
-  request.content_receiver = [&answer, &exchange, raw](const char* data, std::size_t size,
-                                                       std::uint64_t, std::uint64_t) {
+  bool too_large = false;
+  request.content_receiver = [&answer, &exchange, &too_large, raw](
+                                 const char* data, std::size_t size, std::uint64_t, std::uint64_t) {
     raw->OnPiece();
     if (exchange.on_piece == nullptr || answer.status != 200) {
       answer.body.append(data, size);
-      return true;
+      too_large = answer.body.size() > kMaxBodyBytes;
+      return !too_large;
     }
     return exchange.on_piece(std::string_view(data, size));
   };
@@ -279,7 +294,7 @@
     state_->ReturnIdle(exchange.address, std::move(connection));
     return answer;
   }
-  answer.end = EndOf(*connection, error);
+  answer.end = too_large ? ExchangeEnd::kBroken : EndOf(*connection, error);
   return answer;
 }
 
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -15,6 +15,8 @@
 constexpr absl::Duration kReadyMargin = absl::Milliseconds(150);
 // Reading from the worker pauses while more bytes than this wait for a slow caller.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
+// Size of an answer that is kept until it is whole; streams are passed on as they come.
+constexpr std::size_t kMaxWholeAnswerBytes = 4 * 1024 * 1024;
 // Time for which a replica counts as absent after its worker reported that it doesn't hold it.
 constexpr absl::Duration kDeniedReplicaLifetime = absl::Milliseconds(700);
 
@@ -75,9 +77,15 @@
   }
   if (!forwarding_events_) {
     answer_body_.append(piece.data(), piece.size());
-    return;
+  } else {
+    ForwardEvents(events_.Feed(piece));
+  }
+  if (state_ == State::kRunning &&
+      (answer_body_.size() > kMaxWholeAnswerBytes || events_.EventTooLarge())) {
+    const std::shared_ptr<RequestRelay> self = shared_from_this();
+    EndAttempt(AttemptOutcome::kFailed);
+    OnFailedAttempt("without_end");
   }
-  ForwardEvents(events_.Feed(piece));
 }
 
 void RequestRelay::ForwardEvents(const std::string& events) {
--- a/tests/net/http_exchange_test.cc
+++ b/tests/net/http_exchange_test.cc
@@ -8,6 +8,7 @@
 #include "absl/synchronization/notification.h"
 #include "hingespan/common/clock.h"
 #include "hingespan/net/http_server.h"
+#include "tests/http/endless_server.h"
 #include "tests/net/raw_client.h"
 
 namespace hingespan {
@@ -164,6 +165,23 @@
   CHECK(received == 200);
 }
 
+// Guards against an engine that fills a node's memory with bytes that are no answer.
+TEST_CASE("an answer without an end is broken") {
+  std::string begin;
+  std::string unit = "a";
+  SUBCASE("status line") { begin = "HTTP/1.1 200 "; }
+  SUBCASE("fields") {
+    begin = "HTTP/1.1 200 OK\r\n";
+    unit = "X: a\r\n";
+  }
+  SUBCASE("chunk header") { begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;"; }
+  SUBCASE("body") { begin = "HTTP/1.1 500 Failed\r\n\r\n"; }
+  EndlessServer server(begin, unit);
+  HttpClientPool pool((HttpClientOptions()));
+  CHECK(pool.Exchange(Exchange(server.address(), kLimit)).end == ExchangeEnd::kBroken);
+  CHECK(!server.exhausted());
+}
+
 TEST_CASE("connections are reused for the next exchange, unless idle for too long") {
   HttpServer server((HttpServerOptions()));
   server.routes().Get("/", [](const httplib::Request&, httplib::Response& response) {
--- a/tests/platform/json_call_test.cc
+++ b/tests/platform/json_call_test.cc
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "hingespan/http/http_server.h"
+#include "tests/http/endless_server.h"
 
 namespace hingespan::gateway::platform {
 namespace {
@@ -26,12 +27,13 @@
     timer->Set(loop.Now() + pause, [this] { NextPiece(); });
   }
 
-  Result<JsonAnswer> Ask() {
+  Result<JsonAnswer> Ask() { return Ask(server.address()); }
+  Result<JsonAnswer> Ask(const std::string& address) {
     std::optional<Result<JsonAnswer>> result;
     JsonCall call;
-    call.address = server.address();
+    call.address = address;
     call.target = "/";
-    call.timeout = kTimeout;
+    call.timeout = timeout;
     StartJsonCall(&loop, &client, call, [&](Result<JsonAnswer> answer) { result = answer; });
     REQUIRE(loop.RunUntil([&] { return result.has_value(); }, kLimit));
     return *result;
@@ -39,6 +41,7 @@
 
   EventLoop loop;
   int pieces_left = 0;
+  absl::Duration timeout = kTimeout;
   absl::Duration pause = absl::Milliseconds(500);
   std::shared_ptr<ServerExchange> exchange;
   std::unique_ptr<LoopTimer> timer = loop.MakeTimer();
@@ -61,6 +64,26 @@
   CHECK(answer->body == "[1][1][1][1][1]");
 }
 
+// Guards against a worker's report that holds its call, and fills the memory, without an end.
+TEST_CASE("an answer without an end is lost") {
+  EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "[1]");
+  Fixture fixture;
+  const auto answer = fixture.Ask(server.address());
+  REQUIRE(!answer.ok());
+  CHECK(answer.error() == make_error_code(Error::kAnswerLost));
+  CHECK(!server.exhausted());
+}
+
+TEST_CASE("an answer that arrives ever so slowly times out in the end") {
+  Fixture fixture;
+  fixture.pieces_left = 1000000;
+  fixture.timeout = absl::Milliseconds(50);
+  fixture.pause = absl::Milliseconds(5);
+  const auto answer = fixture.Ask();
+  REQUIRE(!answer.ok());
+  CHECK(answer.error() == make_error_code(Error::kTimeout));
+}
+
 TEST_CASE("a call to a silent server times out") {
   Fixture fixture;
   const auto answer = fixture.Ask();
