Stream directory: nodes that agree on the only version may go on with an unknown stream

Now the nodes that are asked also tell the only version that they know of; if more than half answer and all name this node's, the stream goes on at it. A version that a node uses was pushed to the holders of its streams, which are among those asked.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -102,6 +102,8 @@
 // Asks a possible holder for the record of a stream.
 struct StreamQuestion {
   std::string stream_id;
+  // Service that the stream belongs to; empty if there may be several.
+  std::string service;
   // Address to which the reply is sent.
   std::string reply_address;
   std::uint64_t number = 0;
@@ -115,6 +117,8 @@
   std::string node;
   // Absent if the node has no record.
   std::optional<StreamSource> source;
+  // The only software version of the service that the node knows of; absent if there are others.
+  std::optional<std::string> only_version;
 };
 
 using FleetMessage =
--- a/include/hingespan/fleet/stream_directory.h
+++ b/include/hingespan/fleet/stream_directory.h
@@ -1,8 +1,10 @@
 // Finds the workers at which a stream that a caller takes up again has begun.
 //
-// The node that passes on a stream's first event keeps a record of its source. Unless the service is
-// known to have workers of one software version only, it also sends the record to the holders, so
-// that it outlives the node. A node without the record asks the nodes that may hold it.
+// The node that passes on a stream's first event keeps a record of its source. Unless the service
+// is known to have workers of one software version only, it also sends the record to the holders,
+// so that it outlives the node. A node without the record asks the nodes that may hold it. If none
+// has it, but most of them answer and all know the same only version, the stream goes on at that
+// one: a version that one of them doesn't know can't have been used for long.
 #ifndef HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 #define HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 
@@ -31,12 +33,15 @@
   GatewayMetrics* metrics = nullptr;
   // Sends a datagram to a node's address.
   std::function<void(const std::string& address, absl::string_view bytes)> send;
+  // Returns the only software version of a service that this node knows of; std::nullopt if there
+  // are others, or if it may not know all.
+  std::function<std::optional<std::string>(const std::string& service)> only_version;
 };
 
 // Not thread-safe; runs on the thread of its event loop.
 class StreamDirectory {
  public:
-  // Gets std::nullopt if no node that answered in time has a record.
+  // Gets std::nullopt if the source is not known.
   using Callback = std::function<void(std::optional<StreamSource>)>;
 
   StreamDirectory(std::string node, StreamDirectoryParts parts);
@@ -55,8 +60,9 @@
   // its caller may take it up.
   void Add(const std::string& stream_id, const StreamSource& source, absl::Duration lifetime);
   std::optional<StreamSource> FindHere(const std::string& stream_id) const;
-  // Asks the other nodes. Calls `done` from the loop, never from within this call.
-  void Ask(const std::string& stream_id, Callback done);
+  // Asks the other nodes. `stream_id` is empty if the caller doesn't tell it, `service` if it may
+  // be one of several. Calls `done` from the loop, never from within this call.
+  void Ask(const std::string& stream_id, const std::string& service, Callback done);
 
   void OnNotice(const StreamNotice& notice);
   void OnQuestion(const StreamQuestion& question);
@@ -65,16 +71,23 @@
  private:
   struct Search {
     std::string stream_id;
+    std::string service;
     Callback done;
     // Nodes that have not replied, by name.
     std::map<std::string, std::string> addresses;
     std::unique_ptr<LoopTimer> timer;
     int rounds = 0;
+    std::size_t asked = 0;
+    std::size_t replies = 0;
+    // True while all replies name the only version that this node knows of.
+    bool agreed = true;
   };
 
   void SendNotice(const std::string& stream_id, const StreamRegistry::Record& record);
   // Asks those that have not replied, or ends the search.
   void NextRound(std::uint64_t number);
+  // Returns what follows from the replies if none had a record.
+  std::optional<StreamSource> Conclusion(const Search& search) const;
   void End(std::uint64_t number, std::optional<StreamSource> source);
 
   std::string node_;
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -137,17 +137,18 @@
 }
 
 Json Encode(const StreamQuestion& question) {
-  return Json::array(
-      {kStreamQuestion, question.stream_id, question.reply_address, question.number});
+  return Json::array({kStreamQuestion, question.stream_id, question.service, question.reply_address,
+                      question.number});
 }
 
 StreamQuestion DecodeQuestion(const Json& json) {
   return {json.at(1).get<std::string>(), json.at(2).get<std::string>(),
-          json.at(3).get<std::uint64_t>()};
+          json.at(3).get<std::string>(), json.at(4).get<std::uint64_t>()};
 }
 
 Json Encode(const StreamReply& reply) {
-  Json list = Json::array({kStreamReply, reply.stream_id, reply.number, reply.node});
+  Json list = Json::array({kStreamReply, reply.stream_id, reply.number, reply.node,
+                           reply.only_version.has_value() ? Json(*reply.only_version) : Json()});
   if (reply.source.has_value()) {
     list.push_back(reply.source->service);
     list.push_back(reply.source->software_version);
@@ -156,11 +157,16 @@
 }
 
 StreamReply DecodeReply(const Json& json) {
-  constexpr std::size_t kEntriesWithSource = 6;
-  StreamReply reply{json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(),
-                    json.at(3).get<std::string>(), std::nullopt};
+  constexpr std::size_t kEntriesWithSource = 7;
+  StreamReply reply;
+  reply.stream_id = json.at(1).get<std::string>();
+  reply.number = json.at(2).get<std::uint64_t>();
+  reply.node = json.at(3).get<std::string>();
+  if (!json.at(4).is_null()) {
+    reply.only_version = json.at(4).get<std::string>();
+  }
   if (json.size() >= kEntriesWithSource) {
-    reply.source = StreamSource{json.at(4).get<std::string>(), json.at(5).get<std::string>()};
+    reply.source = StreamSource{json.at(5).get<std::string>(), json.at(6).get<std::string>()};
   }
   return reply;
 }
--- a/src/fleet/stream_directory.cc
+++ b/src/fleet/stream_directory.cc
@@ -54,15 +54,17 @@
   return registry_.Find(stream_id, parts_.loop->Now());
 }
 
-void StreamDirectory::Ask(const std::string& stream_id, Callback done) {
+void StreamDirectory::Ask(const std::string& stream_id, const std::string& service, Callback done) {
   const std::uint64_t number = ++last_number_;
   Search& search = searches_[number];
   search.stream_id = stream_id;
+  search.service = service;
   search.done = std::move(done);
   search.timer = parts_.loop->MakeTimer();
   for (const StreamNode& node : PossibleHolders(stream_id, nodes_, node_)) {
     search.addresses[node.name] = node.address;
   }
+  search.asked = search.addresses.size();
   search.timer->Set(parts_.loop->Now(), [this, number] { NextRound(number); });
 }
 
@@ -73,11 +75,12 @@
   }
   Search& search = entry->second;
   if (search.addresses.empty() || search.rounds == kRounds) {
-    End(number, FindHere(search.stream_id));
+    End(number, Conclusion(search));
     return;
   }
   ++search.rounds;
-  const std::string bytes = EncodeFleetMessage(StreamQuestion{search.stream_id, address_, number});
+  const std::string bytes =
+      EncodeFleetMessage(StreamQuestion{search.stream_id, search.service, address_, number});
   for (const auto& [name, address] : search.addresses) {
     ++parts_.metrics->stream_questions;
     parts_.send(address, bytes);
@@ -85,6 +88,19 @@
   search.timer->Set(parts_.loop->Now() + kRoundTime, [this, number] { NextRound(number); });
 }
 
+std::optional<StreamSource> StreamDirectory::Conclusion(const Search& search) const {
+  if (std::optional<StreamSource> source = FindHere(search.stream_id)) {
+    return source;
+  }
+  const bool most_replied = 2 * search.replies > search.asked || search.asked == 0;
+  const std::optional<std::string> only =
+      search.service.empty() ? std::nullopt : parts_.only_version(search.service);
+  if (!only.has_value() || !search.agreed || !most_replied) {
+    return std::nullopt;
+  }
+  return StreamSource{search.service, *only};
+}
+
 void StreamDirectory::End(std::uint64_t number, std::optional<StreamSource> source) {
   const auto entry = searches_.find(number);
   const Callback done = std::move(entry->second.done);
@@ -99,9 +115,11 @@
 }
 
 void StreamDirectory::OnQuestion(const StreamQuestion& question) {
-  parts_.send(question.reply_address,
-              EncodeFleetMessage(StreamReply{question.stream_id, question.number, node_,
-                                             FindHere(question.stream_id)}));
+  StreamReply reply{question.stream_id, question.number, node_, FindHere(question.stream_id), {}};
+  if (!question.service.empty()) {
+    reply.only_version = parts_.only_version(question.service);
+  }
+  parts_.send(question.reply_address, EncodeFleetMessage(reply));
 }
 
 void StreamDirectory::OnReply(const StreamReply& reply) {
@@ -109,9 +127,19 @@
   if (entry == searches_.end() || entry->second.stream_id != reply.stream_id) {
     return;
   }
-  entry->second.addresses.erase(reply.node);
-  if (reply.source.has_value() || entry->second.addresses.empty()) {
+  if (reply.source.has_value()) {
     End(reply.number, reply.source);
+    return;
+  }
+  Search& search = entry->second;
+  if (search.addresses.erase(reply.node) == 0) {
+    return;
+  }
+  ++search.replies;
+  search.agreed = search.agreed && reply.only_version.has_value() &&
+                  reply.only_version == parts_.only_version(search.service);
+  if (search.addresses.empty()) {
+    End(reply.number, Conclusion(search));
   }
 }
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -86,6 +86,10 @@
       streams_(settings_.node, {parts_.loop, parts_.metrics,
                                 [this](const std::string& address, absl::string_view bytes) {
                                   peers_.Send(address, bytes);
+                                },
+                                [this](const std::string& service) {
+                                  ObserveVersions();
+                                  return versions_.OnlyVersion(service, parts_.loop->Now());
                                 }}),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -63,11 +63,11 @@
       source = StreamSource{service, *only};
     }
   }
-  if (source.has_value() || id.empty()) {
+  if (source.has_value()) {
     done(std::move(source));
     return;
   }
-  streams_.Ask(id, std::move(done));
+  streams_.Ask(id, service, std::move(done));
 }
 
 }  // namespace hingespan::gateway
