Stream directory: nodes that know nothing abstain, and half of the replies are enough

A reply now lists all versions that its node knows; one without any, as of a process that has just started while the store is away, is left out of the count, and half of the nodes asked are enough. One that knows another version still decides.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -117,8 +118,8 @@
   std::string node;
   // Absent if the node has no record.
   std::optional<StreamSource> source;
-  // The only software version of the service that the node knows of; absent if there are others.
-  std::optional<std::string> only_version;
+  // Software versions of the service that the node knows of; empty if it has not heard of any.
+  std::set<std::string> versions;
 };
 
 using FleetMessage =
--- a/include/hingespan/fleet/stream_directory.h
+++ b/include/hingespan/fleet/stream_directory.h
@@ -3,8 +3,8 @@
 // The node that passes on a stream's first event keeps a record of its source. Unless the service
 // is known to have workers of one software version only, it also sends the record to the holders,
 // so that it outlives the node. A node without the record asks the nodes that may hold it. If none
-// has it, but most of them answer and all know the same only version, the stream goes on at that
-// one: a version that one of them doesn't know can't have been used for long.
+// has it, but half of them answer and know no other version than this node's only one, the stream
+// goes on at that one: records of streams of another version would have been sent to the holders.
 #ifndef HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 #define HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 
@@ -36,6 +36,8 @@
   // Returns the only software version of a service that this node knows of; std::nullopt if there
   // are others, or if it may not know all.
   std::function<std::optional<std::string>(const std::string& service)> only_version;
+  // Returns all software versions of a service that this node knows of.
+  std::function<std::set<std::string>(const std::string& service)> known_versions;
 };
 
 // Not thread-safe; runs on the thread of its event loop.
@@ -78,9 +80,9 @@
     std::unique_ptr<LoopTimer> timer;
     int rounds = 0;
     std::size_t asked = 0;
+    // Replies of nodes that know versions of the service, and all those versions.
     std::size_t replies = 0;
-    // True while all replies name the only version that this node knows of.
-    bool agreed = true;
+    std::set<std::string> versions;
   };
 
   void SendNotice(const std::string& stream_id, const StreamRegistry::Record& record);
--- a/include/hingespan/fleet/version_registry.h
+++ b/include/hingespan/fleet/version_registry.h
@@ -26,6 +26,8 @@
   // Replaces the fleet's record, by service.
   void SetRecord(std::map<std::string, std::set<std::string>> record);
 
+  // Returns the versions in the fleet's record or seen lately by this process.
+  std::set<std::string> KnownVersions(const std::string& service, absl::Time now) const;
   // Returns the version if there is only one; std::nullopt if there are others, or if the fleet's
   // record is not known.
   std::optional<std::string> OnlyVersion(const std::string& service, absl::Time now) const;
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -147,8 +147,8 @@
 }
 
 Json Encode(const StreamReply& reply) {
-  Json list = Json::array({kStreamReply, reply.stream_id, reply.number, reply.node,
-                           reply.only_version.has_value() ? Json(*reply.only_version) : Json()});
+  Json list =
+      Json::array({kStreamReply, reply.stream_id, reply.number, reply.node, Json(reply.versions)});
   if (reply.source.has_value()) {
     list.push_back(reply.source->service);
     list.push_back(reply.source->software_version);
@@ -162,9 +162,7 @@
   reply.stream_id = json.at(1).get<std::string>();
   reply.number = json.at(2).get<std::uint64_t>();
   reply.node = json.at(3).get<std::string>();
-  if (!json.at(4).is_null()) {
-    reply.only_version = json.at(4).get<std::string>();
-  }
+  reply.versions = json.at(4).get<std::set<std::string>>();
   if (json.size() >= kEntriesWithSource) {
     reply.source = StreamSource{json.at(5).get<std::string>(), json.at(6).get<std::string>()};
   }
--- a/src/fleet/stream_directory.cc
+++ b/src/fleet/stream_directory.cc
@@ -92,10 +92,11 @@
   if (std::optional<StreamSource> source = FindHere(search.stream_id)) {
     return source;
   }
-  const bool most_replied = 2 * search.replies > search.asked || search.asked == 0;
   const std::optional<std::string> only =
       search.service.empty() ? std::nullopt : parts_.only_version(search.service);
-  if (!only.has_value() || !search.agreed || !most_replied) {
+  const bool enough_replies = 2 * search.replies >= search.asked;
+  if (!only.has_value() || !enough_replies ||
+      (!search.versions.empty() && search.versions != std::set<std::string>{*only})) {
     return std::nullopt;
   }
   return StreamSource{search.service, *only};
@@ -117,7 +118,7 @@
 void StreamDirectory::OnQuestion(const StreamQuestion& question) {
   StreamReply reply{question.stream_id, question.number, node_, FindHere(question.stream_id), {}};
   if (!question.service.empty()) {
-    reply.only_version = parts_.only_version(question.service);
+    reply.versions = parts_.known_versions(question.service);
   }
   parts_.send(question.reply_address, EncodeFleetMessage(reply));
 }
@@ -135,9 +136,8 @@
   if (search.addresses.erase(reply.node) == 0) {
     return;
   }
-  ++search.replies;
-  search.agreed = search.agreed && reply.only_version.has_value() &&
-                  reply.only_version == parts_.only_version(search.service);
+  search.replies += reply.versions.empty() ? 0 : 1;
+  search.versions.insert(reply.versions.begin(), reply.versions.end());
   if (search.addresses.empty()) {
     End(reply.number, Conclusion(search));
   }
--- a/src/fleet/version_registry.cc
+++ b/src/fleet/version_registry.cc
@@ -14,13 +14,11 @@
   record_ = std::move(record);
 }
 
-std::optional<std::string> VersionRegistry::OnlyVersion(const std::string& service,
-                                                        absl::Time now) const {
+std::set<std::string> VersionRegistry::KnownVersions(const std::string& service,
+                                                     absl::Time now) const {
   const auto recorded = record_.find(service);
-  if (recorded == record_.end()) {
-    return std::nullopt;
-  }
-  std::set<std::string> versions = recorded->second;
+  std::set<std::string> versions =
+      recorded == record_.end() ? std::set<std::string>() : recorded->second;
   const auto seen = seen_.find(service);
   if (seen != seen_.end()) {
     for (const auto& [version, at] : seen->second) {
@@ -29,6 +27,15 @@
       }
     }
   }
+  return versions;
+}
+
+std::optional<std::string> VersionRegistry::OnlyVersion(const std::string& service,
+                                                        absl::Time now) const {
+  if (!record_.contains(service)) {
+    return std::nullopt;
+  }
+  const std::set<std::string> versions = KnownVersions(service, now);
   return versions.size() == 1 ? std::optional<std::string>(*versions.begin()) : std::nullopt;
 }
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -90,6 +90,10 @@
                                 [this](const std::string& service) {
                                   ObserveVersions();
                                   return versions_.OnlyVersion(service, parts_.loop->Now());
+                                },
+                                [this](const std::string& service) {
+                                  ObserveVersions();
+                                  return versions_.KnownVersions(service, parts_.loop->Now());
                                 }}),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
