Soak: workers of several software versions, and callers that take streams up

The soak's model workers serve at two versions, crashed ones return at the same or at a new one, and an upgrade replaces them one after the other. Callers take up resumable streams at any gateway, up to three times. Two promises more: a stream holds one version's events, and of those taken up in touch while two workers of their version take work the share that goes on is at least half of the share of new streams that begin. soak_checks holds both to what they must see.

--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -10,6 +10,7 @@
 #include "tests/soak/planned_work.h"
 #include "tests/soak/repeat_budget.h"
 #include "tests/soak/run_index.h"
+#include "tests/soak/stream_versions.h"
 
 namespace hingespan::soak {
 namespace {
@@ -49,6 +50,8 @@
       CheckCallerGone(*request);
     }
     CheckStops();
+    CheckStreamVersions(records_, &broken_);
+    CheckStreamsGoOn(records_, &broken_);
     CheckPlannedWork(records_, runs_, &broken_);
     CheckRepeatBudget(records_, workers_, &broken_);
     CheckConfiguration();
@@ -106,12 +109,13 @@
   }
 
   void CheckStream(const RequestRecord& request) {
-    int next = 1;
+    int next = request.last_event + 1;
     const std::vector<std::string> events = absl::StrSplit(request.body, "\n\n", absl::SkipEmpty());
     const bool complete = request.result == ExchangeResult::kComplete;
     for (std::size_t index = 0; index < events.size(); ++index) {
-      const std::string wanted = absl::StrCat("id: ", next, "\ndata: event ", next, " of ",
-                                              request.id, std::string(request.padding, '.'));
+      const std::string wanted =
+          absl::StrCat("id: ", next, "\ndata: event ", next, " of ", request.id,
+                       VersionSuffix(events[index]), std::string(request.padding, '.'));
       const bool cut_off = !complete && index + 1 == events.size();
       if (events[index] != wanted && !cut_off) {
         ReportBroken("events in order", absl::StrCat(Describe(request), " event ",
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -10,6 +10,9 @@
 constexpr absl::Duration kCancelAfter = absl::Milliseconds(150);
 constexpr double kCancelledFraction = 0.04;
 constexpr double kLargeFraction = 0.3;
+constexpr int kMaxFurtherTries = 3;
+// A stream with less time left is not taken up.
+constexpr absl::Duration kMinTimeLeft = absl::Seconds(1);
 // XORed into the seed, so that the draws of keep-alive callers don't change those of the others.
 constexpr std::uint64_t kKeepAliveSeedMask = 0x6e9ca11;
 // Pause of a quick caller, multiplied by the number of gateways so that the load of a run doesn't
@@ -38,19 +41,69 @@
   return records_.requests.back().get();
 }
 
-std::string SoakRun::RequestBytes(const RequestRecord& record, const std::string& target,
-                                  std::mt19937_64* random) {
+std::string SoakRun::RequestBytes(RequestRecord* record, std::mt19937_64* random) {
   gateway::HeaderFields fields = {
-      {"Attempt-Id", record.id},
-      {"Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(record.deadline))}};
-  if (record.IsStream()) {
-    const double choice = FractionOf(random);
-    const int model = 1 + static_cast<int>(choice * choice * kModels);
-    const bool with_adapter = FractionOf(random) < 0.15;
-    fields.push_back({"Model", absl::StrCat("m", model, with_adapter ? "/a1" : "")});
-    fields.push_back({"Token-Count", absl::StrCat("200,", 2 * record.events)});
+      {"Attempt-Id", record->id},
+      {"Deadline-Ms", absl::StrCat(absl::ToInt64Milliseconds(record->deadline))}};
+  if (record->IsStream()) {
+    if (record->model.empty()) {
+      const double choice = FractionOf(random);
+      const int model = 1 + static_cast<int>(choice * choice * kModels);
+      const bool with_adapter = FractionOf(random) < 0.15;
+      record->model = absl::StrCat("m", model, with_adapter ? "/a1" : "");
+    }
+    fields.push_back({"Model", record->model});
+    fields.push_back({"Token-Count", absl::StrCat("200,", 2 * record->events)});
+  }
+  if (!record->resumed_id.empty()) {
+    fields.push_back({"Resumes", record->resumed_id});
+    fields.push_back({"Last-Event-Id", absl::StrCat(record->last_event)});
+  }
+  if (record->kind == RequestKind::kResumableStream) {
+    open_streams_.push_back(record);
+  }
+  return gateway::RequestText("POST", record->target, kHost, fields, "body");
+}
+
+void SoakRun::TakeUpStreams() {
+  std::vector<RequestRecord*> ended;
+  std::erase_if(open_streams_, [&](RequestRecord* record) {
+    if (record->ended()) {
+      ended.push_back(record);
+    }
+    return record->ended();
+  });
+  for (const RequestRecord* const record : ended) {
+    TakeUp(*record);
+  }
+}
+
+void SoakRun::TakeUp(const RequestRecord& record) {
+  const bool whole =
+      record.head.status == 200 && record.result == gateway::ExchangeResult::kComplete;
+  const int last_event = record.LastEvent();
+  const absl::Duration left = record.deadline - (loop_.Now() - record.sent);
+  if (!sending_ || whole || record.cancelled() || last_event == 0 ||
+      record.earlier_tries == kMaxFurtherTries || left < kMinTimeLeft) {
+    return;
+  }
+  // The platform hands a new connection to any node.
+  const std::size_t index = version_random_() % gateways_.size();
+  const Gateway& gateway = gateways_[index];
+  if (!gateway.process->serving()) {
+    return;
   }
-  return gateway::RequestText("POST", target, kHost, fields, "body");
+  RequestRecord* const next = AddRecord(index, record.kind);
+  next->deadline = left;
+  next->target = record.target;
+  next->model = record.model;
+  next->events = record.events;
+  next->padding = record.padding;
+  next->resumed_id = record.resumed_id.empty() ? record.id : record.resumed_id;
+  next->last_event = last_event;
+  next->earlier_tries = record.earlier_tries + 1;
+  next->exchange =
+      client_.Send(gateway.process->request_address(), RequestBytes(next, nullptr), next);
 }
 
 void SoakRun::Send(std::size_t index, RequestKind kind, const std::string& target) {
@@ -59,8 +112,9 @@
     return;
   }
   RequestRecord* const record = AddRecord(index, kind);
-  record->exchange = client_.Send(gateway.process->request_address(),
-                                  RequestBytes(*record, target, &random_), record);
+  record->target = target;
+  record->exchange =
+      client_.Send(gateway.process->request_address(), RequestBytes(record, &random_), record);
   if (kind != RequestKind::kProbe && FractionOf(&random_) < kCancelledFraction) {
     At(kCancelAfter, [this, record] {
       if (!record->ended()) {
@@ -133,16 +187,16 @@
   const std::size_t choice =
       large ? 2 + keep_alive_random_() % 2 : keep_alive_random_() % std::size(kKinds);
   const RequestKind kind = kKinds[choice].first;
-  std::string target = kKinds[choice].second;
   RequestRecord* const record = AddRecord(index, kind);
+  record->target = kKinds[choice].second;
   record->on_persistent_connection = true;
   record->read_slowly = slow;
   if (large) {
     record->events = kLargeStreamEvents;
     record->padding = kLargeStreamPadding;
-    target = kind == RequestKind::kStream ? kLargeOnceTarget : kLargeStreamTarget;
+    record->target = kind == RequestKind::kStream ? kLargeOnceTarget : kLargeStreamTarget;
   }
-  *bytes = RequestBytes(*record, target, &keep_alive_random_);
+  *bytes = RequestBytes(record, &keep_alive_random_);
   return record;
 }
 
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -221,8 +221,13 @@
   At(fault.duration, [this, index] { gateways_[index].store_link->SetFault(LinkFault::kNone); });
 }
 
-void SoakRun::RemoveWorker(Worker* worker, bool announced, absl::Duration duration) {
+void SoakRun::RemoveWorker(Worker* worker, bool announced) {
   worker->present = false;
+  for (WorkerPresence& presence : records_.presences) {
+    if (presence.worker_id == worker->id) {
+      presence.until = loop_.Now();
+    }
+  }
   if (announced) {
     worker->worker->SetDraining();
     records_.leaves.push_back({worker->id, loop_.Now()});
@@ -233,8 +238,6 @@
     store_.Remove("servers", worker->id);
     worker->link->SetFault(LinkFault::kReset);
   });
-  // A new worker replaces it.
-  At(duration, [this, service = worker->service] { AddWorker(service, ""); });
 }
 
 void SoakRun::InjectWorkerFault(const PlannedFault& fault) {
@@ -251,7 +254,10 @@
   RecordDisturbance(Disturbance::Component::kWorker, 0, fault.duration + absl::Seconds(2));
   const bool crash = fault.kind == FaultKind::kWorkerCrash;
   if (crash || fault.kind == FaultKind::kWorkerLeaves) {
-    RemoveWorker(worker, !crash, fault.duration);
+    RemoveWorker(worker, !crash);
+    const std::string version = VersionOfReplacement(worker->software_version);
+    At(fault.duration,
+       [this, service = worker->service, version] { AddWorker(service, "", version); });
     return;
   }
   const WorkerFault worker_fault = WorkerFaultOf(fault.kind);
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -15,6 +15,7 @@
 
 // Number of events of a stream unless its request asks for more.
 constexpr int kStreamEvents = 12;
+constexpr const char* kEventEnd = "\n\n";
 
 enum class RequestKind {
   // Plain request that may run only once.
@@ -47,6 +48,15 @@
   bool IsStream() const {
     return kind == RequestKind::kResumableStream || kind == RequestKind::kStream;
   }
+  // Number of the last whole event that the caller has.
+  int LastEvent() const {
+    int last = last_event;
+    for (std::size_t end = body.find(kEventEnd); head.status == 200 && end != std::string::npos;
+         end = body.find(kEventEnd, end + 1)) {
+      ++last;
+    }
+    return last;
+  }
   bool ended() const { return ended_at != absl::InfiniteFuture(); }
   bool cancelled() const { return cancelled_at != absl::InfiniteFuture(); }
 
@@ -69,6 +79,14 @@
   int events = kStreamEvents;
   // Padding bytes in each event of the stream.
   std::size_t padding = 0;
+  std::string target;
+  std::string model;
+  // Id of the request that brought the first event of the stream that this one takes up, and the
+  // last event that the caller had then; empty and 0 for a new stream.
+  std::string resumed_id;
+  int last_event = 0;
+  // Number of earlier requests for the same stream.
+  int earlier_tries = 0;
   // True if the connection is used for many requests.
   bool on_persistent_connection = false;
   // True if the caller reads the answer more slowly than it arrives.
@@ -122,6 +140,15 @@
   absl::Time at;
 };
 
+// Time during which a worker took new work.
+struct WorkerPresence {
+  std::string worker_id;
+  std::string service;
+  std::string software_version;
+  absl::Time from;
+  absl::Time until = absl::InfiniteFuture();
+};
+
 struct SoakRecords {
   // Returns whether a component of this kind was disturbed between the two instants. Disturbances
   // of the store and of workers count whatever their target.
@@ -159,6 +186,7 @@
   std::vector<OperatorSignal> signals;
   std::vector<ConfigurationChange> changes;
   std::vector<WorkerLeave> leaves;
+  std::vector<WorkerPresence> presences;
   // Processes that ended unexpectedly, didn't stop in time or didn't start.
   std::vector<std::string> process_failures;
   // True if the run has only planned work.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "tests/soak/stream_versions.h"
 
 namespace hingespan::soak {
 namespace {
@@ -28,6 +29,12 @@
 constexpr double kModelMemoryMb = 100;
 constexpr double kWorkerMemoryMb = 250;
 
+// XORed into the seed for the draws of software versions.
+constexpr std::uint64_t kVersionSeedMask = 0x7e7510;
+// Time between two workers of an upgrade, and the fraction of the faults' time at which it begins.
+constexpr absl::Duration kUpgradeInterval = absl::Milliseconds(1500);
+constexpr double kUpgradeBegin = 0.35;
+constexpr absl::Duration kTakeUpInterval = absl::Milliseconds(40);
 constexpr double kExtraRepeatsPerGateway = 5;
 // Gateways for each further worker of a service: larger fleets have more callers.
 constexpr std::size_t kGatewaysPerExtraWorker = 4;
@@ -49,7 +56,8 @@
       random_(options_.seed ^ 0x50a150a1),
       store_(&loop_),
       client_(&loop_, gateway::ClientLimits{}),
-      gateways_(options_.gateways) {
+      gateways_(options_.gateways),
+      version_random_(options_.seed ^ kVersionSeedMask) {
   if (options_.style != Style::kPlanned) {
     FaultPlanOptions plan;
     plan.seed = options_.seed;
@@ -103,10 +111,13 @@
   records_.disturbances.push_back({component, target, loop_.Now(), loop_.Now() + duration});
 }
 
-void SoakRun::AddWorker(const std::string& service, const std::string& model) {
+void SoakRun::AddWorker(const std::string& service, const std::string& model,
+                        const std::string& software_version) {
   auto entry = std::make_unique<Worker>();
   entry->id = absl::StrCat(service, "-", ++next_worker_);
   entry->service = service;
+  entry->software_version = software_version;
+  records_.presences.push_back({entry->id, service, software_version, loop_.Now()});
   emulator::PlatformWorkerOptions options;
   options.id = entry->id;
   options.service = service;
@@ -118,6 +129,8 @@
   options.shapes[kLargeOnceTarget] = kLargeStream;
   options.load_time = absl::Milliseconds(300);
   options.includes_request_id = true;
+  options.software_version = software_version;
+  options.includes_software_version = true;
   options.checks_tokens = WorkersCheckTokens();
   // A third of the workers' streams have no framing of their own.
   options.unframed_streams = next_worker_ % 3 == 0;
@@ -134,6 +147,27 @@
   workers_.push_back(std::move(entry));
 }
 
+std::string SoakRun::NewVersion() { return absl::StrCat("v", ++newest_version_); }
+
+std::string SoakRun::VersionOfReplacement(const std::string& software_version) {
+  return version_random_() % 2 == 0 ? software_version : NewVersion();
+}
+
+void SoakRun::BeginUpgrade() { UpgradeNext(NewVersion()); }
+
+void SoakRun::UpgradeNext(const std::string& software_version) {
+  for (const auto& worker : workers_) {
+    if (worker->present && worker->service == "models" &&
+        worker->software_version != software_version) {
+      AddWorker("models", "m1", software_version);
+      RecordDisturbance(Disturbance::Component::kWorker, 0, absl::Seconds(2));
+      RemoveWorker(worker.get(), true);
+      At(kUpgradeInterval, [this, software_version] { UpgradeNext(software_version); });
+      return;
+    }
+  }
+}
+
 void SoakRun::PutConfiguration() {
   ++version_;
   Json models = Json::array();
@@ -206,14 +240,17 @@
 
 std::vector<BrokenPromise> SoakRun::Play() {
   for (int number = 0; number < 3; ++number) {
-    AddWorker("plain", "");
+    AddWorker("plain", "", "v1");
   }
   for (int number = 1; number <= 3; ++number) {
-    AddWorker("models", absl::StrCat("m", number));
+    AddWorker("models", absl::StrCat("m", number), "v1");
   }
   for (std::size_t number = 0; number < options_.gateways / kGatewaysPerExtraWorker; ++number) {
-    AddWorker("plain", "");
-    AddWorker("models", absl::StrCat("m", 1 + number % kModels));
+    AddWorker("plain", "", "v1");
+    AddWorker("models", absl::StrCat("m", 1 + number % kModels), "v1");
+  }
+  for (int number = 1; number <= 2; ++number) {
+    AddWorker("models", absl::StrCat("m", number), "v2");
   }
   PutConfiguration();
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
@@ -239,6 +276,10 @@
     Every(kRequestInterval, [this] { SendRequest(); });
     Every(kProbeInterval, [this] { SendProbes(); });
     Every(kChangeInterval, [this] { PutConfiguration(); });
+    Every(kTakeUpInterval, [this] { TakeUpStreams(); });
+    if (options_.style != Style::kPlanned) {
+      At(options_.length * kUpgradeBegin, [this] { BeginUpgrade(); });
+    }
     if (options_.style != Style::kSingle) {
       AddKeepAliveCallers();
     }
@@ -285,6 +326,9 @@
   }
   std::string text = absl::StrCat(StyleName(options_.style), ", ", records_.requests.size(),
                                   " requests with probes, ", records_.signals.size(), " signals");
+  const auto [fresh, taken_up] = CountStreams(records_);
+  absl::StrAppend(&text, ", streams begun in touch ", fresh.served, " of ", fresh.all,
+                  ", gone on in touch ", taken_up.served, " of ", taken_up.all);
   for (const auto& [name, count] : counts) {
     absl::StrAppend(&text, ", ", name, ": ", count);
   }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -84,11 +84,23 @@
     std::string service;
     std::unique_ptr<emulator::PlatformWorker> worker;
     std::unique_ptr<FaultProxy> link;
+    std::string software_version;
     // True until the worker crashes or leaves for good.
     bool present = true;
   };
 
-  void AddWorker(const std::string& service, const std::string& model);
+  void AddWorker(const std::string& service, const std::string& model,
+                 const std::string& software_version);
+  // Returns the software version of the worker that replaces one of this version: the same, or one
+  // that no worker has had before.
+  std::string VersionOfReplacement(const std::string& software_version);
+  std::string NewVersion();
+  // Replaces the model workers one after the other by workers of a new software version.
+  void BeginUpgrade();
+  void UpgradeNext(const std::string& software_version);
+  // Takes up streams whose answer ended early.
+  void TakeUpStreams();
+  void TakeUp(const RequestRecord& record);
   void PutConfiguration();
   void Every(absl::Duration interval, std::function<void()> task);
   void At(absl::Duration after, std::function<void()> task);
@@ -96,8 +108,8 @@
   void SendProbes();
   void Send(std::size_t gateway, RequestKind kind, const std::string& target);
   RequestRecord* AddRecord(std::size_t gateway, RequestKind kind);
-  std::string RequestBytes(const RequestRecord& record, const std::string& target,
-                           std::mt19937_64* random);
+  // Draws the model of a new stream with `random`.
+  std::string RequestBytes(RequestRecord* record, std::mt19937_64* random);
   void AddKeepAliveCallers();
   RequestRecord* NextKeepAliveRequest(std::size_t gateway, bool slow, std::string* bytes);
   void KeepGatewaysRunning();
@@ -111,7 +123,7 @@
   void StopGateway(std::size_t index);
   // Signals the gateway if it serves; returns whether it does.
   bool SignalAsOperator(std::size_t index, int signal);
-  void RemoveWorker(Worker* worker, bool announced, absl::Duration duration);
+  void RemoveWorker(Worker* worker, bool announced);
   void RecordDisturbance(Disturbance::Component component, std::size_t target,
                          absl::Duration duration);
   // Returns whether workers reject orders with an outdated fencing token. Where they don't, a late
@@ -130,6 +142,11 @@
   SoakRecords records_;
   std::mt19937_64 keep_alive_random_;
   std::vector<std::unique_ptr<KeepAliveCaller>> keep_alive_callers_;
+  // Draws that are apart, so that they don't change those of the other callers and faults.
+  std::mt19937_64 version_random_;
+  // Requests whose streams may still have to be taken up.
+  std::vector<RequestRecord*> open_streams_;
+  int newest_version_ = 2;
   int next_request_ = 0;
   int next_worker_ = 0;
   int version_ = 0;
