Soak: a style whose faults break streams off, with the store in order

In mixed runs hardly any stream is taken up in touch, so the promise that streams go on was not exercised. The new style breaks streams at workers, crashes some and kills gateways now and then.

--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -1,6 +1,7 @@
 #include "tests/soak/fault_plan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <random>
 
 namespace hingespan::soak {
@@ -10,6 +11,9 @@
 constexpr int kDrawnKinds = static_cast<int>(FaultKind::kWorkerSilent) + 1;
 constexpr double kMinSeconds = 0.3;
 constexpr double kMaxSeconds = 5.0;
+// XORed into the seed, so that the draws are independent of those of the times.
+constexpr std::uint64_t kStreamSeedMask = 0x57e3a5;
+constexpr absl::Duration kMaxServiceFault = absl::Milliseconds(600);
 
 }  // namespace
 
@@ -52,4 +56,23 @@
   }
 }
 
+std::vector<PlannedFault> MakeStreamPlan(const FaultPlanOptions& options) {
+  static constexpr FaultKind kKinds[] = {
+      FaultKind::kWorkerBreaksStreams, FaultKind::kWorkerBreaksStreams,
+      FaultKind::kWorkerBreaksStreams, FaultKind::kWorkersBreakStreams,
+      FaultKind::kWorkerCrash,         FaultKind::kGatewayKill};
+  // Targets of kWorkersBreakStreams: odd ones stand for the model service.
+  constexpr std::uint32_t kModelService = 1;
+  std::vector<PlannedFault> plan = MakeFaultPlan(options);
+  std::mt19937_64 random(options.seed ^ kStreamSeedMask);
+  for (PlannedFault& fault : plan) {
+    fault.kind = kKinds[random() % std::size(kKinds)];
+    if (fault.kind == FaultKind::kWorkersBreakStreams) {
+      fault.target = kModelService;
+      fault.duration = std::min(fault.duration, kMaxServiceFault);
+    }
+  }
+  return plan;
+}
+
 }  // namespace hingespan::soak
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -85,6 +85,9 @@
 // Returns rolling restarts, repeated signals and rapid configuration changes that overlap, sorted
 // by `at`.
 std::vector<PlannedFault> MakeSeriesPlan(const SeriesPlanOptions& options);
+// Returns faults that break streams off, mostly of workers and with the store in order, sorted by
+// `at`.
+std::vector<PlannedFault> MakeStreamPlan(const FaultPlanOptions& options);
 // Returns the faults of both plans, sorted by `at`.
 std::vector<PlannedFault> MergePlans(std::vector<PlannedFault> left,
                                      const std::vector<PlannedFault>& right);
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -58,13 +58,15 @@
       client_(&loop_, gateway::ClientLimits{}),
       gateways_(options_.gateways),
       version_random_(options_.seed ^ kVersionSeedMask) {
-  if (options_.style != Style::kPlanned) {
-    FaultPlanOptions plan;
-    plan.seed = options_.seed;
-    plan.length = options_.length;
+  FaultPlanOptions plan;
+  plan.seed = options_.seed;
+  plan.length = options_.length;
+  if (options_.style == Style::kStreams) {
+    plan_ = MakeStreamPlan(plan);
+  } else if (options_.style != Style::kPlanned) {
     plan_ = MakeFaultPlan(plan);
   }
-  if (options_.style != Style::kSingle) {
+  if (options_.style == Style::kMixed || options_.style == Style::kPlanned) {
     SeriesPlanOptions series;
     series.seed = options_.seed;
     series.length = options_.length;
@@ -80,8 +82,8 @@
 SoakRun::~SoakRun() = default;
 
 Style SoakRun::DefaultStyle(std::uint64_t seed) {
-  static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed, Style::kPlanned,
-                                      Style::kMixed, Style::kSingle};
+  static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed,  Style::kPlanned,
+                                      Style::kMixed,   Style::kSingle, Style::kStreams};
   return kStyles[seed % std::size(kStyles)];
 }
 
@@ -313,6 +315,8 @@
       return "mixed";
     case Style::kPlanned:
       return "planned";
+    case Style::kStreams:
+      return "streams";
   }
   return "";
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -40,6 +40,8 @@
   kMixed,
   // Series of operator work only.
   kPlanned,
+  // Faults that break streams off, with little else.
+  kStreams,
 };
 
 const char* StyleName(Style style);
