--- a/src/operator/request_explanation.cc
+++ b/src/operator/request_explanation.cc
@@ -201,6 +201,18 @@
     return absl::StrCat("refused after ", waited, " ms: no worker of service ",
                         Field(last, "service"), " was known");
   }
+  if (outcome == "unknown_stream") {
+    return absl::StrCat("refused after ", waited, " ms: it takes up the stream of request ",
+                        Field(last, "resumes"), ", and no node knows the version that began it");
+  }
+  if (outcome == "version_absent") {
+    return absl::StrCat("no worker of service ", Field(last, "service"), " has the version ",
+                        Field(last, "stream_version"), " that began the stream");
+  }
+  if (outcome == "other_service") {
+    return absl::StrCat("refused: the route of stream ", Field(last, "resumes"),
+                        " leads to another service now");
+  }
   if (outcome == "worker_full" || outcome == "misdirected") {
     return absl::StrCat("refused: worker ", Field(last, "worker"), " did not run it (", outcome,
                         ") and its route allows no other worker");
@@ -208,7 +220,8 @@
   if (outcome == "retry_budget") {
     return "not sent again: the budget of repeats was used up";
   }
-  if (outcome == "broken_off" || outcome == "silent" || outcome == "malformed") {
+  if (outcome == "broken_off" || outcome == "silent" || outcome == "malformed" ||
+      outcome == "without_end") {
     std::string gone;
     for (const LogLine* const line : context) {
       if (Field(*line, "event") == "worker_gone" &&
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -366,6 +366,7 @@
        {"software_version", SoftwareVersionOf(worker_id_)},
        {"resumes", facts_.resumed_id},
        {"last_event", facts_.last_event_id},
+       {"stream_version", software_version()},
        {"peer", peer_},
        {"framing", std::string(FramingName(answer_head_))},
        {"worker_row", absl::StrCat(worker == nullptr ? 0 : worker->row_version)},
--- a/tests/serving/request_explanation_test.cc
+++ b/tests/serving/request_explanation_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "tests/serving/gateway_world.h"
 
 namespace hingespan::gateway {
@@ -66,6 +67,37 @@
   CHECK(explanation.lines.size() >= 2);
 }
 
+TEST_CASE("a stream that can't go on: names the stream, or the version that is gone") {
+  GatewayFixture fixture;
+  for (const char* const version : {"v1", "v2"}) {
+    emulator::PlatformWorkerOptions options;
+    options.id = absl::StrCat("worker-", version);
+    options.service = "models";
+    options.software_version = version;
+    options.models["m1"];
+    fixture.AddWorker(options);
+  }
+  TestNode* const node = fixture.AddNode("n1");
+  TestRequest request = StreamRequest("/stream/x", "next-1", "m1");
+  request.fields.push_back({"Resumes", "first-1"});
+  request.fields.push_back({"Last-Event-Id", "2"});
+  REQUIRE(fixture.Ask(node, request)->head.status == 503);
+  CHECK(absl::StrContains(Explain(fixture, "next-1").cause, "stream of request first-1"));
+  REQUIRE(fixture.Ask(node, StreamRequest("/stream/x", "began-1", "m1"))->head.status == 200);
+  for (const auto& worker : fixture.workers) {
+    if (!worker->runs().empty()) {
+      worker->SetDraining();
+    }
+  }
+  request.id = "next-2";
+  request.fields[2].value = "began-1";
+  REQUIRE(fixture.Wait([&] {
+    request.id += "x";
+    return fixture.Ask(node, request)->head.status == 503;
+  }));
+  CHECK(absl::StrContains(Explain(fixture, request.id).cause, "has the version v"));
+}
+
 TEST_CASE("late because of a cold model: names the wait and the load it waited for") {
   GatewayFixture fixture;
   emulator::PlatformWorkerOptions options;
