Gateway: other nodes are asked about a stream also where this node knows one version only

Found by reading: a node whose copy of the workers' table is some seconds old (its reader waits, it asks its copy every 2 s) may not know a new version at which another node has begun streams, and would have gone on with such a stream at the only version that it knew. It now asks first; a record or a reply that names another version decides, and it goes on without replies after one round only if it hears from the store. Records are kept for ten minutes at most, whatever deadline a caller names.

Test: stream_directory_test, "another node has learnt of a new version before this one".

--- a/include/hingespan/fleet/stream_directory.h
+++ b/include/hingespan/fleet/stream_directory.h
@@ -63,8 +63,11 @@
   void Add(const std::string& stream_id, const StreamSource& source, absl::Duration lifetime);
   std::optional<StreamSource> FindHere(const std::string& stream_id) const;
   // Asks the other nodes. `stream_id` is empty if the caller doesn't tell it, `service` if it may
-  // be one of several. Calls `done` from the loop, never from within this call.
-  void Ask(const std::string& stream_id, const std::string& service, Callback done);
+  // be one of several. `is_current` is true if this node hears from the store: its own knowledge of
+  // versions is then enough, unless a reply says otherwise. Calls `done` from the loop, never from
+  // within this call.
+  void Ask(const std::string& stream_id, const std::string& service, bool is_current,
+           Callback done);
 
   void OnNotice(const StreamNotice& notice);
   void OnQuestion(const StreamQuestion& question);
@@ -74,6 +77,7 @@
   struct Search {
     std::string stream_id;
     std::string service;
+    bool is_current = false;
     Callback done;
     // Nodes that have not replied, by name.
     std::map<std::string, std::string> addresses;
@@ -88,7 +92,7 @@
   void SendNotice(const std::string& stream_id, const StreamRegistry::Record& record);
   // Asks those that have not replied, or ends the search.
   void NextRound(std::uint64_t number);
-  // Returns what follows from the replies if none had a record.
+  // Returns what follows from the replies so far if none had a record.
   std::optional<StreamSource> Conclusion(const Search& search) const;
   void End(std::uint64_t number, std::optional<StreamSource> source);
 
--- a/src/fleet/stream_directory.cc
+++ b/src/fleet/stream_directory.cc
@@ -54,11 +54,13 @@
   return registry_.Find(stream_id, parts_.loop->Now());
 }
 
-void StreamDirectory::Ask(const std::string& stream_id, const std::string& service, Callback done) {
+void StreamDirectory::Ask(const std::string& stream_id, const std::string& service, bool is_current,
+                          Callback done) {
   const std::uint64_t number = ++last_number_;
   Search& search = searches_[number];
   search.stream_id = stream_id;
   search.service = service;
+  search.is_current = is_current;
   search.done = std::move(done);
   search.timer = parts_.loop->MakeTimer();
   for (const StreamNode& node : PossibleHolders(stream_id, nodes_, node_)) {
@@ -74,8 +76,12 @@
     return;
   }
   Search& search = entry->second;
-  if (search.addresses.empty() || search.rounds == kRounds) {
-    End(number, Conclusion(search));
+  std::optional<StreamSource> source;
+  if (search.rounds > 0 || search.addresses.empty()) {
+    source = Conclusion(search);
+  }
+  if (source.has_value() || search.addresses.empty() || search.rounds == kRounds) {
+    End(number, std::move(source));
     return;
   }
   ++search.rounds;
@@ -94,7 +100,7 @@
   }
   const std::optional<std::string> only =
       search.service.empty() ? std::nullopt : parts_.only_version(search.service);
-  const bool enough_replies = 2 * search.replies >= search.asked;
+  const bool enough_replies = search.is_current || 2 * search.replies >= search.asked;
   if (!only.has_value() || !enough_replies ||
       (!search.versions.empty() && search.versions != std::set<std::string>{*only})) {
     return std::nullopt;
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -56,18 +56,13 @@
 void Gateway::FindStream(const std::string& id, const std::string& service,
                          std::function<void(std::optional<StreamSource>)> done) {
   std::optional<StreamSource> source = streams_.FindHere(id);
-  if (!source.has_value() && !service.empty()) {
-    ObserveVersions();
-    const std::optional<std::string> only = OnlyVersion(service);
-    if (only.has_value()) {
-      source = StreamSource{service, *only};
-    }
-  }
   if (source.has_value()) {
     done(std::move(source));
     return;
   }
-  streams_.Ask(id, service, std::move(done));
+  // Also asked if this node knows one version only: another node may have learnt of a new one
+  // first.
+  streams_.Ask(id, service, worker_follower_->connected(), std::move(done));
 }
 
 }  // namespace hingespan::gateway
--- a/src/serving/request_relay_streams.cc
+++ b/src/serving/request_relay_streams.cc
@@ -10,6 +10,7 @@
 
 // Time after its deadline until which a stream's caller may still take it up.
 constexpr absl::Duration kRecordMargin = absl::Seconds(5);
+constexpr absl::Duration kMaxRecordLifetime = absl::Minutes(10);
 
 }  // namespace
 
@@ -63,7 +64,8 @@
   // Of a forwarded request, the forwarding node knows which attempt reaches the caller.
   if (source_.has_value() && route_->MayRunAgain() && !origin_.forwarded && !facts_.id.empty()) {
     const absl::Duration time = facts_.deadline.value_or(route_->timeout);
-    context_->host->RecordStream(facts_.id, *source_, time + kRecordMargin);
+    context_->host->RecordStream(facts_.id, *source_,
+                                 std::min(time + kRecordMargin, kMaxRecordLifetime));
   }
 }
 
--- a/tests/fleet/stream_directory_test.cc
+++ b/tests/fleet/stream_directory_test.cc
@@ -69,10 +69,11 @@
   }
 
   // Asks at a node, and waits for the result.
-  std::optional<StreamSource> Ask(const std::string& name, const std::string& stream) {
+  std::optional<StreamSource> Ask(const std::string& name, const std::string& stream,
+                                  bool is_current = false) {
     bool ended = false;
     std::optional<StreamSource> found;
-    nodes.at(name)->Ask(stream, "s", [&](std::optional<StreamSource> source) {
+    nodes.at(name)->Ask(stream, "s", is_current, [&](std::optional<StreamSource> source) {
       found = std::move(source);
       ended = true;
     });
@@ -175,6 +176,14 @@
     }
     CHECK(!fleet.Ask("n0", "stream").has_value());
   }
+  SUBCASE("most don't answer, but this node hears from the store") {
+    fleet.down = {"n1", "n2", "n3"};
+    CHECK(fleet.Ask("n0", "stream", true) == kSource);
+  }
+  SUBCASE("another node has learnt of a new version before this one") {
+    fleet.versions["n4"] = {"v1", "v2"};
+    CHECK(!fleet.Ask("n0", "stream", true).has_value());
+  }
   SUBCASE("one knows of another version too") {
     fleet.versions["n4"] = {"v1", "v2"};
     CHECK(!fleet.Ask("n0", "stream").has_value());
@@ -196,7 +205,7 @@
   StreamDirectory* const node = fleet.nodes["n0"].get();
   bool ended = false;
   std::optional<StreamSource> found;
-  node->Ask("stream", "s", [&](std::optional<StreamSource> source) {
+  node->Ask("stream", "s", false, [&](std::optional<StreamSource> source) {
     found = std::move(source);
     ended = true;
   });
