Load tests: the fake node sets its trap before it says that it is ready

Cause: the fake node's shell printed "ready" and then set its trap, so that a SIGTERM sent in between ended it by the signal. The check is unchanged.

--- a/tests/load/local_cluster_test.cc
+++ b/tests/load/local_cluster_test.cc
@@ -18,10 +18,10 @@
 
 // Prints its arguments to standard error, where a test can read them.
 constexpr char kNode[] =
-    R"(echo "$@" >&2
+    R"(trap 'exit 0' TERM
+echo "$@" >&2
 echo '{"event":"listening","http":"127.0.0.1:4","control":"127.0.0.1:5"}'
 echo '{"event":"ready"}'
-trap 'exit 0' TERM
 while true; do sleep 0.02; done)";
 
 LocalClusterOptions Options(const FakePrograms& programs) {
