Gateway tests: streams whose sound worker falls silent (LOST), failing

Callers' streams were cut although their worker was about to go on. The emulated worker can fall silent for a while: connections stay open, requests are accepted, nothing is sent. On the untouched logic a silence of 1.6 s, which is less than the 3.2 s that the fixture's callers wait: - the worker tried instead rejects, fails, loses its answer or answers for another request: the stream is cut in 4 of 4 cases; - all workers of the service are silent: cut as the path is called lost. Two cases pass before and are kept beside them: without a retry left the stream stays, and a worker that stays silent is left in time.

--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -51,7 +51,8 @@
       server_(loop,
               [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
       load_timer_(loop->MakeTimer()),
-      heartbeat_timer_(loop->MakeTimer()) {
+      heartbeat_timer_(loop->MakeTimer()),
+      silence_timer_(loop->MakeTimer()) {
   (void)server_.Listen("127.0.0.1:0");
   announced_address_ = server_.address();
   if (options_.writes_row_at_start) {
@@ -94,7 +95,20 @@
   WriteRow();
 }
 
+void PlatformWorker::FallSilent(absl::Duration duration) {
+  silent_until_ = loop_->Now() + duration;
+  silence_timer_->Set(silent_until_, [this] {
+    for (const std::shared_ptr<ServerExchange>& exchange : std::exchange(delayed_, {})) {
+      OnRequest(exchange);
+    }
+  });
+}
+
 void PlatformWorker::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  if (loop_->Now() < silent_until_) {
+    delayed_.push_back(exchange);
+    return;
+  }
   const std::string& target = exchange->head().target;
   if (!absl::StartsWith(target, "/api/")) {
     arrivals_.push_back({Field(*exchange, "Attempt-Id"), loop_->Now()});
@@ -264,6 +278,10 @@
 }
 
 void PlatformWorker::NextEvent(const std::shared_ptr<Stream>& stream) {
+  if (loop_->Now() < silent_until_) {
+    stream->timer->Set(silent_until_, [this, stream] { NextEvent(stream); });
+    return;
+  }
   const bool breaks =
       fault_ == WorkerFault::kBreaksStream || fault_ == WorkerFault::kFinishesInsideEvent;
   if (breaks && stream->sent == options_.events_before_break) {
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -116,6 +116,8 @@
 
   void SetFault(WorkerFault fault) { fault_ = fault; }
   void SetDraining();
+  // Sends nothing for this long, then goes on. Connections stay open and requests are accepted.
+  void FallSilent(absl::Duration duration);
   // Writes the worker's row with this address instead of its own, e.g. a relay's.
   void Announce(const std::string& address);
   // True if the worker was ordered to load more than its memory allows.
@@ -154,6 +156,10 @@
   std::vector<Arrival> arrivals_;
   std::vector<Order> orders_;
   std::list<std::shared_ptr<gateway::ServerExchange>> silent_;
+  // Requests that are handled when the worker is no longer silent.
+  std::vector<std::shared_ptr<gateway::ServerExchange>> delayed_;
+  absl::Time silent_until_ = absl::InfinitePast();
+  std::unique_ptr<gateway::LoopTimer> silence_timer_;
   WorkerFault fault_ = WorkerFault::kNone;
   std::uint64_t sequence_ = 0;
   std::uint64_t highest_token_ = 0;
--- /dev/null
+++ b/tests/serving/silent_worker_test.cc
@@ -0,0 +1,104 @@
+// Tests of workers that send nothing for a while and then go on.
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+
+#include "tests/serving/gateway_world.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using emulator::PlatformWorker;
+using emulator::WorkerFault;
+
+constexpr int kEvents = 4;
+// Shorter than the time for which the fixture's callers wait for the next event.
+constexpr absl::Duration kSilence = absl::Milliseconds(1600);
+constexpr absl::Duration kEndlessSilence = absl::Minutes(1);
+
+emulator::PlatformWorkerOptions ModelWorker(const std::string& id) {
+  emulator::PlatformWorkerOptions options;
+  options.id = id;
+  options.service = "models";
+  options.models["m1"];
+  options.events = kEvents;
+  options.event_interval = absl::Milliseconds(20);
+  return options;
+}
+
+TestRequest ResumableStream() {
+  TestRequest request = StreamRequest("/stream/x", "m1");
+  request.deadline_ms = 10000;
+  return request;
+}
+
+// A node with a retry budget and a caller that has received the first events of a stream.
+struct SilenceFixture : GatewayFixture {
+  SilenceFixture() {
+    node = AddNode("n1");
+    EarnRetries(node, StreamRequest("/stream/x", "m1"));
+    first = AddWorker(ModelWorker("w1"));
+    call = Send(node, ResumableStream());
+    REQUIRE(Wait([&] { return !call->body.empty(); }));
+  }
+
+  TestNode* node = nullptr;
+  PlatformWorker* first = nullptr;
+  std::unique_ptr<TestCall> call;
+};
+
+// Guards against cutting a stream whose worker fell silent when the worker tried instead can't go
+// on with it.
+TEST_CASE("a stream arrives whole when its worker falls silent and the other workers fail") {
+  for (const WorkerFault fault : {WorkerFault::kRejects, WorkerFault::kFails,
+                                  WorkerFault::kLosesAnswer, WorkerFault::kOtherRequest}) {
+    CAPTURE(static_cast<int>(fault));
+    SilenceFixture fixture;
+    fixture.first->FallSilent(kSilence);
+    fixture.AddWorker(ModelWorker("w2"))->SetFault(fault);
+    REQUIRE(fixture.Wait([&] { return fixture.call->ended; }));
+    CHECK(fixture.call->result == ExchangeResult::kComplete);
+    CHECK(fixture.call->body == Events(1, kEvents));
+  }
+}
+
+// Guards against cutting a stream, and against giving up the path to the workers' network, when
+// all workers of a service are silent at the same time.
+TEST_CASE("a stream arrives whole when all workers of its service fall silent") {
+  SilenceFixture fixture;
+  PlatformWorker* const second = fixture.AddWorker(ModelWorker("w2"));
+  fixture.first->FallSilent(kSilence);
+  second->FallSilent(kSilence);
+  REQUIRE(fixture.Wait([&] { return fixture.call->ended; }));
+  CHECK(fixture.call->result == ExchangeResult::kComplete);
+  CHECK(fixture.call->body == Events(1, kEvents));
+}
+
+// Guards against waiting for a silent worker until the caller leaves.
+TEST_CASE("a stream goes on at another worker before its caller gives up") {
+  SilenceFixture fixture;
+  fixture.first->FallSilent(kEndlessSilence);
+  PlatformWorker* const second = fixture.AddWorker(ModelWorker("w2"));
+  REQUIRE(fixture.Wait([&] { return fixture.call->ended; }));
+  CHECK(fixture.call->result == ExchangeResult::kComplete);
+  CHECK(fixture.call->body == Events(1, kEvents));
+  CHECK(second->runs().size() == 1);
+}
+
+// Guards against leaving a silent worker when the retry budget has nothing left for another one.
+TEST_CASE("a stream arrives whole when its worker falls silent and no retry is left") {
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  PlatformWorker* const first = fixture.AddWorker(ModelWorker("w1"));
+  const auto call = fixture.Send(node, ResumableStream());
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  first->FallSilent(kSilence);
+  fixture.AddWorker(ModelWorker("w2"));
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, kEvents));
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
