Gateway: a stream that has begun stays with its silent worker

Callers' streams were cut although their worker was sound: it sent nothing for 1.2 s, and the worker tried instead refused or failed, or the path to all workers was called lost as the probed ones were silent too.

Cause: silence was taken for failure, and the only copy of the stream was given up before another one was sure.

Change: once its first event was passed on, a stream is left for silence only after 0.85 of the time for which its caller waits for an event, when the caller would leave in a moment anyway; not when the path is called lost; and only if a retry is left at that moment, which was looked up as of the start of the attempt. A node that has forwarded a stream leaves its peer only when the caller would leave, as the peer itself leaves silent workers. Before the first event nothing changes: the caller has nothing that could be cut.

The price: a stream of a worker that went dark goes on after 2.0 s instead of 1.2 s at the users' routes with 2.4 s of patience.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -111,7 +111,7 @@
     }
   }
   // Called when this node has lost its path to the service's workers: an attempt that may be
-  // repeated and whose worker was silent goes elsewhere at once.
+  // repeated, whose worker was silent and whose caller has received nothing goes elsewhere at once.
   void OnPathLost();
   // Called when the node begins to stop: requests that can't end in time are answered early.
   void OnStopping() { SetTimer(context_->loop->Now()); }
@@ -179,8 +179,8 @@
   // The earliest of the caller's and the route's deadline and a stopping node's limit.
   absl::Time Deadline() const;
   absl::Time WaitLimit() const;
-  // Time for which the caller waits for the first event of a stream.
-  absl::Duration FirstEventTimeout() const;
+  // Time for which the caller of a stream waits for its next event.
+  absl::Duration EventTimeout() const;
   // Returns whether the request should be held until its model is ready, instead of asking the
   // caller to retry then.
   bool MayWaitFor(absl::Time expected, absl::Time latest) const;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -25,12 +25,14 @@
 constexpr absl::Duration kMinStallTimeout = absl::Milliseconds(300);
 constexpr absl::Duration kMinFirstEventStallTimeout = absl::Milliseconds(1300);
 constexpr absl::Duration kStallCheckInterval = absl::Milliseconds(250);
-constexpr absl::Duration kMinStreamGapTimeout = absl::Milliseconds(1200);
+// A stream that has begun stays with a silent worker for this fraction of the time that its caller
+// waits for an event. If no other worker can go on with it, leaving its worker breaks it off.
+constexpr double kEventStallFraction = 0.85;
 // Requests are answered this long before their deadline.
 constexpr absl::Duration kDeadlineMargin = absl::Milliseconds(10);
 // Callers abandon a stream without an event after this time or a multiple of the route's targets,
 // whichever is longer.
-constexpr absl::Duration kMinFirstEventTimeout = absl::Seconds(2);
+constexpr absl::Duration kMinEventTimeout = absl::Seconds(2);
 // A model that is expected within this fraction of the target latency leaves enough time for the
 // first event.
 constexpr double kReadyInTimeFraction = 0.85;
@@ -267,7 +269,7 @@
       deadline_ - std::min(stream ? kMinTimeLeftForStream : kMinTimeLeftForPlain,
                            (deadline_ - arrived_) * 0.25);
   absl::Time limit = arrived_ + (deadline_ - arrived_) * kMaxQueuedFraction;
-  const absl::Time first_event_limit = arrived_ + FirstEventTimeout();
+  const absl::Time first_event_limit = arrived_ + EventTimeout();
   const absl::Time expected = context_->host->ExpectedReady(model_, software_version());
   if (last_problem_ == ChoiceProblem::kModelAbsent && expected != absl::InfiniteFuture()) {
     limit = MayWaitFor(expected, std::min(latest, first_event_limit)) ? latest : arrived_;
@@ -295,11 +297,11 @@
   return expected < latest;
 }
 
-absl::Duration RequestRelay::FirstEventTimeout() const {
+absl::Duration RequestRelay::EventTimeout() const {
   if (route_->kind != RouteKind::kStreaming) {
     return absl::InfiniteDuration();
   }
-  return std::max({kMinFirstEventTimeout, 4 * route_->target_latency, 8 * route_->target_gap});
+  return std::max({kMinEventTimeout, 4 * route_->target_latency, 8 * route_->target_gap});
 }
 
 bool RequestRelay::MayTryAnother(absl::Time now) const {
@@ -343,18 +345,19 @@
 }
 
 absl::Time RequestRelay::FirstStallLimit() const {
-  if (!route_->MayRunAgain() || !MayTryAnother(attempt_started_)) {
+  if (!route_->MayRunAgain() || AttemptsCounted() >= route_->max_attempts) {
     return absl::InfiniteFuture();
   }
-  if (!peer_.empty() && !answer_started_) {
-    return absl::InfiniteFuture();  // The peer itself leaves silent workers.
+  if (!peer_.empty()) {
+    // The peer itself leaves silent workers; it is left only if its caller would leave as well.
+    return answer_started_ ? last_progress_ + EventTimeout() : absl::InfiniteFuture();
   }
   if (route_->kind != RouteKind::kStreaming) {
     return attempt_started_ +
            std::max(kMinStallTimeout, (deadline_ - attempt_started_) * kStallFraction);
   }
   if (answer_started_) {
-    return last_progress_ + std::max(kMinStreamGapTimeout, 4 * route_->target_gap);
+    return last_progress_ + kEventStallFraction * EventTimeout();
   }
   return attempt_started_ + std::max(kMinFirstEventStallTimeout, 2 * route_->target_latency);
 }
@@ -402,8 +405,8 @@
     GiveUp(504, "deadline");
     return;
   }
-  if (now >= StallLimit() && !AnotherWorkerIsFree(now)) {
-    // Without another free worker the attempt continues, as the answer may still arrive.
+  if (now >= StallLimit() && !(MayTryAnother(now) && AnotherWorkerIsFree(now))) {
+    // The attempt continues, as the answer may still arrive.
     stall_checked_ = now;
     SetTimer(now);
     return;
--- a/src/serving/request_relay_forwards.cc
+++ b/src/serving/request_relay_forwards.cc
@@ -116,7 +116,10 @@
 void RequestRelay::OnPathLost() {
   const absl::Time now = context_->loop->Now();
   const bool silent = now - std::max(last_progress_, attempt_started_) >= kMinSilence;
-  if (state_ == State::kRunning && peer_.empty() && silent && route_->MayRunAgain()) {
+  // The workers may also be silent without a fault of the path. A stream that has begun is not put
+  // at risk for that; it goes elsewhere once its worker has been silent for too long.
+  if (state_ == State::kRunning && peer_.empty() && silent && !stream_started_ &&
+      route_->MayRunAgain()) {
     EndAttempt(AttemptOutcome::kFailed);
     OnFailedAttempt("path_lost");
   }
