Gateway: prompt parts that crash workers are quarantined

Callers saw 502 and refusals by the dozen: requests with one part in their prompts crashed worker after worker, and took the sound requests there with them.

Cause: a crash was an outcome of one worker; nothing connected it with what the worker was about to answer, or with crashes that other nodes saw.

Change: a node whose attempts end without an answer checks whether the worker is still there. An answer that goes on clears its parts. Parts that three crashes have in common, and that nothing cleared in 250 ms, are quarantined together, at all nodes; nodes that saw one answered since the first crash object, and it leaves the quarantine. Requests whose prompts have all parts of a quarantine are refused at once; those under way that no worker has begun to answer end. Crashes that a quarantine explains count against no other part. After two crashes a request is not sent to another worker. The imposing node admits a trial after 30 s, then at intervals three times as long.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -1,4 +1,4 @@
-// Messages between nodes about demand, replicas and streams, and their encoding.
+// Messages between nodes about demand, replicas, streams and crashes, and their encoding.
 #ifndef HINGESPAN_FLEET_FLEET_MESSAGES_H_
 #define HINGESPAN_FLEET_FLEET_MESSAGES_H_
 
@@ -122,8 +122,41 @@
   std::set<std::string> versions;
 };
 
+// Tells the other nodes that a worker has crashed before it began to answer prompts of this node.
+struct CrashNotice {
+  std::string worker_id;
+  std::string service;
+  // Shared parts of these prompts.
+  std::set<std::string> parts;
+  std::string reply_address;
+};
+
+// Tells the other nodes which prompt parts are quarantined.
+struct QuarantineNotice {
+  std::string service;
+  std::set<std::string> parts;
+  std::set<std::string> workers;
+  // Milliseconds since the first of the crashes.
+  int since_ms = 0;
+  // Milliseconds for which the quarantine lasts; 0 if it is lifted.
+  int lifetime_ms = 0;
+  std::string reply_address;
+};
+
+// Tells the sender of a quarantine that prompts with these parts were answered meanwhile.
+struct ClearedParts {
+  std::string service;
+  std::set<std::string> parts;
+};
+
+// Sent by a node that has just started, to learn of the quarantines.
+struct QuarantineQuestion {
+  std::string reply_address;
+};
+
 using FleetMessage =
-    std::variant<DemandReport, PlacementUpdate, StreamNotice, StreamQuestion, StreamReply>;
+    std::variant<DemandReport, PlacementUpdate, StreamNotice, StreamQuestion, StreamReply,
+                 CrashNotice, QuarantineNotice, ClearedParts, QuarantineQuestion>;
 
 // Encodes the message as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- /dev/null
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -0,0 +1,114 @@
+// Shares the evidence about crashing prompt parts, and the quarantines that follow, between nodes.
+//
+// A node whose attempts at a worker end without an answer checks whether the worker is still there.
+// If not, it tells all nodes which parts the worker was to answer. A node that imposes a quarantine
+// tells all nodes; those that have seen one of its parts answered meanwhile object, and it leaves
+// the quarantine. A node that has started asks a few others for the quarantines, and one that tells
+// of a crash that a quarantine explains is told of it.
+#ifndef HINGESPAN_FLEET_QUARANTINE_EXCHANGE_H_
+#define HINGESPAN_FLEET_QUARANTINE_EXCHANGE_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/time/time.h"
+#include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/fleet/stream_holders.h"
+#include "hingespan/http/event_loop.h"
+#include "hingespan/serving/decision_log.h"
+#include "hingespan/serving/gateway_metrics.h"
+#include "hingespan/serving/prompt_quarantine.h"
+
+namespace hingespan::gateway {
+
+struct QuarantineExchangeParts {
+  EventLoop* loop = nullptr;
+  DecisionLog* log = nullptr;
+  GatewayMetrics* metrics = nullptr;
+  // Sends a datagram to a node's address.
+  std::function<void(const std::string& address, absl::string_view bytes)> send;
+  // Asks the worker at an address on a new connection; calls back whether it answered.
+  std::function<void(const std::string& address, std::function<void(bool answered)>)> probe;
+  // Called when a quarantine was imposed here or at another node.
+  std::function<void()> on_quarantine;
+};
+
+struct QuarantineVerdict {
+  enum class Kind { kFree, kTrial, kRefused };
+  Kind kind = Kind::kFree;
+  // Time until the quarantine ends, if the request is refused.
+  absl::Duration retry_after;
+};
+
+// Not thread-safe; runs on the thread of its event loop.
+class QuarantineExchange {
+ public:
+  QuarantineExchange(std::string node, QuarantineExchangeParts parts);
+  ~QuarantineExchange();
+  QuarantineExchange(const QuarantineExchange&) = delete;
+  QuarantineExchange& operator=(const QuarantineExchange&) = delete;
+
+  // Sets this node's own address for datagrams.
+  void SetAddress(std::string address) { address_ = std::move(address); }
+  void SetNodes(std::vector<StreamNode> nodes);
+
+  // Called when an attempt's connection ended without an answer. `parts` are those of all prompts
+  // that this node sent to the worker and that it had not begun to answer.
+  void OnAttemptBroken(const std::string& worker_id, const std::string& worker_address,
+                       const std::string& service, const PromptPartIds& parts);
+  void RecordAnswered(const std::string& service, const PromptPartIds& parts);
+  // Decides about a new request with these parts.
+  QuarantineVerdict Admit(const std::string& service, const PromptPartIds& parts);
+  // Time left of the quarantine that requests with these parts are under, if there is one.
+  std::optional<absl::Duration> TimeLeft(const std::string& service, const PromptPartIds& parts);
+  // Returns whether a request that was interrupted may be sent to another worker.
+  bool MayRepeat(const std::string& service, const PromptPartIds& parts) const;
+
+  void OnCrash(const CrashNotice& notice);
+  void OnQuarantine(const QuarantineNotice& notice);
+  void OnCleared(const ClearedParts& cleared);
+  void OnQuestion(const QuarantineQuestion& question);
+
+ private:
+  // A datagram to all nodes that is sent several times, as one may be lost.
+  struct Broadcast {
+    std::string bytes;
+    int left = 0;
+    std::unique_ptr<LoopTimer> timer;
+  };
+
+  void OnCrashConfirmed(const std::string& worker_id, const std::string& service,
+                        const PromptPartIds& parts);
+  void ImposeDue();
+  void SetDueTimer();
+  // Tells all nodes of quarantines that were narrowed or lifted here.
+  void TellNarrowed(const std::vector<NarrowedQuarantine>& narrowed);
+  QuarantineNotice NoticeOf(const Quarantine& quarantine) const;
+  void SendToAll(const FleetMessage& message);
+  void SendRound(std::list<Broadcast>::iterator broadcast);
+  void AskNodes();
+  void Log(absl::string_view event, const std::string& service, const PromptPartIds& parts,
+           const std::set<std::string>& workers) const;
+
+  std::string node_;
+  QuarantineExchangeParts parts_;
+  std::string address_;
+  std::vector<StreamNode> nodes_;
+  PromptQuarantine quarantine_;
+  // Workers that are being checked, or have crashed.
+  std::set<std::string> checked_workers_;
+  std::list<Broadcast> broadcasts_;
+  std::unique_ptr<LoopTimer> due_timer_;
+  std::unique_ptr<LoopTimer> question_timer_;
+  int questions_left_;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_FLEET_QUARANTINE_EXCHANGE_H_
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -14,6 +14,7 @@
 #include "absl/time/time.h"
 #include "hingespan/fleet/fleet_coordinator.h"
 #include "hingespan/fleet/peer_link.h"
+#include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/fleet/shared_reading.h"
 #include "hingespan/fleet/stream_directory.h"
 #include "hingespan/fleet/version_registry.h"
@@ -80,6 +81,7 @@
   void FindStream(const std::string& id, const std::string& service,
                   std::function<void(std::optional<StreamSource>)> done) override;
   WorkerPath* PathOf(const std::string& service) override;
+  void OnAttemptBroken(const std::string& worker_id, const std::string& service) override;
   void OnPathEvent(const std::string& service) override;
   void OnRequestStarted(std::shared_ptr<RequestRelay> request) override;
   void OnRequestEnded(std::uint64_t number) override;
@@ -116,6 +118,7 @@
   std::vector<std::string> ProbeTargets(const std::string& service);
   void OnProbesEnded(const std::string& service, bool answered);
   void OnPathLost(const std::string& service);
+  void OnQuarantine();
   // Returns whether this node's orders could reach a worker.
   bool ReachesModelWorkers() const;
   ServerActivity Activity() const;
@@ -156,6 +159,7 @@
   PeerLink peers_;
   VersionRegistry versions_;
   StreamDirectory streams_;
+  QuarantineExchange quarantine_;
   SharedReading reading_;
   std::unique_ptr<FleetCoordinator> fleet_;
   std::unique_ptr<TableFollower> configuration_follower_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -46,6 +46,11 @@
   // Datagrams about streams: records sent to holders, and questions for records.
   std::uint64_t stream_notices = 0;
   std::uint64_t stream_questions = 0;
+  // Workers that ended before they had begun to answer prompts of this node, quarantines that this
+  // node has imposed, and datagrams about both.
+  std::uint64_t worker_crashes = 0;
+  std::uint64_t quarantines = 0;
+  std::uint64_t quarantine_datagrams = 0;
   std::uint64_t callers_gone = 0;
   // Attempts that were forwarded to another node, and those that it couldn't take.
   std::uint64_t forwards = 0;
--- /dev/null
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -0,0 +1,147 @@
+// Finds the prompt parts that crash the workers which begin to answer them, and tells which
+// requests must not be sent to a worker therefore.
+//
+// A crash is evidence against the shared parts of all prompts that its worker had not begun to
+// answer. An answer that goes on is evidence for the parts of its prompt. Parts that several
+// crashes have in common, and that no answer has cleared in between, are quarantined together:
+// requests whose prompts have all of them are refused. Each part that is cleared later leaves the
+// quarantine, so that what remains is the part that crashes workers. Crashes that a quarantine
+// explains count against no other part. From time to time the node that imposed a quarantine
+// admits one request, at ever longer intervals, as a trial.
+#ifndef HINGESPAN_SERVING_PROMPT_QUARANTINE_H_
+#define HINGESPAN_SERVING_PROMPT_QUARANTINE_H_
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+namespace hingespan::gateway {
+
+// Ids of prompt parts that requests share; the last part of a prompt belongs to its request alone
+// and is left out.
+using PromptPartIds = std::set<std::string>;
+
+struct QuarantineSettings {
+  // Number of crashes after which the parts that they have in common are quarantined.
+  int crashes = 3;
+  // Number of further crashes for a part that this node has seen answered before them.
+  int more_if_answered = 2;
+  // Number of crashes after which a request with the part is not sent to another worker.
+  int crashes_before_no_repeat = 2;
+  // Crashes within this time of each other have a common cause outside the prompts, e.g. a rack
+  // that loses power, and count once.
+  absl::Duration same_event = absl::Milliseconds(25);
+  // Time between the last crash needed and the quarantine, for answers that clear its parts.
+  absl::Duration settling_time = absl::Milliseconds(250);
+  // Evidence against a part lapses this long after the last crash.
+  absl::Duration evidence_lifetime = absl::Seconds(60);
+  // An answer this recent shows that a part is sound when the repeat of a request is decided.
+  absl::Duration recent_answer = absl::Seconds(10);
+  // A quarantine ends if no request with its parts has come for this long.
+  absl::Duration quarantine_lifetime = absl::Seconds(60);
+  absl::Duration first_trial = absl::Seconds(30);
+  double trial_backoff = 3;
+  std::size_t max_answered_parts = 8192;
+};
+
+struct Quarantine {
+  std::string service;
+  PromptPartIds parts;
+  // The workers whose crashes it explains.
+  std::set<std::string> workers;
+  // Time of the first of these crashes.
+  absl::Time since;
+  absl::Time expires;
+  // Time at which this node admits a request as a trial; InfiniteFuture if another node does.
+  absl::Time next_trial = absl::InfiniteFuture();
+  absl::Duration trial_interval = absl::ZeroDuration();
+};
+
+// A quarantine that answers have narrowed.
+struct NarrowedQuarantine {
+  // Has no parts if the quarantine is lifted.
+  Quarantine quarantine;
+  PromptPartIds parts_before;
+};
+
+// Does no I/O and reads no clock; not thread-safe.
+class PromptQuarantine {
+ public:
+  explicit PromptQuarantine(const QuarantineSettings& settings = {}) : settings_(settings) {}
+
+  // Records that an answer to a prompt with these parts goes on. Returns the quarantines that it
+  // has narrowed.
+  std::vector<NarrowedQuarantine> RecordAnswered(const std::string& service,
+                                                 const PromptPartIds& parts, absl::Time now);
+  // Records the crash of a worker that had not begun to answer prompts with these parts. `own` is
+  // true if these are prompts that this node sent.
+  void RecordCrash(const std::string& worker, const std::string& service,
+                   const PromptPartIds& parts, bool own, absl::Time now);
+  // Imposes the quarantines that are due and returns them.
+  std::vector<Quarantine> ImposeDue(absl::Time now);
+  // Time at which the next quarantine may be due; InfiniteFuture if none is.
+  absl::Time NextDue() const;
+
+  // Takes over another node's quarantine. Returns those of its parts that this node has seen
+  // answered since the first crash, and which it therefore leaves out.
+  PromptPartIds Apply(const Quarantine& quarantine, absl::Time now);
+  // Removes a quarantine that another node has lifted.
+  void Lift(const std::string& service, const PromptPartIds& parts);
+
+  // Returns the quarantine that a request with these parts falls under, or null. The pointer is
+  // valid until the next call.
+  Quarantine* Find(const std::string& service, const PromptPartIds& parts, absl::Time now);
+  // Returns whether the quarantine admits a request as a trial now, and if so counts it.
+  bool TakeTrial(Quarantine* quarantine, absl::Time now);
+  // Extends the quarantine as requests with its parts still come. Returns whether the other nodes
+  // should be told.
+  bool Renew(Quarantine* quarantine, absl::Time now);
+  // Returns whether a request that a crash has interrupted may be sent to another worker.
+  bool MayRepeat(const std::string& service, const PromptPartIds& parts, absl::Time now) const;
+  const std::vector<Quarantine>& quarantines() const { return quarantines_; }
+
+ private:
+  using PartKey = std::pair<std::string, std::string>;
+  struct Evidence {
+    // Times of the crashes, by worker.
+    std::map<std::string, absl::Time> crashes;
+    // True if a prompt that this node sent is among the evidence.
+    bool own = false;
+  };
+
+  // Time at which a quarantine is due; InfiniteFuture if there is too little evidence.
+  absl::Time DueAt(const PartKey& key, const Evidence& evidence) const;
+  // Times of the crashes, those of one event only once.
+  std::vector<absl::Time> Events(const Evidence& evidence) const;
+  // Part with the most evidence of those for which a quarantine is due, one that was never answered
+  // before any other; null if there is none.
+  const PartKey* StrongestDue(absl::Time now) const;
+  // Parts that each of these workers was to answer when it crashed. Those that were answered before
+  // are left out unless `with_answered` is true.
+  PromptPartIds PartsOfCrashes(const std::string& service, const std::set<std::string>& workers,
+                               bool with_answered) const;
+  absl::Time AnsweredAt(const PartKey& key) const;
+  bool IsExplained(const std::string& worker, const std::string& service,
+                   const PromptPartIds& parts) const;
+  // Removes these crashes from the evidence against all parts.
+  void Explain(const std::set<std::string>& workers);
+  void Expire(absl::Time now);
+  void PruneAnswered(absl::Time now);
+  // Removes quarantines that have these parts among theirs.
+  void RemoveCovered(const std::string& service, const PromptPartIds& parts);
+
+  QuarantineSettings settings_;
+  std::map<PartKey, Evidence> evidence_;
+  absl::flat_hash_map<PartKey, absl::Time> answered_;
+  std::vector<Quarantine> quarantines_;
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // HINGESPAN_SERVING_PROMPT_QUARANTINE_H_
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -25,6 +25,7 @@
 #include "hingespan/serving/event_splitter.h"
 #include "hingespan/serving/forwarding.h"
 #include "hingespan/serving/peer_directory.h"
+#include "hingespan/serving/prompt_quarantine.h"
 #include "hingespan/serving/request_dialect.h"
 #include "hingespan/serving/request_queue.h"
 #include "hingespan/serving/retry_budget.h"
@@ -35,6 +36,7 @@
 
 namespace hingespan::gateway {
 
+class QuarantineExchange;
 struct GatewayMetrics;
 
 // Interface of the gateway to its requests.
@@ -66,6 +68,8 @@
                           std::function<void(std::optional<StreamSource>)> done) = 0;
   // This node's path to the workers of a service; valid as long as the host.
   virtual WorkerPath* PathOf(const std::string& service) = 0;
+  // Called when an attempt's connection to the worker ended before its answer had begun.
+  virtual void OnAttemptBroken(const std::string& worker_id, const std::string& service) = 0;
   // Called when an attempt has shown something about that path.
   virtual void OnPathEvent(const std::string& service) = 0;
   // The host keeps a request alive from Start until it ends.
@@ -81,6 +85,7 @@
   WorkerDirectory* workers = nullptr;
   PeerDirectory* peers = nullptr;
   RetryBudget* budget = nullptr;
+  QuarantineExchange* quarantine = nullptr;
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
   RelayHost* host = nullptr;
@@ -113,6 +118,9 @@
   // Called when this node has lost its path to the service's workers: an attempt that may be
   // repeated, whose worker was silent and whose caller has received nothing goes elsewhere at once.
   void OnPathLost();
+  // Called when a quarantine was imposed: a request under it that no worker has begun to answer
+  // ends.
+  void OnQuarantine();
   // Called when the node begins to stop: requests that can't end in time are answered early.
   void OnStopping() { SetTimer(context_->loop->Now()); }
   // Called just before the node ends: performs due work even if its timer has not run yet.
@@ -126,6 +134,13 @@
     return source_.has_value() ? source_->software_version : std::string();
   }
   int prompt_tokens() const { return facts_.prompt_tokens; }
+  // Parts of the prompt that other requests may share: all but the last.
+  const PromptPartIds& shared_parts() const { return shared_parts_; }
+  // True if the request was sent to this worker, which has not begun to answer it.
+  bool AwaitsAnswerOf(const std::string& worker_id) const {
+    return state_ == State::kRunning && peer_.empty() && worker_id_ == worker_id &&
+           !answer_started_;
+  }
   bool waiting() const { return state_ == State::kWaiting; }
   // True before the first attempt. Such requests with an equal demand wait for the same workers.
   bool first_attempt() const { return excluded_workers_.empty(); }
@@ -143,6 +158,8 @@
   static constexpr const char* kUnknownStream = "unknown_stream";
   static constexpr const char* kVersionAbsent = "version_absent";
   static constexpr const char* kOtherService = "other_service";
+  // Outcome of a request whose prompt has parts that crash workers.
+  static constexpr const char* kQuarantined = "quarantined";
   static constexpr const char* kRetryAfter = "Retry-After";
 
   // Returns whether the caller goes on with a stream of an earlier request.
@@ -154,6 +171,12 @@
   // Returns whether another attempt could go on with what the caller has received.
   bool CanGoOn() const;
   void BeginWaiting();
+  // Refuses the request if its prompt is under quarantine. Returns whether it has done so.
+  bool RefuseIfQuarantined();
+  // Returns whether requests like this one are not sent to workers any more.
+  bool IsQuarantined();
+  // Records that the worker goes on with its answer, which clears the prompt's parts.
+  void NoteAnswerGoesOn(absl::Time now, bool ended);
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
   // Sets the state that a new attempt begins with.
   void BeginAttempt(absl::Time now);
@@ -228,6 +251,7 @@
   std::string service_;
   WorkerPath* path_;
   ModelKey model_;
+  PromptPartIds shared_parts_;
   QueuePlace place_;
   absl::Time arrived_;
   // The earlier of the caller's and the route's deadline.
@@ -248,6 +272,9 @@
   // Number of attempts at peers whose workers are not known.
   int lost_forwards_ = 0;
   bool may_have_run_ = false;
+  // True if the request was admitted to find out whether its prompt still crashes workers.
+  bool is_trial_ = false;
+  absl::Duration quarantine_ends_in_;
   // Set once the caller has events, of this request or of an earlier one.
   std::optional<StreamSource> source_;
   ChoiceProblem last_problem_ = ChoiceProblem::kNone;
@@ -265,6 +292,8 @@
   absl::Time last_progress_;
   absl::Time stall_checked_ = absl::InfinitePast();
   bool answer_started_ = false;
+  absl::Time answer_started_at_;
+  bool answer_noted_ = false;
   AnswerHead answer_head_;
   AnswerFacts answer_facts_;
   bool forwarding_events_ = false;
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -17,6 +17,10 @@
 constexpr int kStreamNotice = 3;
 constexpr int kStreamQuestion = 4;
 constexpr int kStreamReply = 5;
+constexpr int kCrashNotice = 6;
+constexpr int kQuarantineNotice = 7;
+constexpr int kClearedParts = 8;
+constexpr int kQuarantineQuestion = 9;
 
 Json Encode(const WorkerLoad& load) {
   Json list = Json::array({load.worker_id, load.running, load.unread_tokens});
@@ -169,6 +173,42 @@
   return reply;
 }
 
+Json Encode(const CrashNotice& notice) {
+  return Json::array(
+      {kCrashNotice, notice.worker_id, notice.service, Json(notice.parts), notice.reply_address});
+}
+
+CrashNotice DecodeCrash(const Json& json) {
+  return {json.at(1).get<std::string>(), json.at(2).get<std::string>(),
+          json.at(3).get<std::set<std::string>>(), json.at(4).get<std::string>()};
+}
+
+Json Encode(const QuarantineNotice& notice) {
+  return Json::array({kQuarantineNotice, notice.service, Json(notice.parts), Json(notice.workers),
+                      notice.since_ms, notice.lifetime_ms, notice.reply_address});
+}
+
+QuarantineNotice DecodeQuarantine(const Json& json) {
+  return {json.at(1).get<std::string>(),
+          json.at(2).get<std::set<std::string>>(),
+          json.at(3).get<std::set<std::string>>(),
+          json.at(4).get<int>(),
+          json.at(5).get<int>(),
+          json.at(6).get<std::string>()};
+}
+
+Json Encode(const ClearedParts& cleared) {
+  return Json::array({kClearedParts, cleared.service, Json(cleared.parts)});
+}
+
+ClearedParts DecodeCleared(const Json& json) {
+  return {json.at(1).get<std::string>(), json.at(2).get<std::set<std::string>>()};
+}
+
+Json Encode(const QuarantineQuestion& question) {
+  return Json::array({kQuarantineQuestion, question.reply_address});
+}
+
 }  // namespace
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
@@ -195,6 +235,14 @@
         return DecodeQuestion(json);
       case kStreamReply:
         return DecodeReply(json);
+      case kCrashNotice:
+        return DecodeCrash(json);
+      case kQuarantineNotice:
+        return DecodeQuarantine(json);
+      case kClearedParts:
+        return DecodeCleared(json);
+      case kQuarantineQuestion:
+        return QuarantineQuestion{json.at(1).get<std::string>()};
       default:
         return std::nullopt;
     }
--- /dev/null
+++ b/src/fleet/quarantine_exchange.cc
@@ -0,0 +1,235 @@
+#include "hingespan/fleet/quarantine_exchange.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr int kRounds = 3;
+constexpr absl::Duration kRoundInterval = absl::Milliseconds(150);
+// Rounds of questions after the start, as the first nodes that are asked may have started as well.
+constexpr int kQuestionRounds = 3;
+constexpr absl::Duration kQuestionInterval = absl::Milliseconds(500);
+// Parts of one datagram.
+constexpr std::size_t kMaxParts = 40;
+constexpr std::size_t kMaxCheckedWorkers = 4096;
+
+}  // namespace
+
+QuarantineExchange::QuarantineExchange(std::string node, QuarantineExchangeParts parts)
+    : node_(std::move(node)),
+      parts_(std::move(parts)),
+      due_timer_(parts_.loop->MakeTimer()),
+      question_timer_(parts_.loop->MakeTimer()),
+      questions_left_(kQuestionRounds) {}
+
+QuarantineExchange::~QuarantineExchange() = default;
+
+void QuarantineExchange::SetNodes(std::vector<StreamNode> nodes) {
+  const bool first = nodes_.empty();
+  nodes_ = std::move(nodes);
+  if (first && !nodes_.empty()) {
+    AskNodes();
+  }
+}
+
+void QuarantineExchange::AskNodes() {
+  if (questions_left_ == 0) {
+    return;
+  }
+  --questions_left_;
+  const std::string bytes = EncodeFleetMessage(QuarantineQuestion{address_});
+  for (const StreamNode& node : PossibleHolders(node_, nodes_, node_)) {
+    parts_.send(node.address, bytes);
+  }
+  question_timer_->Set(parts_.loop->Now() + kQuestionInterval, [this] { AskNodes(); });
+}
+
+void QuarantineExchange::OnQuestion(const QuarantineQuestion& question) {
+  for (const Quarantine& quarantine : quarantine_.quarantines()) {
+    parts_.send(question.reply_address, EncodeFleetMessage(NoticeOf(quarantine)));
+  }
+}
+
+void QuarantineExchange::OnAttemptBroken(const std::string& worker_id,
+                                         const std::string& worker_address,
+                                         const std::string& service, const PromptPartIds& parts) {
+  if (parts.empty() || checked_workers_.contains(worker_id)) {
+    return;
+  }
+  if (checked_workers_.size() >= kMaxCheckedWorkers) {
+    checked_workers_.clear();
+  }
+  checked_workers_.insert(worker_id);
+  parts_.probe(worker_address, [this, worker_id, service, parts](bool answered) {
+    if (answered) {
+      checked_workers_.erase(worker_id);
+      return;
+    }
+    OnCrashConfirmed(worker_id, service, parts);
+  });
+}
+
+void QuarantineExchange::OnCrashConfirmed(const std::string& worker_id, const std::string& service,
+                                          const PromptPartIds& parts) {
+  ++parts_.metrics->worker_crashes;
+  Log("worker_crashed", service, parts, {worker_id});
+  quarantine_.RecordCrash(worker_id, service, parts, true, parts_.loop->Now());
+  CrashNotice notice{worker_id, service, {}, address_};
+  auto end = parts.begin();
+  std::advance(end, std::min(parts.size(), kMaxParts));
+  notice.parts.insert(parts.begin(), end);
+  SendToAll(notice);
+  SetDueTimer();
+}
+
+void QuarantineExchange::OnCrash(const CrashNotice& notice) {
+  const absl::Time now = parts_.loop->Now();
+  if (const Quarantine* const known = quarantine_.Find(notice.service, notice.parts, now)) {
+    parts_.send(notice.reply_address, EncodeFleetMessage(NoticeOf(*known)));
+  }
+  quarantine_.RecordCrash(notice.worker_id, notice.service, notice.parts, false, now);
+  SetDueTimer();
+}
+
+void QuarantineExchange::SetDueTimer() {
+  const absl::Time due = quarantine_.NextDue();
+  if (due != absl::InfiniteFuture()) {
+    due_timer_->Set(std::max(due, parts_.loop->Now()), [this] { ImposeDue(); });
+  }
+}
+
+void QuarantineExchange::ImposeDue() {
+  const std::vector<Quarantine> imposed = quarantine_.ImposeDue(parts_.loop->Now());
+  for (const Quarantine& quarantine : imposed) {
+    ++parts_.metrics->quarantines;
+    Log("quarantine_imposed", quarantine.service, quarantine.parts, quarantine.workers);
+    SendToAll(NoticeOf(quarantine));
+  }
+  if (!imposed.empty()) {
+    parts_.on_quarantine();
+  }
+  SetDueTimer();
+}
+
+QuarantineNotice QuarantineExchange::NoticeOf(const Quarantine& quarantine) const {
+  const absl::Time now = parts_.loop->Now();
+  QuarantineNotice notice;
+  notice.service = quarantine.service;
+  notice.parts = quarantine.parts;
+  notice.workers = quarantine.workers;
+  notice.since_ms = static_cast<int>(absl::ToInt64Milliseconds(now - quarantine.since));
+  notice.lifetime_ms = static_cast<int>(absl::ToInt64Milliseconds(quarantine.expires - now));
+  notice.reply_address = address_;
+  return notice;
+}
+
+void QuarantineExchange::OnQuarantine(const QuarantineNotice& notice) {
+  const absl::Time now = parts_.loop->Now();
+  if (notice.lifetime_ms <= 0) {
+    quarantine_.Lift(notice.service, notice.parts);
+    return;
+  }
+  Quarantine quarantine;
+  quarantine.service = notice.service;
+  quarantine.parts = notice.parts;
+  quarantine.workers = notice.workers;
+  quarantine.since = now - absl::Milliseconds(notice.since_ms);
+  quarantine.expires = now + absl::Milliseconds(notice.lifetime_ms);
+  const bool known = quarantine_.Find(notice.service, notice.parts, now) != nullptr;
+  const PromptPartIds answered = quarantine_.Apply(quarantine, now);
+  if (!answered.empty()) {
+    parts_.send(notice.reply_address, EncodeFleetMessage(ClearedParts{notice.service, answered}));
+  }
+  if (!known && answered.size() < notice.parts.size()) {
+    Log("quarantine_taken_over", notice.service, notice.parts, notice.workers);
+    parts_.on_quarantine();
+  }
+}
+
+void QuarantineExchange::OnCleared(const ClearedParts& cleared) {
+  RecordAnswered(cleared.service, cleared.parts);
+}
+
+void QuarantineExchange::RecordAnswered(const std::string& service, const PromptPartIds& parts) {
+  if (!parts.empty()) {
+    TellNarrowed(quarantine_.RecordAnswered(service, parts, parts_.loop->Now()));
+  }
+}
+
+void QuarantineExchange::TellNarrowed(const std::vector<NarrowedQuarantine>& narrowed) {
+  for (const auto& [quarantine, parts_before] : narrowed) {
+    QuarantineNotice notice = NoticeOf(quarantine);
+    const bool lifted = quarantine.parts.empty();
+    if (lifted) {
+      notice.parts = parts_before;
+      notice.lifetime_ms = 0;
+    }
+    Log(lifted ? "quarantine_lifted" : "quarantine_narrowed", quarantine.service, notice.parts,
+        quarantine.workers);
+    SendToAll(notice);
+  }
+}
+
+QuarantineVerdict QuarantineExchange::Admit(const std::string& service,
+                                            const PromptPartIds& parts) {
+  const absl::Time now = parts_.loop->Now();
+  Quarantine* const quarantine = quarantine_.Find(service, parts, now);
+  if (quarantine == nullptr) {
+    return {};
+  }
+  if (quarantine_.TakeTrial(quarantine, now)) {
+    Log("quarantine_trial", service, quarantine->parts, {});
+    return {QuarantineVerdict::Kind::kTrial, {}};
+  }
+  if (quarantine_.Renew(quarantine, now)) {
+    SendToAll(NoticeOf(*quarantine));
+  }
+  return {QuarantineVerdict::Kind::kRefused, quarantine->expires - now};
+}
+
+std::optional<absl::Duration> QuarantineExchange::TimeLeft(const std::string& service,
+                                                           const PromptPartIds& parts) {
+  const absl::Time now = parts_.loop->Now();
+  const Quarantine* const quarantine = quarantine_.Find(service, parts, now);
+  return quarantine == nullptr ? std::nullopt : std::make_optional(quarantine->expires - now);
+}
+
+bool QuarantineExchange::MayRepeat(const std::string& service, const PromptPartIds& parts) const {
+  return quarantine_.MayRepeat(service, parts, parts_.loop->Now());
+}
+
+void QuarantineExchange::SendToAll(const FleetMessage& message) {
+  broadcasts_.remove_if([](const Broadcast& each) { return each.left == 0; });
+  broadcasts_.push_back({EncodeFleetMessage(message), kRounds, parts_.loop->MakeTimer()});
+  SendRound(std::prev(broadcasts_.end()));
+}
+
+void QuarantineExchange::SendRound(std::list<Broadcast>::iterator broadcast) {
+  for (const StreamNode& node : nodes_) {
+    if (node.name != node_ && !node.address.empty()) {
+      ++parts_.metrics->quarantine_datagrams;
+      parts_.send(node.address, broadcast->bytes);
+    }
+  }
+  if (--broadcast->left > 0) {
+    broadcast->timer->Set(parts_.loop->Now() + kRoundInterval,
+                          [this, broadcast] { SendRound(broadcast); });
+  }
+}
+
+void QuarantineExchange::Log(absl::string_view event, const std::string& service,
+                             const PromptPartIds& parts,
+                             const std::set<std::string>& workers) const {
+  parts_.log->Write(LogLevel::kWarning, event,
+                    {{"service", service},
+                     {"parts", absl::StrJoin(parts, ",")},
+                     {"workers", absl::StrJoin(workers, ",")}});
+}
+
+}  // namespace hingespan::gateway
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -95,6 +95,15 @@
                                   ObserveVersions();
                                   return versions_.KnownVersions(service, parts_.loop->Now());
                                 }}),
+      quarantine_(settings_.node,
+                  {parts_.loop, parts_.log, parts_.metrics,
+                   [this](const std::string& address, absl::string_view bytes) {
+                     peers_.Send(address, bytes);
+                   },
+                   [this](const std::string& address, std::function<void(bool)> callback) {
+                     parts_.control->Probe(address, std::move(callback));
+                   },
+                   [this] { OnQuarantine(); }}),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
       dispatch_timer_(parts_.loop->MakeTimer()) {
@@ -104,6 +113,7 @@
   context_.workers = &workers_;
   context_.peers = &peer_directory_;
   context_.budget = &budget_;
+  context_.quarantine = &quarantine_;
   context_.log = parts_.log;
   context_.metrics = parts_.metrics;
   context_.host = this;
@@ -143,6 +153,7 @@
   }
   settings_.peer_listen = peers_.address();
   streams_.SetAddress(peers_.address());
+  quarantine_.SetAddress(peers_.address());
   reading_.Share(parts_.reader->configuration_table(), nullptr);
   reading_.Share(parts_.reader->worker_table(),
                  [this](const StoreRow& left, const StoreRow& right) {
@@ -188,6 +199,7 @@
       stream_nodes.push_back({node.name, node.zone, node.datagram_address});
     }
     peer_directory_.SetPeers(peers);
+    quarantine_.SetNodes(stream_nodes);
     streams_.SetNodes(std::move(stream_nodes));
     UpdateMixedServices();
     budget_.SetNodes(names, read_started, parts_.loop->Now());
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -157,6 +157,12 @@
   count("hingespan_streams_taken_up_total", "Streams that callers took up again",
         metrics.streams_taken_up);
   count("hingespan_streams_gone_on_total", "Of them, those that went on", metrics.streams_gone_on);
+  count("hingespan_worker_crashes_total", "Workers that crashed with unanswered prompts",
+        metrics.worker_crashes);
+  count("hingespan_quarantines_total", "Quarantines of prompt parts imposed by this node",
+        metrics.quarantines);
+  count("hingespan_quarantine_datagrams_total", "Datagrams about crashes and quarantines",
+        metrics.quarantine_datagrams);
   count("hingespan_stream_notices_total", "Records of streams sent to their holders",
         metrics.stream_notices);
   count("hingespan_stream_questions_total", "Questions to other nodes for records of streams",
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -23,6 +23,14 @@
     streams_.OnQuestion(*question);
   } else if (const auto* const reply = std::get_if<StreamReply>(&*message)) {
     streams_.OnReply(*reply);
+  } else if (const auto* const crash = std::get_if<CrashNotice>(&*message)) {
+    quarantine_.OnCrash(*crash);
+  } else if (const auto* const quarantine = std::get_if<QuarantineNotice>(&*message)) {
+    quarantine_.OnQuarantine(*quarantine);
+  } else if (const auto* const cleared = std::get_if<ClearedParts>(&*message)) {
+    quarantine_.OnCleared(*cleared);
+  } else if (const auto* const asked = std::get_if<QuarantineQuestion>(&*message)) {
+    quarantine_.OnQuestion(*asked);
   }
 }
 
--- /dev/null
+++ b/src/serving/prompt_quarantine.cc
@@ -0,0 +1,255 @@
+#include "hingespan/serving/prompt_quarantine.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace hingespan::gateway {
+namespace {
+
+bool HasAll(const PromptPartIds& parts, const PromptPartIds& wanted) {
+  return std::includes(parts.begin(), parts.end(), wanted.begin(), wanted.end());
+}
+
+}  // namespace
+
+std::vector<NarrowedQuarantine> PromptQuarantine::RecordAnswered(const std::string& service,
+                                                                 const PromptPartIds& parts,
+                                                                 absl::Time now) {
+  for (const std::string& part : parts) {
+    const PartKey key{service, part};
+    answered_[key] = now;
+    evidence_.erase(key);
+  }
+  PruneAnswered(now);
+  std::vector<NarrowedQuarantine> narrowed;
+  for (Quarantine& each : quarantines_) {
+    PromptPartIds left = each.parts;
+    std::erase_if(left, [&](const std::string& part) { return parts.contains(part); });
+    if (each.service == service && left.size() < each.parts.size()) {
+      std::swap(each.parts, left);
+      narrowed.push_back({each, std::move(left)});
+    }
+  }
+  std::erase_if(quarantines_, [](const Quarantine& each) { return each.parts.empty(); });
+  return narrowed;
+}
+
+void PromptQuarantine::RecordCrash(const std::string& worker, const std::string& service,
+                                   const PromptPartIds& parts, bool own, absl::Time now) {
+  Expire(now);
+  if (IsExplained(worker, service, parts)) {
+    return;
+  }
+  for (const std::string& part : parts) {
+    Evidence& evidence = evidence_[{service, part}];
+    evidence.crashes.try_emplace(worker, now);
+    evidence.own = evidence.own || own;
+  }
+}
+
+bool PromptQuarantine::IsExplained(const std::string& worker, const std::string& service,
+                                   const PromptPartIds& parts) const {
+  return std::any_of(quarantines_.begin(), quarantines_.end(), [&](const Quarantine& each) {
+    return each.service == service && (each.workers.contains(worker) || HasAll(parts, each.parts));
+  });
+}
+
+std::vector<absl::Time> PromptQuarantine::Events(const Evidence& evidence) const {
+  std::vector<absl::Time> times;
+  for (const auto& [worker, at] : evidence.crashes) {
+    times.push_back(at);
+  }
+  std::sort(times.begin(), times.end());
+  std::vector<absl::Time> events;
+  absl::Time last = absl::InfinitePast();
+  for (const absl::Time at : times) {
+    if (at - last > settings_.same_event) {
+      events.push_back(at);
+    }
+    last = at;
+  }
+  return events;
+}
+
+absl::Time PromptQuarantine::DueAt(const PartKey& key, const Evidence& evidence) const {
+  const std::size_t needed = static_cast<std::size_t>(
+      settings_.crashes + (answered_.contains(key) ? settings_.more_if_answered : 0));
+  if (!evidence.own || evidence.crashes.size() < needed) {
+    return absl::InfiniteFuture();
+  }
+  const std::vector<absl::Time> events = Events(evidence);
+  return events.size() < needed ? absl::InfiniteFuture()
+                                : events[needed - 1] + settings_.settling_time;
+}
+
+absl::Time PromptQuarantine::NextDue() const {
+  absl::Time due = absl::InfiniteFuture();
+  for (const auto& [key, evidence] : evidence_) {
+    due = std::min(due, DueAt(key, evidence));
+  }
+  return due;
+}
+
+std::vector<Quarantine> PromptQuarantine::ImposeDue(absl::Time now) {
+  Expire(now);
+  std::vector<Quarantine> imposed;
+  while (const PartKey* const key = StrongestDue(now)) {
+    Quarantine quarantine;
+    quarantine.service = key->first;
+    for (const auto& [worker, at] : evidence_.at(*key).crashes) {
+      quarantine.workers.insert(worker);
+    }
+    quarantine.parts =
+        PartsOfCrashes(quarantine.service, quarantine.workers, answered_.contains(*key));
+    quarantine.since = Events(evidence_.at(*key)).front();
+    quarantine.expires = now + settings_.quarantine_lifetime;
+    quarantine.trial_interval = settings_.first_trial;
+    quarantine.next_trial = now + quarantine.trial_interval;
+    Explain(quarantine.workers);
+    RemoveCovered(quarantine.service, quarantine.parts);
+    quarantines_.push_back(quarantine);
+    imposed.push_back(std::move(quarantine));
+  }
+  return imposed;
+}
+
+const PromptQuarantine::PartKey* PromptQuarantine::StrongestDue(absl::Time now) const {
+  const PartKey* strongest = nullptr;
+  std::pair<bool, std::size_t> highest;
+  for (const auto& [key, evidence] : evidence_) {
+    const std::pair rank{!answered_.contains(key), evidence.crashes.size()};
+    if (DueAt(key, evidence) <= now && (strongest == nullptr || rank > highest)) {
+      strongest = &key;
+      highest = rank;
+    }
+  }
+  return strongest;
+}
+
+PromptPartIds PromptQuarantine::PartsOfCrashes(const std::string& service,
+                                               const std::set<std::string>& workers,
+                                               bool with_answered) const {
+  PromptPartIds parts;
+  for (const auto& [key, evidence] : evidence_) {
+    const bool all = std::all_of(workers.begin(), workers.end(), [&](const std::string& worker) {
+      return evidence.crashes.contains(worker);
+    });
+    if (key.first == service && all && (with_answered || !answered_.contains(key))) {
+      parts.insert(key.second);
+    }
+  }
+  return parts;
+}
+
+void PromptQuarantine::Explain(const std::set<std::string>& workers) {
+  for (auto entry = evidence_.begin(); entry != evidence_.end();) {
+    for (const std::string& worker : workers) {
+      entry->second.crashes.erase(worker);
+    }
+    entry = entry->second.crashes.empty() ? evidence_.erase(entry) : std::next(entry);
+  }
+}
+
+void PromptQuarantine::RemoveCovered(const std::string& service, const PromptPartIds& parts) {
+  std::erase_if(quarantines_, [&](const Quarantine& each) {
+    return each.service == service && HasAll(each.parts, parts);
+  });
+}
+
+PromptPartIds PromptQuarantine::Apply(const Quarantine& quarantine, absl::Time now) {
+  Expire(now);
+  PromptPartIds answered;
+  Quarantine kept = quarantine;
+  for (const std::string& part : quarantine.parts) {
+    if (AnsweredAt({quarantine.service, part}) > quarantine.since) {
+      answered.insert(part);
+      kept.parts.erase(part);
+    }
+  }
+  if (kept.parts.empty()) {
+    return answered;
+  }
+  // The node that imposed the quarantine keeps its trials when others renew it.
+  for (const Quarantine& each : quarantines_) {
+    if (each.service == kept.service && each.parts == kept.parts) {
+      kept.next_trial = each.next_trial;
+      kept.trial_interval = each.trial_interval;
+    }
+  }
+  Explain(kept.workers);
+  RemoveCovered(kept.service, kept.parts);
+  quarantines_.push_back(std::move(kept));
+  return answered;
+}
+
+void PromptQuarantine::Lift(const std::string& service, const PromptPartIds& parts) {
+  RemoveCovered(service, parts);
+}
+
+Quarantine* PromptQuarantine::Find(const std::string& service, const PromptPartIds& parts,
+                                   absl::Time now) {
+  if (quarantines_.empty()) {
+    return nullptr;
+  }
+  Expire(now);
+  const auto found = std::find_if(
+      quarantines_.begin(), quarantines_.end(),
+      [&](const Quarantine& each) { return each.service == service && HasAll(parts, each.parts); });
+  return found == quarantines_.end() ? nullptr : &*found;
+}
+
+bool PromptQuarantine::TakeTrial(Quarantine* quarantine, absl::Time now) {
+  if (now < quarantine->next_trial) {
+    return false;
+  }
+  quarantine->trial_interval *= settings_.trial_backoff;
+  quarantine->next_trial = now + quarantine->trial_interval;
+  return true;
+}
+
+bool PromptQuarantine::Renew(Quarantine* quarantine, absl::Time now) {
+  const bool was_old = quarantine->expires - now < settings_.quarantine_lifetime / 2;
+  if (was_old) {
+    quarantine->expires = now + settings_.quarantine_lifetime;
+  }
+  return was_old;
+}
+
+bool PromptQuarantine::MayRepeat(const std::string& service, const PromptPartIds& parts,
+                                 absl::Time now) const {
+  return std::none_of(parts.begin(), parts.end(), [&](const std::string& part) {
+    const PartKey key{service, part};
+    const auto entry = evidence_.find(key);
+    return entry != evidence_.end() &&
+           static_cast<int>(entry->second.crashes.size()) >= settings_.crashes_before_no_repeat &&
+           now - AnsweredAt(key) > settings_.recent_answer;
+  });
+}
+
+absl::Time PromptQuarantine::AnsweredAt(const PartKey& key) const {
+  const auto entry = answered_.find(key);
+  return entry == answered_.end() ? absl::InfinitePast() : entry->second;
+}
+
+void PromptQuarantine::Expire(absl::Time now) {
+  std::erase_if(quarantines_, [&](const Quarantine& each) { return each.expires <= now; });
+  for (auto entry = evidence_.begin(); entry != evidence_.end();) {
+    std::erase_if(entry->second.crashes, [&](const auto& crash) {
+      return now - crash.second > settings_.evidence_lifetime;
+    });
+    entry = entry->second.crashes.empty() ? evidence_.erase(entry) : std::next(entry);
+  }
+}
+
+void PromptQuarantine::PruneAnswered(absl::Time now) {
+  if (answered_.size() <= settings_.max_answered_parts) {
+    return;
+  }
+  const absl::Time oldest = now - settings_.evidence_lifetime;
+  absl::erase_if(answered_, [&](const auto& entry) { return entry.second < oldest; });
+  if (answered_.size() > settings_.max_answered_parts) {
+    answered_.clear();
+  }
+}
+
+}  // namespace hingespan::gateway
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -87,6 +87,9 @@
   const absl::Duration time = std::min(route->timeout, facts_.deadline.value_or(kDefaultDeadline));
   deadline_ = arrived_ + std::max(absl::ZeroDuration(), time - kDeadlineMargin);
   place_ = {route->priority, deadline_, number};
+  for (std::size_t index = 0; index + 1 < facts_.prompt_parts.size(); ++index) {
+    shared_parts_.insert(facts_.prompt_parts[index].id);
+  }
 }
 
 void RequestRelay::Start() {
@@ -103,6 +106,9 @@
       self->upstream_->ResumeReading();
     }
   });
+  if (RefuseIfQuarantined()) {
+    return;
+  }
   if (TakesUpStream()) {
     FindSource();
     return;
@@ -156,6 +162,10 @@
     GiveUp(502, kUnreachable);
     return true;
   }
+  if (IsQuarantined()) {
+    GiveUp(502, kQuarantined);
+    return true;
+  }
   const WorkerDemand demand = Demand();
   const WorkerChoice choice = context_->workers->Choose(demand, routes_->configuration(), now);
   if (choice.worker == nullptr && choice.candidates == 0 && !unreachable_workers_.empty()) {
@@ -214,6 +224,7 @@
   attempt_started_ = now;
   last_progress_ = now;
   answer_started_ = false;
+  answer_noted_ = false;
   answer_head_ = {};
   forwarding_events_ = false;
   answer_body_.clear();
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 #include "hingespan/serving/request_relay.h"
 
@@ -97,6 +98,7 @@
     NoteAnswerStarted(now);
     SetTimer(now);
   }
+  NoteAnswerGoesOn(now, false);
   if (!stream_started_) {
     first_byte_at_ = now;
     context_->metrics->first_byte.Record(now - arrived_);
@@ -136,6 +138,9 @@
         path_->OnUnreachable(worker_id_);
         context_->host->OnPathEvent(service_);
       }
+      if (peer_.empty() && !answer_started_) {
+        context_->host->OnAttemptBroken(worker_id_, service_);
+      }
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("broken_off");
       return;
@@ -170,6 +175,7 @@
 
 void RequestRelay::NoteAnswerStarted(absl::Time now) {
   answer_started_ = true;
+  answer_started_at_ = now;
   if (peer_.empty()) {
     context_->workers->AnswerStarted(worker_id_, facts_.prompt_tokens, now - attempt_started_, now);
   }
@@ -192,6 +198,7 @@
       return;
     }
     ForwardEvents(events_.TakeRest());
+    NoteAnswerGoesOn(now, true);
     EndAttempt(AttemptOutcome::kServed);
     if (!stream_started_) {
       StartStream();
@@ -264,7 +271,8 @@
                         {"framing", std::string(FramingName(answer_head_))},
                         {"attempt", absl::StrCat(attempts_)},
                         {"after_ms", Milliseconds(now - attempt_started_)}});
-  const bool may_repeat = (!may_have_run_ || route_->MayRunAgain()) && CanGoOn();
+  const bool may_repeat = (!may_have_run_ || route_->MayRunAgain()) && CanGoOn() &&
+                          context_->quarantine->MayRepeat(service_, shared_parts_);
   if (may_repeat && MayTryAnotherOrRecordDenial(now)) {
     if (stream_started_) {
       ++context_->metrics->streams_resumed;
@@ -291,7 +299,9 @@
   const absl::Time now = context_->loop->Now();
   absl::Duration retry_after = kDefaultRetryAfter;
   const absl::Time expected = context_->host->ExpectedReady(model_, software_version());
-  if (expected != absl::InfiniteFuture()) {
+  if (why == kQuarantined) {
+    retry_after = quarantine_ends_in_;
+  } else if (expected != absl::InfiniteFuture()) {
     retry_after = std::max(retry_after, expected - now + kReadyMargin);
     context_->host->ExpectReturn(service_, model_, software_version(), now + retry_after);
   }
--- /dev/null
+++ b/src/serving/request_relay_quarantine.cc
@@ -0,0 +1,56 @@
+// Requests whose prompts may crash workers.
+#include "hingespan/fleet/quarantine_exchange.h"
+#include "hingespan/serving/request_relay.h"
+
+namespace hingespan::gateway {
+namespace {
+
+// A worker that crashes on a prompt does so as it begins the answer; one that is still writing
+// after this time has not.
+constexpr absl::Duration kAnswerSurvives = absl::Milliseconds(100);
+
+}  // namespace
+
+bool RequestRelay::RefuseIfQuarantined() {
+  if (shared_parts_.empty()) {
+    return false;
+  }
+  const QuarantineVerdict verdict = context_->quarantine->Admit(service_, shared_parts_);
+  is_trial_ = verdict.kind == QuarantineVerdict::Kind::kTrial;
+  if (verdict.kind != QuarantineVerdict::Kind::kRefused) {
+    return false;
+  }
+  quarantine_ends_in_ = verdict.retry_after;
+  Refuse(kQuarantined);
+  return true;
+}
+
+bool RequestRelay::IsQuarantined() {
+  if (is_trial_ || shared_parts_.empty()) {
+    return false;
+  }
+  const auto time_left = context_->quarantine->TimeLeft(service_, shared_parts_);
+  quarantine_ends_in_ = time_left.value_or(absl::ZeroDuration());
+  return time_left.has_value();
+}
+
+void RequestRelay::OnQuarantine() {
+  if (answer_started_ || stream_started_ || state_ == State::kEnded || !IsQuarantined()) {
+    return;
+  }
+  if (state_ == State::kRunning) {
+    may_have_run_ = true;
+    EndAttempt(AttemptOutcome::kCancelled);
+  }
+  GiveUp(502, kQuarantined);
+}
+
+void RequestRelay::NoteAnswerGoesOn(absl::Time now, bool ended) {
+  if (answer_noted_ || (!ended && now - answer_started_at_ < kAnswerSurvives)) {
+    return;
+  }
+  answer_noted_ = true;
+  context_->quarantine->RecordAnswered(service_, shared_parts_);
+}
+
+}  // namespace hingespan::gateway
