Forwarding: a caller can't pose as another node

A caller's request with a field named like those between nodes was refused by the node to which it was forwarded: its Hingespan-Origin came before the forwarding node's and was read in its place, so workers that were never tried were left out (503 in the test on the code before).

Change: a node that forwards a request drops the caller's fields of these names first. Requests that go to a worker keep all fields, as before. Result: the test passes; on the code before its first subcase failed, the second did not.

--- a/include/hingespan/serving/forwarding.h
+++ b/include/hingespan/serving/forwarding.h
@@ -38,6 +38,8 @@
 // The fields are named in a Connection field, so that they go no further than the next node.
 HeaderFields OriginFields(const RequestOrigin& origin);
 RequestOrigin ReadOrigin(const RequestHead& head);
+// Removes a caller's fields that another node would take for those of this one.
+void RemoveOrigin(HeaderFields* fields);
 
 // The source of a stream, in a forwarded request or in a worker's answer that is passed back.
 HeaderFields SourceFields(const StreamSource& source);
--- a/src/serving/forwarding.cc
+++ b/src/serving/forwarding.cc
@@ -88,6 +88,13 @@
   return origin;
 }
 
+void RemoveOrigin(HeaderFields* fields) {
+  RemoveSource(fields);
+  std::erase_if(*fields, [](const HeaderField& field) {
+    return absl::EqualsIgnoreCase(field.name, kOriginField);
+  });
+}
+
 HeaderField VerdictField(PeerVerdict verdict) {
   return {kVerdictField, std::string(NameOf(verdict))};
 }
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -257,6 +257,9 @@
                                const HeaderFields& extra) {
   const RequestHead& head = exchange_->head();
   HeaderFields fields = context_->dialect->AttemptFields(head, attempt);
+  if (!peer_.empty()) {
+    RemoveOrigin(&fields);
+  }
   fields.insert(fields.end(), extra.begin(), extra.end());
   std::string message = absl::StrCat(head.method, " ", head.target, " HTTP/1.1\r\n");
   for (const HeaderField& field : fields) {
--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -281,5 +281,23 @@
   CHECK(fixture.Runs() == 1);
 }
 
+// Guards against callers that pose as another node, by chance or on purpose.
+TEST_CASE("a caller's fields named like those between nodes don't reach the other node") {
+  PartitionFixture fixture;
+  fixture.links.SetFault(LinkFault::kRefuse);
+  TestRequest request;
+  SUBCASE("attempts that were never made") {
+    request.fields = {{"Hingespan-Origin", "counted,p1,p2"}};
+  }
+  SUBCASE("a stream that never began") {
+    request = StreamRequest("/stream/x", "m1");
+    request.fields.push_back({"hingespan-stream-service", "models"});
+    request.fields.push_back({"hingespan-stream-version", "v9"});
+  }
+  const auto call = fixture.Ask(fixture.cut, request);
+  CHECK(call->head.status == 200);
+  CHECK(call->result == ExchangeResult::kComplete);
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
