Tests: prompt quarantine by itself, six cases failing

Callers: none yet; the logic had only a test of the whole system. Cases for three crashes, answers, narrowing, explained crashes, one event, parts answered before, lapse, renewal, trials, repeats, notices of other nodes and bounds.

--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -48,6 +48,8 @@
   absl::Duration first_trial = absl::Seconds(30);
   double trial_backoff = 3;
   std::size_t max_answered_parts = 8192;
+  std::size_t max_suspected_parts = 4096;
+  std::size_t max_quarantines = 256;
 };
 
 struct Quarantine {
@@ -105,6 +107,7 @@
   // Returns whether a request that a crash has interrupted may be sent to another worker.
   bool MayRepeat(const std::string& service, const PromptPartIds& parts, absl::Time now) const;
   const std::vector<Quarantine>& quarantines() const { return quarantines_; }
+  std::size_t suspected_parts() const { return evidence_.size(); }
 
  private:
   using PartKey = std::pair<std::string, std::string>;
--- /dev/null
+++ b/tests/quarantine/prompt_quarantine_test.cc
@@ -0,0 +1,346 @@
+#include "hingespan/serving/prompt_quarantine.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr const char* kService = "s";
+const QuarantineSettings kSettings;
+
+absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
+
+// Crashes of different workers a second apart, from `first` seconds on, each of which was to answer
+// `parts` and a part of its own.
+void RecordCrashes(PromptQuarantine* quarantine, const PromptPartIds& parts, int count,
+                   double first, bool own = true) {
+  for (int number = 0; number < count; ++number) {
+    PromptPartIds all = parts;
+    all.insert(absl::StrCat("only", first, "-", number));
+    quarantine->RecordCrash(absl::StrCat("w", first, "-", number), kService, all, own,
+                            At(first + number));
+  }
+}
+
+// Parts of the quarantines that are imposed after the last of `count` crashes a second apart.
+std::vector<Quarantine> ImposeAfter(PromptQuarantine* quarantine, double last_crash) {
+  return quarantine->ImposeDue(At(last_crash) + kSettings.settling_time);
+}
+
+// A quarantine of `parts`, imposed here 2.25 s after the first of three crashes at 0, 1 and 2 s.
+PromptQuarantine WithQuarantine(const PromptPartIds& parts) {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, parts, 3, 0);
+  REQUIRE(ImposeAfter(&quarantine, 2).size() == 1);
+  return quarantine;
+}
+
+// Guards against a part that crashes worker after worker.
+TEST_CASE("a part that three crashes have in common is quarantined") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"bad"}, 2, 0);
+  CHECK(quarantine.NextDue() == absl::InfiniteFuture());
+  CHECK(ImposeAfter(&quarantine, 1).empty());
+  RecordCrashes(&quarantine, {"bad"}, 1, 2);
+  CHECK(quarantine.NextDue() == At(2) + kSettings.settling_time);
+  CHECK(quarantine.ImposeDue(At(2)).empty());
+  const std::vector<Quarantine> imposed = ImposeAfter(&quarantine, 2);
+  REQUIRE(imposed.size() == 1);
+  CHECK(imposed[0].parts == PromptPartIds{"bad"});
+  CHECK(imposed[0].workers.size() == 3);
+  CHECK(imposed[0].since == At(0));
+  CHECK(quarantine.Find(kService, {"bad", "other"}, At(3)) != nullptr);
+  CHECK(quarantine.Find(kService, {"other"}, At(3)) == nullptr);
+  CHECK(quarantine.Find("t", {"bad", "other"}, At(3)) == nullptr);
+  CHECK(quarantine.NextDue() == absl::InfiniteFuture());
+}
+
+// Guards against nodes that all impose a quarantine of crashes that one of them saw.
+TEST_CASE("crashes that only other nodes saw impose nothing here") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"bad"}, 3, 0, false);
+  CHECK(quarantine.NextDue() == absl::InfiniteFuture());
+  CHECK(ImposeAfter(&quarantine, 2).empty());
+  RecordCrashes(&quarantine, {"bad"}, 1, 3, true);
+  CHECK(ImposeAfter(&quarantine, 3).size() == 1);
+}
+
+// Guards against a quarantine of parts that workers answer.
+TEST_CASE("an answer clears the evidence against its parts only") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"bad", "first"}, 3, 0);
+  CHECK(quarantine.RecordAnswered(kService, {"first", "sound"}, At(2.1)).empty());
+  const std::vector<Quarantine> imposed = ImposeAfter(&quarantine, 2);
+  REQUIRE(imposed.size() == 1);
+  CHECK(imposed[0].parts == PromptPartIds{"bad"});
+  CHECK(quarantine.Find(kService, {"first", "sound"}, At(3)) == nullptr);
+}
+
+// Guards against an answer of another service that clears a part.
+TEST_CASE("an answer of another service clears nothing") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"bad"}, 3, 0);
+  quarantine.RecordAnswered("t", {"bad"}, At(2.1));
+  CHECK(ImposeAfter(&quarantine, 2).size() == 1);
+}
+
+// Guards against refusing sound requests that have only some of a quarantine's parts.
+TEST_CASE("parts quarantined together narrow to the crashing one") {
+  PromptQuarantine quarantine = WithQuarantine({"bad", "first", "system"});
+  CHECK(quarantine.Find(kService, {"first", "system", "sound"}, At(3)) == nullptr);
+  CHECK(quarantine.Find(kService, {"bad", "first", "system"}, At(3)) != nullptr);
+  const auto narrowed = quarantine.RecordAnswered(kService, {"first", "sound"}, At(3));
+  REQUIRE(narrowed.size() == 1);
+  CHECK(narrowed[0].quarantine.parts == PromptPartIds{"bad", "system"});
+  CHECK(narrowed[0].parts_before == PromptPartIds{"bad", "first", "system"});
+  CHECK(quarantine.Find(kService, {"bad", "system"}, At(3)) != nullptr);
+  CHECK(quarantine.RecordAnswered(kService, {"first", "sound"}, At(4)).empty());
+  REQUIRE(quarantine.RecordAnswered(kService, {"system"}, At(4)).size() == 1);
+  CHECK(quarantine.Find(kService, {"bad"}, At(4)) != nullptr);
+}
+
+// Guards against a sound part that stays quarantined.
+TEST_CASE("a quarantine whose last part is answered is lifted") {
+  PromptQuarantine quarantine = WithQuarantine({"sound"});
+  const auto narrowed = quarantine.RecordAnswered(kService, {"sound"}, At(3));
+  REQUIRE(narrowed.size() == 1);
+  CHECK(narrowed[0].quarantine.parts.empty());
+  CHECK(narrowed[0].parts_before == PromptPartIds{"sound"});
+  CHECK(quarantine.quarantines().empty());
+}
+
+// Guards against quarantining the neighbours of a crashing part.
+TEST_CASE("crashes that a quarantine explains count against no other part") {
+  PromptQuarantine quarantine = WithQuarantine({"bad"});
+  RecordCrashes(&quarantine, {"bad", "sound"}, 5, 3);
+  CHECK(ImposeAfter(&quarantine, 7).empty());
+  // Later notices of crashes that have led to the quarantine, of other nodes.
+  for (int number = 0; number < 3; ++number) {
+    quarantine.RecordCrash(absl::StrCat("w", 0, "-", number), kService, {"late"}, true, At(8));
+  }
+  CHECK(quarantine.NextDue() == absl::InfiniteFuture());
+  RecordCrashes(&quarantine, {"worse"}, 3, 9);
+  const auto imposed = ImposeAfter(&quarantine, 11);
+  REQUIRE(imposed.size() == 1);
+  CHECK(imposed[0].parts == PromptPartIds{"worse"});
+}
+
+// Guards against a quarantine of what was under way as a rack lost power.
+TEST_CASE("crashes of one event count once") {
+  PromptQuarantine quarantine;
+  for (int number = 0; number < 40; ++number) {
+    quarantine.RecordCrash(absl::StrCat("rack", number), kService, {"sound"}, true,
+                           At(0) + number * absl::Milliseconds(20));
+  }
+  CHECK(ImposeAfter(&quarantine, 1).empty());
+  RecordCrashes(&quarantine, {"sound"}, 1, 2);
+  CHECK(ImposeAfter(&quarantine, 2).empty());
+  RecordCrashes(&quarantine, {"sound"}, 1, 3);
+  CHECK(ImposeAfter(&quarantine, 3).size() == 1);
+}
+
+// Guards against ordinary crashes that quarantine a much used part.
+TEST_CASE("a part that was answered before needs more crashes") {
+  PromptQuarantine quarantine;
+  quarantine.RecordAnswered(kService, {"first"}, At(-1));
+  RecordCrashes(&quarantine, {"first"}, 4, 0);
+  CHECK(ImposeAfter(&quarantine, 3).empty());
+  RecordCrashes(&quarantine, {"first"}, 1, 4);
+  const auto imposed = ImposeAfter(&quarantine, 4);
+  REQUIRE(imposed.size() == 1);
+  CHECK(imposed[0].parts == PromptPartIds{"first"});
+}
+
+// Guards against a quarantine that an answered part of the same prompts narrows to nothing.
+TEST_CASE("a part that was never answered is quarantined without those that were") {
+  PromptQuarantine quarantine;
+  quarantine.RecordAnswered(kService, {"first"}, At(-1));
+  RecordCrashes(&quarantine, {"bad", "first"}, 6, 0);
+  const auto imposed = ImposeAfter(&quarantine, 5);
+  REQUIRE(imposed.size() == 1);
+  CHECK(imposed[0].parts == PromptPartIds{"bad"});
+  CHECK(quarantine.NextDue() == absl::InfiniteFuture());
+}
+
+// Guards against crashes that add up over hours.
+TEST_CASE("evidence lapses") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"sound"}, 2, 0);
+  const double later = 1.5 + absl::ToDoubleSeconds(kSettings.evidence_lifetime);
+  RecordCrashes(&quarantine, {"sound"}, 1, later);
+  CHECK(ImposeAfter(&quarantine, later).empty());
+}
+
+// Guards against a quarantine for ever, and one that ends while such requests still come.
+TEST_CASE("a quarantine ends when no request with its parts has come for its lifetime") {
+  PromptQuarantine quarantine = WithQuarantine({"bad"});
+  absl::Time now = At(2) + kSettings.settling_time;
+  const absl::Time renewed_until = now + 3 * kSettings.quarantine_lifetime;
+  int told = 0;
+  while (now < renewed_until) {
+    now += absl::Seconds(1);
+    Quarantine* const found = quarantine.Find(kService, {"bad"}, now);
+    REQUIRE(found != nullptr);
+    told += quarantine.Renew(found, now) ? 1 : 0;
+  }
+  CHECK(told >= 3);
+  CHECK(told <= 6);
+  CHECK(quarantine.Find(kService, {"bad"}, now + kSettings.quarantine_lifetime) == nullptr);
+  CHECK(quarantine.quarantines().empty());
+}
+
+// Guards against trials that are more than three requests, and against none at all.
+TEST_CASE("trials come at ever longer intervals") {
+  PromptQuarantine quarantine = WithQuarantine({"bad"});
+  const absl::Time imposed = At(2) + kSettings.settling_time;
+  std::vector<absl::Duration> trials;
+  for (absl::Duration after; after < absl::Minutes(7); after += absl::Seconds(1)) {
+    Quarantine* const found = quarantine.Find(kService, {"bad"}, imposed + after);
+    REQUIRE(found != nullptr);
+    if (quarantine.TakeTrial(found, imposed + after)) {
+      trials.push_back(after);
+    }
+    quarantine.Renew(found, imposed + after);
+  }
+  CHECK(trials ==
+        std::vector<absl::Duration>{absl::Seconds(30), absl::Seconds(120), absl::Seconds(390)});
+}
+
+// Guards against one trial for each node.
+TEST_CASE("a node that has taken a quarantine over admits no trial with the others") {
+  PromptQuarantine imposing = WithQuarantine({"bad"});
+  Quarantine notice = imposing.quarantines().front();
+  notice.next_trial = absl::InfiniteFuture();
+  PromptQuarantine other;
+  CHECK(other.Apply(notice, At(3)).empty());
+  Quarantine* const found = other.Find(kService, {"bad"}, At(33));
+  REQUIRE(found != nullptr);
+  CHECK(!other.TakeTrial(found, At(33)));
+}
+
+// Guards against a sound part that stays quarantined as the trials end once another node narrows
+// or renews the quarantine.
+TEST_CASE("the imposing node keeps its trials when another node's notice replaces its quarantine") {
+  PromptQuarantine quarantine = WithQuarantine({"bad", "first"});
+  Quarantine notice = quarantine.quarantines().front();
+  notice.next_trial = absl::InfiniteFuture();
+  notice.trial_interval = absl::ZeroDuration();
+  SUBCASE("renewed") {}
+  SUBCASE("narrowed") { notice.parts = {"bad"}; }
+  CHECK(quarantine.Apply(notice, At(3)).empty());
+  Quarantine* const found = quarantine.Find(kService, {"bad", "first"}, At(33));
+  REQUIRE(found != nullptr);
+  CHECK(quarantine.TakeTrial(found, At(33)));
+  CHECK(!quarantine.TakeTrial(found, At(34)));
+}
+
+// Guards against a quarantine of parts that another node's workers answer.
+TEST_CASE("a node leaves out the parts that it saw answered since the first crash") {
+  PromptQuarantine imposing = WithQuarantine({"bad", "first", "old"});
+  PromptQuarantine other;
+  other.RecordAnswered(kService, {"old"}, At(-1));
+  other.RecordAnswered(kService, {"first"}, At(1));
+  CHECK(other.Apply(imposing.quarantines().front(), At(3)) == PromptPartIds{"first"});
+  REQUIRE(other.quarantines().size() == 1);
+  CHECK(other.quarantines()[0].parts == PromptPartIds{"bad", "old"});
+}
+
+// Guards against a late notice that widens, doubles or shortens a quarantine.
+TEST_CASE("a notice that a narrower quarantine covers changes nothing") {
+  PromptQuarantine quarantine = WithQuarantine({"bad", "first"});
+  Quarantine late = quarantine.quarantines().front();
+  late.expires -= absl::Seconds(20);
+  quarantine.RecordAnswered(kService, {"first"}, At(3));
+  const absl::Time expires = quarantine.quarantines().front().expires;
+  SUBCASE("answered here") {}
+  SUBCASE("answered elsewhere") {
+    const Quarantine narrowed = quarantine.quarantines().front();
+    quarantine = PromptQuarantine();
+    quarantine.Apply(narrowed, At(3));
+  }
+  quarantine.Apply(late, At(4));
+  REQUIRE(quarantine.quarantines().size() == 1);
+  CHECK(quarantine.quarantines()[0].parts == PromptPartIds{"bad"});
+  CHECK(quarantine.quarantines()[0].expires == expires);
+}
+
+// Guards against a malformed notice that refuses every request, or lifts every quarantine.
+TEST_CASE("an empty set of parts neither quarantines nor lifts anything") {
+  PromptQuarantine quarantine = WithQuarantine({"bad"});
+  Quarantine empty = quarantine.quarantines().front();
+  empty.parts.clear();
+  quarantine.Apply(empty, At(3));
+  CHECK(quarantine.quarantines().size() == 1);
+  CHECK(quarantine.Find(kService, {"sound"}, At(3)) == nullptr);
+  quarantine.Lift(kService, {});
+  CHECK(quarantine.Find(kService, {"bad"}, At(3)) != nullptr);
+}
+
+// Guards against a malformed notice whose quarantine stays for days.
+TEST_CASE("a notice does not quarantine for longer than a quarantine lasts") {
+  PromptQuarantine imposing = WithQuarantine({"bad"});
+  Quarantine notice = imposing.quarantines().front();
+  notice.expires = At(3) + absl::Hours(500);
+  notice.since = At(3) + absl::Hours(500);
+  PromptQuarantine other;
+  other.RecordAnswered(kService, {"bad"}, At(2.9));
+  SUBCASE("never answered here") { other = PromptQuarantine(); }
+  other.Apply(notice, At(3));
+  CHECK(other.Find(kService, {"bad"}, At(3) + kSettings.quarantine_lifetime) == nullptr);
+}
+
+// Guards against a repeat that crashes the next worker.
+TEST_CASE("a request is not repeated after two crashes unless its parts were answered just now") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"bad", "first"}, 1, 0);
+  CHECK(quarantine.MayRepeat(kService, {"bad", "first"}, At(0)));
+  RecordCrashes(&quarantine, {"bad", "first"}, 1, 1);
+  CHECK(!quarantine.MayRepeat(kService, {"bad", "first"}, At(1)));
+  CHECK(!quarantine.MayRepeat(kService, {"first", "sound"}, At(1)));
+  CHECK(quarantine.MayRepeat("t", {"first", "sound"}, At(1)));
+  quarantine.RecordAnswered(kService, {"first"}, At(2));
+  CHECK(quarantine.MayRepeat(kService, {"first", "sound"}, At(2)));
+  CHECK(!quarantine.MayRepeat(kService, {"bad", "first"}, At(2)));
+  RecordCrashes(&quarantine, {"first"}, 2, 3);
+  CHECK(quarantine.MayRepeat(kService, {"first", "sound"}, At(4)));
+  CHECK(!quarantine.MayRepeat(kService, {"first", "sound"}, At(2) + absl::Seconds(11)));
+}
+
+// Guards against memory that grows with a long storm of crashes.
+TEST_CASE("suspected parts are bounded and those with most evidence are kept") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"bad"}, 2, 0);
+  for (int number = 0; number < 2000; ++number) {
+    PromptPartIds parts;
+    for (int part = 0; part < 20; ++part) {
+      parts.insert(absl::StrCat("unique", number, "-", part));
+    }
+    quarantine.RecordCrash(absl::StrCat("storm", number), kService, parts, true,
+                           At(2) + number * absl::Milliseconds(20));
+    REQUIRE(quarantine.suspected_parts() <= kSettings.max_suspected_parts);
+  }
+  RecordCrashes(&quarantine, {"bad"}, 1, 43);
+  const auto imposed = ImposeAfter(&quarantine, 43);
+  REQUIRE(imposed.size() == 1);
+  CHECK(imposed[0].parts == PromptPartIds{"bad"});
+}
+
+// Guards against memory that peers' notices fill.
+TEST_CASE("quarantines are bounded") {
+  PromptQuarantine quarantine = WithQuarantine({"bad"});
+  Quarantine notice = quarantine.quarantines().front();
+  for (int number = 0; number < 5000; ++number) {
+    notice.parts = {absl::StrCat("part", number)};
+    quarantine.Apply(notice, At(3));
+  }
+  CHECK(quarantine.quarantines().size() <= kSettings.max_quarantines);
+  CHECK(quarantine.Find(kService, {"bad"}, At(3)) != nullptr);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
