Prompt quarantine: the imposing node's trials outlast narrowing by others

Callers of a sound part would be refused for as long as they come: a quarantine that another node's answer narrows lost its trials at the node that imposed it, and no other node has any. Cause: Apply kept the trials of a quarantine with equal parts only, and then removed the wider one. Change: trials of the quarantines that the notice replaces are kept, the earliest.

--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -169,9 +169,10 @@
   if (kept.parts.empty()) {
     return answered;
   }
-  // The node that imposed the quarantine keeps its trials when others renew it.
+  // The node that imposed the quarantine keeps its trials when others renew or narrow it.
   for (const Quarantine& each : quarantines_) {
-    if (each.service == kept.service && each.parts == kept.parts) {
+    if (each.service == kept.service && HasAll(each.parts, kept.parts) &&
+        each.next_trial < kept.next_trial) {
       kept.next_trial = each.next_trial;
       kept.trial_interval = each.trial_interval;
     }
