Prompt quarantine: late notices neither shorten nor double a quarantine

A datagram repeated after a renewal, or a reply to a question, replaced the quarantine by one that ended earlier, or added a second one for the parts before they were narrowed. Change: a notice that a quarantine here covers only extends it, and its crashes are explained.

--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -169,6 +169,15 @@
   if (kept.parts.empty()) {
     return answered;
   }
+  // A late notice neither widens a quarantine that was narrowed meanwhile nor shortens it.
+  for (Quarantine& each : quarantines_) {
+    if (each.service == kept.service && HasAll(kept.parts, each.parts)) {
+      each.expires = std::max(each.expires, kept.expires);
+      Explain(kept.workers);
+      each.workers.merge(kept.workers);
+      return answered;
+    }
+  }
   // The node that imposed the quarantine keeps its trials when others renew or narrow it.
   for (const Quarantine& each : quarantines_) {
     if (each.service == kept.service && HasAll(each.parts, kept.parts) &&
