Prompt quarantine: no notice quarantines for longer than a quarantine lasts

A peer's notice with a wrong lifetime (24 days fit into the field) refused requests for as long. Evidence: 'a notice does not quarantine for longer than a quarantine lasts' failed. Change: the lifetime is limited on taking over.

--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -160,6 +160,7 @@
   Expire(now);
   PromptPartIds answered;
   Quarantine kept = quarantine;
+  kept.expires = std::min(kept.expires, now + settings_.quarantine_lifetime);
   for (const std::string& part : quarantine.parts) {
     if (AnsweredAt({quarantine.service, part}) > quarantine.since) {
       answered.insert(part);
