Prompt quarantine: the number of suspected parts is bounded

A storm of crashes whose prompts share nothing left a record for each of their parts for 60 s, without a limit. Evidence: 'suspected parts are bounded and those with most evidence are kept' failed (4103 <= 4096). Change: beyond the limit the half with the fewest and earliest crashes goes; a part that crashes workers has more crashes than those it came with and stays.

--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -134,6 +134,7 @@
                    const PromptPartIds& parts) const;
   // Removes these crashes from the evidence against all parts.
   void Explain(const std::set<std::string>& workers);
+  void BoundEvidence();
   void Expire(absl::Time now);
   void PruneAnswered(absl::Time now);
   // Removes quarantines that have these parts among theirs.
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -45,6 +45,30 @@
     evidence.crashes.try_emplace(worker, now);
     evidence.own = evidence.own || own;
   }
+  BoundEvidence();
+}
+
+void PromptQuarantine::BoundEvidence() {
+  if (evidence_.size() <= settings_.max_suspected_parts) {
+    return;
+  }
+  // Parts of fewer crashes go first, then those of earlier ones. Half of them, so that a storm
+  // doesn't sort at each crash.
+  using Rank = std::pair<std::size_t, absl::Time>;
+  std::vector<std::pair<Rank, PartKey>> ranked;
+  ranked.reserve(evidence_.size());
+  for (const auto& [key, evidence] : evidence_) {
+    absl::Time last = absl::InfinitePast();
+    for (const auto& [worker, at] : evidence.crashes) {
+      last = std::max(last, at);
+    }
+    ranked.push_back({{evidence.crashes.size(), last}, key});
+  }
+  const auto kept = ranked.end() - static_cast<std::ptrdiff_t>(settings_.max_suspected_parts / 2);
+  std::nth_element(ranked.begin(), kept, ranked.end());
+  for (auto it = ranked.begin(); it != kept; ++it) {
+    evidence_.erase(it->second);
+  }
 }
 
 bool PromptQuarantine::IsExplained(const std::string& worker, const std::string& service,
