Prompt quarantine: the number of quarantines is bounded

Notices of peers could add any number of quarantines, each looked at by each request. Evidence: 'quarantines are bounded' failed (5001 <= 256). Change: a full node takes no more over; its own next one replaces the one that ends first.

--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -118,6 +118,12 @@
   Expire(now);
   std::vector<Quarantine> imposed;
   while (const PartKey* const key = StrongestDue(now)) {
+    if (quarantines_.size() >= settings_.max_quarantines) {
+      quarantines_.erase(std::min_element(quarantines_.begin(), quarantines_.end(),
+                                          [](const Quarantine& left, const Quarantine& right) {
+                                            return left.expires < right.expires;
+                                          }));
+    }
     Quarantine quarantine;
     quarantine.service = key->first;
     for (const auto& [worker, at] : evidence_.at(*key).crashes) {
@@ -203,6 +209,9 @@
       return answered;
     }
   }
+  if (quarantines_.size() >= settings_.max_quarantines) {
+    return answered;
+  }
   // The node that imposed the quarantine keeps its trials when others renew or narrow it.
   for (const Quarantine& each : quarantines_) {
     if (each.service == kept.service && HasAll(each.parts, kept.parts) &&
