Tests: exchange of quarantines between nodes, two cases failing

Nodes on one event loop whose datagrams a test loses or sees. 12 cases; on the logic before 10 pass and 2 fail: - 'malformed notices change nothing': CHECK( fleet.AllRefuse({"bad"}) ) false, an empty notice with lifetime 0 lifts every quarantine of its service - 'a lifted quarantine does not come back by late rounds of its notice' (the last round about its end is lost): CHECK( fleet.AllFree({"first", "sound"}) ) false

--- /dev/null
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -0,0 +1,351 @@
+// Tests of the exchange between nodes, with datagrams that a test may lose or delay.
+#include "hingespan/fleet/quarantine_exchange.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "hingespan/common/clock.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using Kind = QuarantineVerdict::Kind;
+
+constexpr const char* kService = "s";
+constexpr absl::Duration kLimit = absl::Seconds(20);
+// Crashes closer than this may be of one event.
+constexpr absl::Duration kApart = absl::Milliseconds(60);
+// No datagram for this long: all rounds are over.
+constexpr absl::Duration kQuiet = absl::Milliseconds(600);
+
+// Nodes on one event loop that deliver each other's datagrams.
+struct Fleet {
+  struct Node {
+    std::string name;
+    GatewayMetrics metrics;
+    std::unique_ptr<QuarantineExchange> exchange;
+    int taken_over = 0;
+  };
+  struct Datagram {
+    std::string from;
+    std::string to;
+    FleetMessage message;
+  };
+
+  explicit Fleet(int count) {
+    for (int number = 0; number < count; ++number) {
+      Add();
+    }
+    Connect();
+  }
+
+  Node* Add() {
+    auto node = std::make_unique<Node>();
+    node->name = absl::StrCat("n", nodes.size());
+    QuarantineExchangeParts parts;
+    parts.loop = &loop;
+    parts.log = &log;
+    parts.metrics = &node->metrics;
+    parts.send = [this, from = node->name](const std::string& address, absl::string_view bytes) {
+      Deliver(from, address, std::string(bytes));
+    };
+    parts.probe = [this](const std::string& address, std::function<void(bool)> callback) {
+      ++probes;
+      loop.Post([this, address, callback] { callback(address == sound_worker); });
+    };
+    parts.on_quarantine = [node = node.get()] { ++node->taken_over; };
+    node->exchange = std::make_unique<QuarantineExchange>(node->name, std::move(parts));
+    node->exchange->SetAddress(node->name);
+    nodes.push_back(std::move(node));
+    return nodes.back().get();
+  }
+
+  void Connect() {
+    std::vector<StreamNode> all;
+    for (const auto& node : nodes) {
+      all.push_back({node->name, "z", node->name});
+    }
+    for (const auto& node : nodes) {
+      node->exchange->SetNodes(all);
+    }
+  }
+
+  void Deliver(const std::string& from, const std::string& to, const std::string& bytes) {
+    const auto message = DecodeFleetMessage(bytes);
+    REQUIRE(message.has_value());
+    sent.push_back({from, to, *message});
+    last_sent = loop.Now();
+    if (lose && lose(sent.back())) {
+      return;
+    }
+    loop.Post([this, to, message = *message] {
+      for (const auto& node : nodes) {
+        if (node->name == to) {
+          Receive(node.get(), message);
+        }
+      }
+    });
+  }
+
+  static void Receive(Node* node, const FleetMessage& message) {
+    if (const auto* const crash = std::get_if<CrashNotice>(&message)) {
+      node->exchange->OnCrash(*crash);
+    } else if (const auto* const notice = std::get_if<QuarantineNotice>(&message)) {
+      node->exchange->OnQuarantine(*notice);
+    } else if (const auto* const cleared = std::get_if<ClearedParts>(&message)) {
+      node->exchange->OnCleared(*cleared);
+    } else if (const auto* const question = std::get_if<QuarantineQuestion>(&message)) {
+      node->exchange->OnQuestion(*question);
+    }
+  }
+
+  void Wait(const std::function<bool()>& done) { REQUIRE(loop.RunUntil(done, kLimit)); }
+  void Pause(absl::Duration time) {
+    bool over = false;
+    const auto timer = loop.MakeTimer();
+    timer->Set(loop.Now() + time, [&] { over = true; });
+    Wait([&] { return over; });
+  }
+  void WaitUntilQuiet() {
+    do {
+      Pause(kQuiet);
+    } while (loop.Now() - last_sent < kQuiet);
+  }
+
+  // Workers crash one after the other that were to answer these parts for the node.
+  void Crash(int node, const PromptPartIds& parts, int count) {
+    for (int number = 0; number < count; ++number) {
+      nodes[static_cast<std::size_t>(node)]->exchange->OnAttemptBroken(
+          absl::StrCat("w", next_worker), "gone", kService, parts);
+      ++next_worker;
+      Pause(kApart);
+    }
+  }
+
+  bool IsFree(int node, const PromptPartIds& parts) {
+    return !nodes[static_cast<std::size_t>(node)]->exchange->TimeLeft(kService, parts).has_value();
+  }
+  bool AllRefuse(const PromptPartIds& parts) {
+    for (std::size_t node = 0; node < nodes.size(); ++node) {
+      if (IsFree(static_cast<int>(node), parts)) {
+        return false;
+      }
+    }
+    return true;
+  }
+  bool AllFree(const PromptPartIds& parts) {
+    for (std::size_t node = 0; node < nodes.size(); ++node) {
+      if (!IsFree(static_cast<int>(node), parts)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  EventLoop loop;
+  DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<Datagram> sent;
+  absl::Time last_sent = absl::InfinitePast();
+  // Returns whether the datagram is lost.
+  std::function<bool(const Datagram&)> lose;
+  std::string sound_worker = "sound";
+  int probes = 0;
+  int next_worker = 0;
+};
+
+// Guards against nodes that go on sending such requests as the crashes were at different nodes.
+TEST_CASE("crashes at different nodes add up, and all nodes refuse") {
+  Fleet fleet(3);
+  for (int node = 0; node < 3; ++node) {
+    fleet.Crash(node, {"bad", absl::StrCat("own", node)}, 1);
+  }
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  CHECK(fleet.AllFree({"own0"}));
+  CHECK(fleet.nodes[0]->taken_over >= 1);
+  // All three may find it due at once.
+  CHECK(fleet.nodes[0]->metrics.worker_crashes == 1);
+}
+
+// Guards against a quarantine that one lost datagram keeps from a node.
+TEST_CASE("a round of datagrams that are all lost is made up for") {
+  Fleet fleet(3);
+  std::map<std::string, int> rounds;
+  fleet.lose = [&](const Fleet::Datagram& datagram) {
+    // The first copy of each message to each node.
+    return ++rounds[absl::StrCat(datagram.to, EncodeFleetMessage(datagram.message))] == 1;
+  };
+  fleet.Crash(0, {"bad"}, 1);
+  fleet.Crash(1, {"bad"}, 1);
+  fleet.Crash(2, {"bad"}, 1);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+}
+
+// Guards against a restarted node that sends such requests again.
+TEST_CASE("a node that starts later learns of the quarantine by its question") {
+  Fleet fleet(3);
+  fleet.Crash(0, {"bad"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  fleet.WaitUntilQuiet();
+  fleet.Add();
+  CHECK(!fleet.AllRefuse({"bad"}));
+  fleet.Connect();
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  CHECK(fleet.nodes[3]->taken_over == 1);
+}
+
+// Guards against a question that is asked only once and lost.
+TEST_CASE("a node that starts asks again") {
+  Fleet fleet(3);
+  fleet.Crash(0, {"bad"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  fleet.WaitUntilQuiet();
+  int questions = 0;
+  fleet.lose = [&](const Fleet::Datagram& datagram) {
+    return std::holds_alternative<QuarantineQuestion>(datagram.message) && ++questions <= 3;
+  };
+  fleet.Add();
+  fleet.Connect();
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+}
+
+// Guards against a node that was cut off and goes on sending such requests.
+TEST_CASE("a node that tells of a crash that a quarantine explains is told of it") {
+  Fleet fleet(3);
+  fleet.lose = [](const Fleet::Datagram& datagram) { return datagram.to == "n2"; };
+  fleet.Crash(0, {"bad"}, 3);
+  fleet.Wait([&] { return !fleet.IsFree(0, {"bad"}) && !fleet.IsFree(1, {"bad"}); });
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.IsFree(2, {"bad"}));
+  fleet.lose = nullptr;
+  fleet.Crash(2, {"bad", "other"}, 1);
+  fleet.Wait([&] { return !fleet.IsFree(2, {"bad"}); });
+  CHECK(fleet.AllFree({"other"}));
+}
+
+// Guards against refusing sound requests that other nodes' workers answer.
+TEST_CASE("an objection narrows the quarantine at all nodes") {
+  Fleet fleet(3);
+  fleet.Crash(0, {"bad", "first"}, 1);
+  fleet.nodes[1]->exchange->RecordAnswered(kService, {"first", "sound"});
+  fleet.Crash(0, {"bad", "first"}, 2);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllRefuse({"bad"}));
+  CHECK(fleet.AllFree({"first", "sound"}));
+}
+
+// Guards against a quarantine that stays at some nodes, or comes back, after it was lifted.
+TEST_CASE("a lifted quarantine does not come back by late rounds of its notice") {
+  Fleet fleet(4);
+  // The replies to first questions would mend what is checked here.
+  fleet.WaitUntilQuiet();
+  fleet.Crash(0, {"first", "sound"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"first", "sound"}); });
+  // The second and third rounds are still to come.
+  fleet.nodes[1]->exchange->RecordAnswered(kService, {"first", "sound"});
+  SUBCASE("datagrams arrive") {}
+  SUBCASE("the last round about its end is lost") {
+    std::map<std::string, int> rounds;
+    fleet.lose = [rounds](const Fleet::Datagram& datagram) mutable {
+      const std::string bytes = EncodeFleetMessage(datagram.message);
+      return datagram.from == "n1" && ++rounds[absl::StrCat(datagram.to, bytes)] >= 2;
+    };
+  }
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllFree({"first", "sound"}));
+}
+
+// Guards against a part that stays quarantined at a node that objected to another one.
+TEST_CASE("objections of several nodes lift a quarantine of sound parts everywhere") {
+  Fleet fleet(4);
+  // The replies to first questions would mend what is checked here.
+  fleet.WaitUntilQuiet();
+  fleet.Crash(0, {"first", "sound"}, 1);
+  fleet.nodes[1]->exchange->RecordAnswered(kService, {"first"});
+  fleet.nodes[2]->exchange->RecordAnswered(kService, {"sound"});
+  fleet.Crash(0, {"first", "sound"}, 2);
+  fleet.Wait([&] { return fleet.nodes[0]->metrics.quarantines == 1; });
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllFree({"first", "sound"}));
+}
+
+// Guards against taking resets and lost answers for crashes.
+TEST_CASE("attempts broken by a worker that still answers are no crash") {
+  Fleet fleet(2);
+  for (int number = 0; number < 5; ++number) {
+    fleet.nodes[0]->exchange->OnAttemptBroken("w", "sound", kService, {"first"});
+    fleet.Pause(kApart);
+  }
+  CHECK(fleet.probes == 5);
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.nodes[0]->metrics.worker_crashes == 0);
+  CHECK(fleet.AllFree({"first"}));
+  CHECK(fleet.nodes[0]->metrics.quarantine_datagrams == 0);
+}
+
+// Guards against one check and one notice for each of the requests that a crash ended.
+TEST_CASE("a crashed worker is checked and told of once") {
+  Fleet fleet(2);
+  for (int number = 0; number < 20; ++number) {
+    fleet.nodes[0]->exchange->OnAttemptBroken("w", "gone", kService, {"first"});
+  }
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.probes == 1);
+  CHECK(fleet.nodes[0]->metrics.worker_crashes == 1);
+  CHECK(fleet.AllFree({"first"}));
+}
+
+// Guards against peers' messages that refuse or free everything.
+TEST_CASE("malformed notices change nothing") {
+  Fleet fleet(2);
+  fleet.Crash(0, {"bad"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  constexpr int kMost = std::numeric_limits<int>::max();
+  constexpr int kLeast = std::numeric_limits<int>::min();
+  QuarantineExchange* const exchange = fleet.nodes[1]->exchange.get();
+  for (const int lifetime : {kLeast, -1, 0, 1, 60'000, kMost}) {
+    for (const int since : {kLeast, -1, 0, kMost}) {
+      exchange->OnQuarantine({kService, {}, {}, since, lifetime, "n0"});
+      exchange->OnQuarantine({"", {}, {}, since, lifetime, ""});
+    }
+  }
+  exchange->OnCrash({"", kService, {}, ""});
+  exchange->OnCleared({kService, {}});
+  CHECK(fleet.AllRefuse({"bad"}));
+  CHECK(fleet.AllFree({"sound"}));
+  exchange->RecordAnswered(kService, {"sound"});
+  exchange->OnQuarantine({kService, {"sound"}, {}, kLeast, kMost, "n0"});
+  const auto left = exchange->TimeLeft(kService, {"sound"});
+  CHECK(left.value_or(absl::ZeroDuration()) <= QuarantineSettings().quarantine_lifetime);
+}
+
+// Guards against a message of a peer that makes nodes answer each other without end.
+TEST_CASE("the datagrams of a quarantine come to an end") {
+  Fleet fleet(9);
+  for (int node = 0; node < 9; ++node) {
+    fleet.nodes[static_cast<std::size_t>(node)]->exchange->RecordAnswered(kService, {"first"});
+  }
+  fleet.Crash(0, {"bad", "first"}, 1);
+  for (int node = 1; node < 9; ++node) {
+    fleet.nodes[static_cast<std::size_t>(node)]->exchange->RecordAnswered(kService, {"first"});
+  }
+  fleet.Crash(0, {"bad", "first"}, 4);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllFree({"first"}));
+  MESSAGE("datagrams: " << fleet.sent.size());
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
