Quarantine exchange: nodes are told which parts are cleared

Callers of sound prompts would be refused at some nodes although the quarantine was lifted; an empty notice lifted all quarantines of a service. Cause: a narrowed quarantine was told of by its remaining parts, and a lifted one by a lifetime of 0, while later rounds of the first notice still went out: they brought the quarantine back at nodes that had lost the last datagram. An empty set is part of every quarantine, so that it lifted all. Change: the parts that leave are told to all (ClearedParts::to_all; a receiver tells none). Later rounds of a notice tell what is left, or stop.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -138,15 +138,18 @@
   std::set<std::string> workers;
   // Milliseconds since the first of the crashes.
   int since_ms = 0;
-  // Milliseconds for which the quarantine lasts; 0 if it is lifted.
+  // Milliseconds for which the quarantine lasts.
   int lifetime_ms = 0;
   std::string reply_address;
 };
 
-// Tells the sender of a quarantine that prompts with these parts were answered meanwhile.
+// Tells the sender of a quarantine, or all nodes, that prompts with these parts were answered
+// meanwhile.
 struct ClearedParts {
   std::string service;
   std::set<std::string> parts;
+  // True if all nodes are told, so that the receiver tells none.
+  bool to_all = false;
 };
 
 // Sent by a node that has just started, to learn of the quarantines.
--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -2,9 +2,9 @@
 //
 // A node whose attempts at a worker end without an answer checks whether the worker is still there.
 // If not, it tells all nodes which parts the worker was to answer. A node that imposes a quarantine
-// tells all nodes; those that have seen one of its parts answered meanwhile object, and it leaves
-// the quarantine. A node that has started asks a few others for the quarantines, and one that tells
-// of a crash that a quarantine explains is told of it.
+// tells all nodes; those that have seen one of its parts answered meanwhile object, and all nodes
+// are told that it leaves the quarantine. A node that has started asks a few others for the
+// quarantines, and one that tells of a crash that a quarantine explains is told of it.
 #ifndef HINGESPAN_FLEET_QUARANTINE_EXCHANGE_H_
 #define HINGESPAN_FLEET_QUARANTINE_EXCHANGE_H_
 
@@ -79,6 +79,9 @@
   // A datagram to all nodes that is sent several times, as one may be lost.
   struct Broadcast {
     std::string bytes;
+    // Service and parts of the quarantine that it tells of; empty for other messages.
+    std::string service;
+    PromptPartIds quarantined;
     int left = 0;
     std::unique_ptr<LoopTimer> timer;
   };
@@ -87,8 +90,9 @@
                         const PromptPartIds& parts);
   void ImposeDue();
   void SetDueTimer();
-  // Tells all nodes of quarantines that were narrowed or lifted here.
-  void TellNarrowed(const std::vector<NarrowedQuarantine>& narrowed);
+  // Logs the quarantines that were narrowed or lifted here, and has later rounds of their notices
+  // tell what is left.
+  void NoteNarrowed(const std::vector<NarrowedQuarantine>& narrowed);
   QuarantineNotice NoticeOf(const Quarantine& quarantine) const;
   void SendToAll(const FleetMessage& message);
   void SendRound(std::list<Broadcast>::iterator broadcast);
--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -93,8 +93,6 @@
   // Takes over another node's quarantine. Returns those of its parts that this node has seen
   // answered since the first crash, and which it therefore leaves out.
   PromptPartIds Apply(const Quarantine& quarantine, absl::Time now);
-  // Removes a quarantine that another node has lifted.
-  void Lift(const std::string& service, const PromptPartIds& parts);
 
   // Returns the quarantine that a request with these parts falls under, or null. The pointer is
   // valid until the next call.
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -198,11 +198,12 @@
 }
 
 Json Encode(const ClearedParts& cleared) {
-  return Json::array({kClearedParts, cleared.service, Json(cleared.parts)});
+  return Json::array({kClearedParts, cleared.service, Json(cleared.parts), cleared.to_all});
 }
 
 ClearedParts DecodeCleared(const Json& json) {
-  return {json.at(1).get<std::string>(), json.at(2).get<std::set<std::string>>()};
+  return {json.at(1).get<std::string>(), json.at(2).get<std::set<std::string>>(),
+          json.at(3).get<bool>()};
 }
 
 Json Encode(const QuarantineQuestion& question) {
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -131,15 +131,14 @@
 
 void QuarantineExchange::OnQuarantine(const QuarantineNotice& notice) {
   const absl::Time now = parts_.loop->Now();
-  if (notice.lifetime_ms <= 0) {
-    quarantine_.Lift(notice.service, notice.parts);
+  if (notice.lifetime_ms <= 0 || notice.parts.empty()) {
     return;
   }
   Quarantine quarantine;
   quarantine.service = notice.service;
   quarantine.parts = notice.parts;
   quarantine.workers = notice.workers;
-  quarantine.since = now - absl::Milliseconds(notice.since_ms);
+  quarantine.since = now - absl::Milliseconds(std::max(notice.since_ms, 0));
   quarantine.expires = now + absl::Milliseconds(notice.lifetime_ms);
   const bool known = quarantine_.Find(notice.service, notice.parts, now) != nullptr;
   const PromptPartIds answered = quarantine_.Apply(quarantine, now);
@@ -153,26 +152,48 @@
 }
 
 void QuarantineExchange::OnCleared(const ClearedParts& cleared) {
-  RecordAnswered(cleared.service, cleared.parts);
+  if (!cleared.to_all) {
+    RecordAnswered(cleared.service, cleared.parts);
+    return;
+  }
+  NoteNarrowed(quarantine_.RecordAnswered(cleared.service, cleared.parts, parts_.loop->Now()));
 }
 
 void QuarantineExchange::RecordAnswered(const std::string& service, const PromptPartIds& parts) {
-  if (!parts.empty()) {
-    TellNarrowed(quarantine_.RecordAnswered(service, parts, parts_.loop->Now()));
+  if (parts.empty()) {
+    return;
+  }
+  const auto narrowed = quarantine_.RecordAnswered(service, parts, parts_.loop->Now());
+  NoteNarrowed(narrowed);
+  // Only the parts that left a quarantine, as others are of no use to the other nodes.
+  ClearedParts cleared{service, {}, true};
+  for (const auto& [quarantine, parts_before] : narrowed) {
+    std::set_difference(parts_before.begin(), parts_before.end(), quarantine.parts.begin(),
+                        quarantine.parts.end(), std::inserter(cleared.parts, cleared.parts.end()));
+  }
+  if (!cleared.parts.empty()) {
+    SendToAll(cleared);
   }
 }
 
-void QuarantineExchange::TellNarrowed(const std::vector<NarrowedQuarantine>& narrowed) {
+void QuarantineExchange::NoteNarrowed(const std::vector<NarrowedQuarantine>& narrowed) {
   for (const auto& [quarantine, parts_before] : narrowed) {
-    QuarantineNotice notice = NoticeOf(quarantine);
     const bool lifted = quarantine.parts.empty();
-    if (lifted) {
-      notice.parts = parts_before;
-      notice.lifetime_ms = 0;
+    Log(lifted ? "quarantine_lifted" : "quarantine_narrowed", quarantine.service,
+        lifted ? parts_before : quarantine.parts, quarantine.workers);
+    for (Broadcast& each : broadcasts_) {
+      if (each.left == 0 || each.service != quarantine.service ||
+          each.quarantined != parts_before) {
+        continue;
+      }
+      if (lifted) {
+        each.left = 0;
+        each.timer->Cancel();
+        continue;
+      }
+      each.bytes = EncodeFleetMessage(NoticeOf(quarantine));
+      each.quarantined = quarantine.parts;
     }
-    Log(lifted ? "quarantine_lifted" : "quarantine_narrowed", quarantine.service, notice.parts,
-        quarantine.workers);
-    SendToAll(notice);
   }
 }
 
@@ -206,7 +227,12 @@
 
 void QuarantineExchange::SendToAll(const FleetMessage& message) {
   broadcasts_.remove_if([](const Broadcast& each) { return each.left == 0; });
-  broadcasts_.push_back({EncodeFleetMessage(message), kRounds, parts_.loop->MakeTimer()});
+  Broadcast broadcast{EncodeFleetMessage(message), {}, {}, kRounds, parts_.loop->MakeTimer()};
+  if (const auto* const notice = std::get_if<QuarantineNotice>(&message)) {
+    broadcast.service = notice->service;
+    broadcast.quarantined = notice->parts;
+  }
+  broadcasts_.push_back(std::move(broadcast));
   SendRound(std::prev(broadcasts_.end()));
 }
 
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -226,10 +226,6 @@
   return answered;
 }
 
-void PromptQuarantine::Lift(const std::string& service, const PromptPartIds& parts) {
-  RemoveCovered(service, parts);
-}
-
 Quarantine* PromptQuarantine::Find(const std::string& service, const PromptPartIds& parts,
                                    absl::Time now) {
   if (quarantines_.empty()) {
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -74,6 +74,36 @@
   }
 }
 
+// Guards against nodes that understand each other's quarantines wrongly.
+TEST_CASE("messages about quarantines are decoded as they were encoded") {
+  const auto crash = DecodeFleetMessage(EncodeFleetMessage(CrashNotice{"w", "s", {"a", "b"}, "x"}));
+  REQUIRE(crash.has_value());
+  CHECK(std::get<CrashNotice>(*crash).worker_id == "w");
+  CHECK(std::get<CrashNotice>(*crash).service == "s");
+  CHECK(std::get<CrashNotice>(*crash).parts == std::set<std::string>{"a", "b"});
+  CHECK(std::get<CrashNotice>(*crash).reply_address == "x");
+  const QuarantineNotice sent{"s", {"a"}, {"w1", "w2"}, 350, 60'000, "x"};
+  const auto notice = DecodeFleetMessage(EncodeFleetMessage(sent));
+  REQUIRE(notice.has_value());
+  const auto& same = std::get<QuarantineNotice>(*notice);
+  CHECK(same.service == "s");
+  CHECK(same.parts == sent.parts);
+  CHECK(same.workers == sent.workers);
+  CHECK(same.since_ms == 350);
+  CHECK(same.lifetime_ms == 60'000);
+  CHECK(same.reply_address == "x");
+  for (const bool to_all : {false, true}) {
+    const auto cleared = DecodeFleetMessage(EncodeFleetMessage(ClearedParts{"s", {"a"}, to_all}));
+    REQUIRE(cleared.has_value());
+    CHECK(std::get<ClearedParts>(*cleared).service == "s");
+    CHECK(std::get<ClearedParts>(*cleared).parts == std::set<std::string>{"a"});
+    CHECK(std::get<ClearedParts>(*cleared).to_all == to_all);
+  }
+  const auto question = DecodeFleetMessage(EncodeFleetMessage(QuarantineQuestion{"x"}));
+  REQUIRE(question.has_value());
+  CHECK(std::get<QuarantineQuestion>(*question).reply_address == "x");
+}
+
 TEST_CASE("an update without loads differs from one with no loaded workers") {
   PlacementUpdate update;
   update.loads.emplace();
@@ -97,7 +127,12 @@
   CHECK(rc::check("any datagram", [] {
     std::string bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
     if (*rc::gen::arbitrary<bool>()) {
-      bytes = EncodeFleetMessage(DemandReport{"n1", 5, 9, {{"s", "m", "a", 1, 2, 3}}, {}, {}});
+      bytes = *rc::gen::elementOf(std::vector<std::string>{
+          EncodeFleetMessage(DemandReport{"n1", 5, 9, {{"s", "m", "a", 1, 2, 3}}, {}, {}}),
+          EncodeFleetMessage(CrashNotice{"w", "s", {"a", "b"}, "x"}),
+          EncodeFleetMessage(QuarantineNotice{"s", {"a"}, {"w1", "w2"}, 350, 60'000, "x"}),
+          EncodeFleetMessage(ClearedParts{"s", {"a"}, true}),
+          EncodeFleetMessage(QuarantineQuestion{"x"})});
       const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
       bytes[at] = *rc::gen::arbitrary<char>();
     }
--- a/tests/quarantine/prompt_quarantine_test.cc
+++ b/tests/quarantine/prompt_quarantine_test.cc
@@ -270,14 +270,16 @@
 }
 
 // Guards against a malformed notice that refuses every request, or lifts every quarantine.
-TEST_CASE("an empty set of parts neither quarantines nor lifts anything") {
+TEST_CASE("an empty set of parts neither quarantines nor clears anything") {
   PromptQuarantine quarantine = WithQuarantine({"bad"});
   Quarantine empty = quarantine.quarantines().front();
   empty.parts.clear();
   quarantine.Apply(empty, At(3));
   CHECK(quarantine.quarantines().size() == 1);
   CHECK(quarantine.Find(kService, {"sound"}, At(3)) == nullptr);
-  quarantine.Lift(kService, {});
+  CHECK(quarantine.RecordAnswered(kService, {}, At(3)).empty());
+  quarantine.RecordCrash("w", kService, {}, true, At(3));
+  CHECK(quarantine.suspected_parts() == 0);
   CHECK(quarantine.Find(kService, {"bad"}, At(3)) != nullptr);
 }
 
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -321,7 +321,8 @@
     }
   }
   exchange->OnCrash({"", kService, {}, ""});
-  exchange->OnCleared({kService, {}});
+  exchange->OnCleared({kService, {}, false});
+  exchange->OnCleared({kService, {}, true});
   CHECK(fleet.AllRefuse({"bad"}));
   CHECK(fleet.AllFree({"sound"}));
   exchange->RecordAnswered(kService, {"sound"});
