Quarantine: trials follow from a quarantine's age, at one node for all

Requests with a crashing part: 4 reached workers later than contact_ms after the fifth crash (BUDGET allows 3), as each of the nodes that imposed at the same time admitted trials. And a sound part stayed refused for as long as it was asked for once the imposing node had restarted, as no other node has trials. Evidence: both properties of quarantine_fleet_test.cc failed. Change: times of trials follow from the first crash, which all nodes know; the node that admits them is chosen by rendezvous hashing among the nodes, so that a restarted node goes on where it was and another one follows one that is gone.

--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -93,6 +93,8 @@
   // Logs the quarantines that were narrowed or lifted here, and has later rounds of their notices
   // tell what is left.
   void NoteNarrowed(const std::vector<NarrowedQuarantine>& narrowed);
+  // Returns whether this node is the one that admits the quarantine's trials.
+  bool AdmitsTrials(const Quarantine& quarantine) const;
   QuarantineNotice NoticeOf(const Quarantine& quarantine) const;
   void SendToAll(const FleetMessage& message);
   void SendRound(std::list<Broadcast>::iterator broadcast);
--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -6,8 +6,8 @@
 // crashes have in common, and that no answer has cleared in between, are quarantined together:
 // requests whose prompts have all of them are refused. Each part that is cleared later leaves the
 // quarantine, so that what remains is the part that crashes workers. Crashes that a quarantine
-// explains count against no other part. From time to time the node that imposed a quarantine
-// admits one request, at ever longer intervals, as a trial.
+// explains count against no other part. From time to time, at ever longer intervals, one node
+// admits one request as a trial.
 #ifndef HINGESPAN_SERVING_PROMPT_QUARANTINE_H_
 #define HINGESPAN_SERVING_PROMPT_QUARANTINE_H_
 
@@ -60,9 +60,9 @@
   // Time of the first of these crashes.
   absl::Time since;
   absl::Time expires;
-  // Time at which this node admits a request as a trial; InfiniteFuture if another node does.
+  // Time of the next trial. It follows from the age alone, so that all nodes have the same, those
+  // that restarted included.
   absl::Time next_trial = absl::InfiniteFuture();
-  absl::Duration trial_interval = absl::ZeroDuration();
 };
 
 // A quarantine that answers have narrowed.
@@ -97,7 +97,7 @@
   // Returns the quarantine that a request with these parts falls under, or null. The pointer is
   // valid until the next call.
   Quarantine* Find(const std::string& service, const PromptPartIds& parts, absl::Time now);
-  // Returns whether the quarantine admits a request as a trial now, and if so counts it.
+  // Returns whether a trial is due now, and if so counts it. Only one node may admit it.
   bool TakeTrial(Quarantine* quarantine, absl::Time now);
   // Extends the quarantine as requests with its parts still come. Returns whether the other nodes
   // should be told.
@@ -132,6 +132,7 @@
                    const PromptPartIds& parts) const;
   // Removes these crashes from the evidence against all parts.
   void Explain(const std::set<std::string>& workers);
+  absl::Time NextTrial(const Quarantine& quarantine, absl::Time now) const;
   void BoundEvidence();
   void Expire(absl::Time now);
   void PruneAnswered(absl::Time now);
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -197,6 +197,12 @@
   }
 }
 
+bool QuarantineExchange::AdmitsTrials(const Quarantine& quarantine) const {
+  const std::vector<StreamNode> chosen = ChooseHolders(
+      absl::StrCat(quarantine.service, " ", absl::StrJoin(quarantine.parts, " ")), nodes_, "");
+  return chosen.empty() || chosen.front().name == node_;
+}
+
 QuarantineVerdict QuarantineExchange::Admit(const std::string& service,
                                             const PromptPartIds& parts) {
   const absl::Time now = parts_.loop->Now();
@@ -204,7 +210,7 @@
   if (quarantine == nullptr) {
     return {};
   }
-  if (quarantine_.TakeTrial(quarantine, now)) {
+  if (quarantine_.TakeTrial(quarantine, now) && AdmitsTrials(*quarantine)) {
     Log("quarantine_trial", service, quarantine->parts, {});
     return {QuarantineVerdict::Kind::kTrial, {}};
   }
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -133,8 +133,7 @@
         PartsOfCrashes(quarantine.service, quarantine.workers, answered_.contains(*key));
     quarantine.since = Events(evidence_.at(*key)).front();
     quarantine.expires = now + settings_.quarantine_lifetime;
-    quarantine.trial_interval = settings_.first_trial;
-    quarantine.next_trial = now + quarantine.trial_interval;
+    quarantine.next_trial = NextTrial(quarantine, now);
     Explain(quarantine.workers);
     RemoveCovered(quarantine.service, quarantine.parts);
     quarantines_.push_back(quarantine);
@@ -190,9 +189,10 @@
   Expire(now);
   PromptPartIds answered;
   Quarantine kept = quarantine;
+  kept.since = std::min(kept.since, now);
   kept.expires = std::min(kept.expires, now + settings_.quarantine_lifetime);
   for (const std::string& part : quarantine.parts) {
-    if (AnsweredAt({quarantine.service, part}) > quarantine.since) {
+    if (AnsweredAt({quarantine.service, part}) > kept.since) {
       answered.insert(part);
       kept.parts.erase(part);
     }
@@ -212,14 +212,7 @@
   if (quarantines_.size() >= settings_.max_quarantines) {
     return answered;
   }
-  // The node that imposed the quarantine keeps its trials when others renew or narrow it.
-  for (const Quarantine& each : quarantines_) {
-    if (each.service == kept.service && HasAll(each.parts, kept.parts) &&
-        each.next_trial < kept.next_trial) {
-      kept.next_trial = each.next_trial;
-      kept.trial_interval = each.trial_interval;
-    }
-  }
+  kept.next_trial = NextTrial(kept, now);
   Explain(kept.workers);
   RemoveCovered(kept.service, kept.parts);
   quarantines_.push_back(std::move(kept));
@@ -242,11 +235,20 @@
   if (now < quarantine->next_trial) {
     return false;
   }
-  quarantine->trial_interval *= settings_.trial_backoff;
-  quarantine->next_trial = now + quarantine->trial_interval;
+  quarantine->next_trial = NextTrial(*quarantine, now);
   return true;
 }
 
+absl::Time PromptQuarantine::NextTrial(const Quarantine& quarantine, absl::Time now) const {
+  absl::Duration interval = settings_.first_trial;
+  absl::Time next = quarantine.since + interval;
+  while (next <= now) {
+    interval *= settings_.trial_backoff;
+    next += interval;
+  }
+  return next;
+}
+
 bool PromptQuarantine::Renew(Quarantine* quarantine, absl::Time now) {
   const bool was_old = quarantine->expires - now < settings_.quarantine_lifetime / 2;
   if (was_old) {
