--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -45,6 +45,30 @@
     evidence.crashes.try_emplace(worker, now);
     evidence.own = evidence.own || own;
   }
+  BoundEvidence();
+}
+
+void PromptQuarantine::BoundEvidence() {
+  if (evidence_.size() <= settings_.max_suspected_parts) {
+    return;
+  }
+  // Parts of fewer crashes go first, then those of earlier ones. Half of them, so that a storm
+  // doesn't sort at each crash.
+  using Rank = std::pair<std::size_t, absl::Time>;
+  std::vector<std::pair<Rank, PartKey>> ranked;
+  ranked.reserve(evidence_.size());
+  for (const auto& [key, evidence] : evidence_) {
+    absl::Time last = absl::InfinitePast();
+    for (const auto& [worker, at] : evidence.crashes) {
+      last = std::max(last, at);
+    }
+    ranked.push_back({{evidence.crashes.size(), last}, key});
+  }
+  const auto kept = ranked.end() - static_cast<std::ptrdiff_t>(settings_.max_suspected_parts / 2);
+  std::nth_element(ranked.begin(), kept, ranked.end());
+  for (auto it = ranked.begin(); it != kept; ++it) {
+    evidence_.erase(it->second);
+  }
 }
 
 bool PromptQuarantine::IsExplained(const std::string& worker, const std::string& service,
@@ -94,6 +118,12 @@
   Expire(now);
   std::vector<Quarantine> imposed;
   while (const PartKey* const key = StrongestDue(now)) {
+    if (quarantines_.size() >= settings_.max_quarantines) {
+      quarantines_.erase(std::min_element(quarantines_.begin(), quarantines_.end(),
+                                          [](const Quarantine& left, const Quarantine& right) {
+                                            return left.expires < right.expires;
+                                          }));
+    }
     Quarantine quarantine;
     quarantine.service = key->first;
     for (const auto& [worker, at] : evidence_.at(*key).crashes) {
@@ -103,8 +133,7 @@
         PartsOfCrashes(quarantine.service, quarantine.workers, answered_.contains(*key));
     quarantine.since = Events(evidence_.at(*key)).front();
     quarantine.expires = now + settings_.quarantine_lifetime;
-    quarantine.trial_interval = settings_.first_trial;
-    quarantine.next_trial = now + quarantine.trial_interval;
+    quarantine.next_trial = NextTrial(quarantine, now);
     Explain(quarantine.workers);
     RemoveCovered(quarantine.service, quarantine.parts);
     quarantines_.push_back(quarantine);
@@ -160,8 +189,10 @@
   Expire(now);
   PromptPartIds answered;
   Quarantine kept = quarantine;
+  kept.since = std::min(kept.since, now);
+  kept.expires = std::min(kept.expires, now + settings_.quarantine_lifetime);
   for (const std::string& part : quarantine.parts) {
-    if (AnsweredAt({quarantine.service, part}) > quarantine.since) {
+    if (AnsweredAt({quarantine.service, part}) > kept.since) {
       answered.insert(part);
       kept.parts.erase(part);
     }
@@ -169,23 +200,25 @@
   if (kept.parts.empty()) {
     return answered;
   }
-  // The node that imposed the quarantine keeps its trials when others renew it.
-  for (const Quarantine& each : quarantines_) {
-    if (each.service == kept.service && each.parts == kept.parts) {
-      kept.next_trial = each.next_trial;
-      kept.trial_interval = each.trial_interval;
+  // A late notice neither widens a quarantine that was narrowed meanwhile nor shortens it.
+  for (Quarantine& each : quarantines_) {
+    if (each.service == kept.service && HasAll(kept.parts, each.parts)) {
+      each.expires = std::max(each.expires, kept.expires);
+      Explain(kept.workers);
+      each.workers.merge(kept.workers);
+      return answered;
     }
   }
+  if (quarantines_.size() >= settings_.max_quarantines) {
+    return answered;
+  }
+  kept.next_trial = NextTrial(kept, now);
   Explain(kept.workers);
   RemoveCovered(kept.service, kept.parts);
   quarantines_.push_back(std::move(kept));
   return answered;
 }
 
-void PromptQuarantine::Lift(const std::string& service, const PromptPartIds& parts) {
-  RemoveCovered(service, parts);
-}
-
 Quarantine* PromptQuarantine::Find(const std::string& service, const PromptPartIds& parts,
                                    absl::Time now) {
   if (quarantines_.empty()) {
@@ -202,11 +235,20 @@
   if (now < quarantine->next_trial) {
     return false;
   }
-  quarantine->trial_interval *= settings_.trial_backoff;
-  quarantine->next_trial = now + quarantine->trial_interval;
+  quarantine->next_trial = NextTrial(*quarantine, now);
   return true;
 }
 
+absl::Time PromptQuarantine::NextTrial(const Quarantine& quarantine, absl::Time now) const {
+  absl::Duration interval = settings_.first_trial;
+  absl::Time next = quarantine.since + interval;
+  while (next <= now) {
+    interval *= settings_.trial_backoff;
+    next += interval;
+  }
+  return next;
+}
+
 bool PromptQuarantine::Renew(Quarantine* quarantine, absl::Time now) {
   const bool was_old = quarantine->expires - now < settings_.quarantine_lifetime / 2;
   if (was_old) {
