Gateway tests: two more ways to leave a silent worker (LOST), failing

A stream that has begun stays with its silent worker, with two gaps left: - it went on at a second worker, which falls silent for 2.2 s before its first event: taken from it after 1.6 s, and cut as a third one rejects; - all workers are silent for 3.0 s, less than the 3.2 s that the fixture's callers wait: taken from its worker after 2.72 s although the path to all workers is lost and no peer is there, so it can go on nowhere.

Output on, both `ERROR: CHECK( call->result == kComplete )` and the body is short (events 1 to 3 of 4, event 1 of 4). The node's log: attempt_failed worker w1 how broken_off after_ms 80 attempt_failed worker w2 how silent after_ms 1600 attempt_failed worker w3 how worker_full after_ms 0 request status 0 outcome worker_full attempts 3 total_ms 1720 and path_lost service models attempt_failed worker w1 how silent after_ms 2720 request status 0 outcome unreachable attempts 1 total_ms 2720

--- a/tests/serving/silent_worker_test.cc
+++ b/tests/serving/silent_worker_test.cc
@@ -15,6 +15,10 @@
 constexpr int kEvents = 4;
 // Shorter than the time for which the fixture's callers wait for the next event.
 constexpr absl::Duration kSilence = absl::Milliseconds(1600);
+// Longer than a worker may take for its first event, shorter than kSilencePastStall.
+constexpr absl::Duration kLongSilence = absl::Milliseconds(2200);
+// Longer than a stream stays with a silent worker if another one may go on with it.
+constexpr absl::Duration kSilencePastStall = absl::Milliseconds(3000);
 constexpr absl::Duration kEndlessSilence = absl::Minutes(1);
 
 emulator::PlatformWorkerOptions ModelWorker(const std::string& id) {
@@ -75,6 +79,35 @@
   CHECK(fixture.call->body == Events(1, kEvents));
 }
 
+// Guards against cutting a stream that went on at a second worker, when that one falls silent and
+// a third one can't go on with it.
+TEST_CASE("a stream arrives whole when the worker that it went on at falls silent") {
+  GatewayFixture fixture;
+  fixture.PutConfiguration(2, 10000, 0.03, 800, 3);
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  fixture.AddWorker(ModelWorker("w1"))->SetFault(WorkerFault::kBreaksStream);
+  const auto call = fixture.Send(node, ResumableStream());
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  fixture.AddWorker(ModelWorker("w2"))->FallSilent(kLongSilence);
+  REQUIRE(fixture.Wait([&] { return node->metrics.repeats == 1; }));
+  fixture.AddWorker(ModelWorker("w3"))->SetFault(WorkerFault::kRejects);
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, kEvents));
+}
+
+// Guards against leaving a silent worker for others that the node has lost its path to.
+TEST_CASE("a stream arrives whole when all workers are silent for longer and no peer is there") {
+  SilenceFixture fixture;
+  PlatformWorker* const second = fixture.AddWorker(ModelWorker("w2"));
+  fixture.first->FallSilent(kSilencePastStall);
+  second->FallSilent(kSilencePastStall);
+  REQUIRE(fixture.Wait([&] { return fixture.call->ended; }));
+  CHECK(fixture.call->result == ExchangeResult::kComplete);
+  CHECK(fixture.call->body == Events(1, kEvents));
+}
+
 // Guards against waiting for a silent worker until the caller leaves.
 TEST_CASE("a stream goes on at another worker before its caller gives up") {
   SilenceFixture fixture;
