Gateway: a stream that went on stays with its silent worker as well

Cause: whether the caller has events was read off the attempt, not off the request, so an attempt that takes a stream up counted as one whose caller has received nothing.

The limit for a first event remains as a lower bound, as an attempt that begins late would otherwise be left at once.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -302,6 +302,8 @@
   // True once the head of a stream was sent to the caller.
   bool stream_started_ = false;
   absl::Time first_byte_at_;
+  // Time at which the caller was last sent events, of any attempt.
+  absl::Time last_event_at_;
 };
 
 }  // namespace hingespan::gateway
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -370,7 +370,13 @@
   if (answer_started_) {
     return last_progress_ + kEventStallFraction * EventTimeout();
   }
-  return attempt_started_ + std::max(kMinFirstEventStallTimeout, 2 * route_->target_latency);
+  const absl::Time first_event_limit =
+      attempt_started_ + std::max(kMinFirstEventStallTimeout, 2 * route_->target_latency);
+  if (stream_started_) {
+    // The caller has events of an earlier attempt.
+    return std::max(first_event_limit, last_event_at_ + kEventStallFraction * EventTimeout());
+  }
+  return first_event_limit;
 }
 
 void RequestRelay::SetTimer(absl::Time now) {
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -105,6 +105,7 @@
     RecordSource();
     StartStream();
   }
+  last_event_at_ = now;
   exchange_->WriteChunk(events);
   if (upstream_ != nullptr && exchange_->pending_bytes() > kMaxPendingBytes) {
     upstream_->PauseReading();
