Gateway: a begun stream isn't taken from its worker for a lost path

Callers' streams were cut when all workers of a service were silent for longer than 0.85 of the time that the caller waits, and about to go on (LOST).

Cause: a worker counted as free although the path to all workers was lost. The silent worker was left for it, and then the request was given up as unreachable, without an attempt.

Evidence: the second case of the tests; `path_lost`, then `attempt_failed` `silent` and `unreachable` in the same millisecond, with one attempt.

Change: while the path is lost, only a peer is somewhere to go for a stream that has begun. Requests whose caller has received nothing are not affected.

--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -348,6 +348,9 @@
       context_->peers->Choose(declined_peers_, now) != nullptr) {
     return true;
   }
+  if (stream_started_ && path_->lost()) {
+    return false;  // The stream would be broken off.
+  }
   return context_->workers->Choose(Demand(), routes_->configuration(), now).worker != nullptr;
 }
 
