HTTP server tests: a kept connection and a raised idle limit, failing

A kept connection is idle under a limit of 200 ms, which is raised to a minute, as by a new configuration. Another server's connection that became idle later, with the older limit, tells that the older limit has passed.

Output: `FATAL ERROR: REQUIRE( fixture.held != nullptr ) is NOT correct!`, the server has closed the kept connection and the request on it is lost.

--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -76,6 +76,35 @@
       [&] { return fixture.server.activity().unread_bytes == std::string(kRequest).size(); }));
 }
 
+// Guards against closing a kept connection after the idle limit of an older configuration, which
+// its caller no longer keeps to.
+TEST_CASE("a kept connection stays open for the idle limit in force") {
+  constexpr absl::Duration kOldIdleTimeout = absl::Milliseconds(200);
+  Fixture fixture;
+  ServerLimits limits;
+  limits.idle_timeout = kOldIdleTimeout;
+  fixture.server.SetLimits(limits);
+  RawClient kept(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.activity().idle == 1; }));
+  limits.idle_timeout = absl::Minutes(1);
+  fixture.server.SetLimits(limits);
+  // Its connection is idle since later and is closed after the older limit.
+  HttpServer other(&fixture.loop, [](const std::shared_ptr<ServerExchange>&) {});
+  REQUIRE(!other.Listen("127.0.0.1:0"));
+  limits.idle_timeout = kOldIdleTimeout;
+  other.SetLimits(limits);
+  RawClient closed(other.address());
+  REQUIRE(fixture.Wait([&] { return other.connections() == 1; }));
+  REQUIRE(fixture.Wait([&] { return other.connections() == 0; }));
+  REQUIRE(kept.Send(kRequest));
+  REQUIRE(
+      fixture.Wait([&] { return fixture.held != nullptr || fixture.server.connections() == 0; }));
+  REQUIRE(fixture.held != nullptr);
+  fixture.held->Answer(200, "OK", {}, "abc");
+  CHECK(fixture.Wait([&] { return fixture.server.activity().idle == 1; }));
+  CHECK(fixture.server.connections() == 1);
+}
+
 // Guards against chunked bodies for callers that can't decode them.
 TEST_CASE("an HTTP/1.0 caller gets a stream that ends with its connection") {
   Fixture fixture;
