HTTP server: the idle limit in force applies to kept connections

Callers keep a connection for up to four fifths of the configured idle limit. After a configuration that raised it, the node still closed connections after the older limit, and a request that crossed the close, or that its caller sent in trust of the new limit, was lost.

Cause: the timer of a kept connection was set with the limit that held when it became idle, and its expiry was taken for the limit in force.

Change: at the expiry the limit is read again, and the timer is set anew if it was raised. A lowered limit still applies from the next request on, which is the safe side.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -161,16 +161,25 @@
 
  private:
   void WaitForRequest() {
-    timer_->Set(server_->loop->Now() + server_->limits.idle_timeout,
-                [weak = weak_from_this(), unsent = pending_bytes() + unacknowledged_bytes()] {
-                  if (const auto self = weak.lock()) {
-                    self->OnIdleTimeout(unsent);
-                  }
-                });
+    idle_since_ = server_->loop->Now();
+    SetIdleTimer(pending_bytes() + unacknowledged_bytes());
+  }
+
+  void SetIdleTimer(std::size_t unsent) {
+    timer_->Set(idle_since_ + server_->limits.idle_timeout, [weak = weak_from_this(), unsent] {
+      if (const auto self = weak.lock()) {
+        self->OnIdleTimeout(unsent);
+      }
+    });
   }
 
   // A caller that is still receiving the last answer is not idle.
   void OnIdleTimeout(std::size_t unsent_before) {
+    if (server_->loop->Now() < idle_since_ + server_->limits.idle_timeout) {
+      // The limit was raised, and the caller may keep the connection for as long.
+      SetIdleTimer(unsent_before);
+      return;
+    }
     const std::size_t unsent = pending_bytes() + unacknowledged_bytes();
     if (unsent > 0 && unsent < unsent_before) {
       WaitForRequest();
@@ -374,6 +383,7 @@
   std::string queued_;
   std::weak_ptr<Exchange> current_;
   absl::Time received_;
+  absl::Time idle_since_;
   bool reading_ = false;
   bool exchange_open_ = false;
   bool head_timer_running_ = false;
