Node HTTP server tests: a connection's last answer, failing

A connection serves 10,000 requests. The answer to the last one must say that the connection is then closed.

Output: `ERROR: CHECK( absl::StrContains(answer, "Connection: close") ) is NOT correct!`; the connection is then closed (10,001 of 10,002 assertions passed).

--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -74,6 +74,21 @@
   CHECK(fixture.server.counters().connections == 1);
 }
 
+// Guards against closing a connection after an answer that did not say so, which loses the caller's
+// next request.
+TEST_CASE("the last answer of a connection says that it is the last") {
+  ServerFixture fixture(WithReceiveTimeout(kLong));
+  RawClient client(fixture.address);
+  std::string answer;
+  for (int count = 0; count < kMaximumRequestsPerConnection; ++count) {
+    client.Send("GET /hello HTTP/1.1\r\nHost: x\r\n\r\n");
+    answer = client.ReadUntil("hello");
+    REQUIRE(absl::StrContains(answer, "200 OK"));
+  }
+  CHECK(absl::StrContains(answer, "Connection: close"));
+  CHECK(client.ReadAll().empty());
+}
+
 TEST_CASE("headers that arrive byte by byte are cut off at the receive timeout") {
   ServerFixture fixture(WithReceiveTimeout(kShort));
   RawClient client(fixture.address);
