Node HTTP server: a connection's last answer says that it is the last

A caller whose kept connection had served 10,000 requests lost the next one: the answer before did not say `Connection: close`, and the server closed the connection right after it, so the request met the close.

Cause: the limit of requests ended the loop without the answer knowing of it.

Change: the last request is served as one after which the connection closes.

--- a/src/net/http_connections.cc
+++ b/src/net/http_connections.cc
@@ -155,7 +155,8 @@
       }
       break;
     }
-    if (!ServeRequest(stream, ssl, ShouldEndIdle(), process)) {
+    const bool last = count + 1 == kMaximumRequestsPerConnection;
+    if (!ServeRequest(stream, ssl, ShouldEndIdle() || last, process)) {
       break;
     }
   }
