Gateway: a silent worker is left only if the request may be repeated

Cause: a silent worker was left as soon as another was free and a retry was left; whether the request may be repeated was asked only afterwards. The same holds for a stream whose events have no ids.

The case of events without ids is by reading.

Change: both questions are asked before the worker is left. A request that no worker has begun to answer stays with its silent worker likewise, in place of a 502 that helps nobody; it still ends when its parts are quarantined.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -211,6 +211,10 @@
   absl::Time StallLimit() const;
   absl::Time FirstStallLimit() const;
   bool AnotherWorkerIsFree(absl::Time now) const;
+  // Returns whether what the caller has, and what is known of the prompt, allow another attempt.
+  bool MayRepeat() const;
+  // Returns whether the request could go on at another worker if its attempt were abandoned now.
+  bool CanGoOnElsewhere(absl::Time now);
   // Attempts that count towards the route's limit.
   int AttemptsCounted() const { return static_cast<int>(tried_workers_.size()) + lost_forwards_; }
   bool MayTryAnother(absl::Time now) const;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 
 namespace hingespan::gateway {
@@ -343,6 +344,14 @@
                         {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
 }
 
+bool RequestRelay::MayRepeat() const {
+  return CanGoOn() && context_->quarantine->MayRepeat(service_, shared_parts_);
+}
+
+bool RequestRelay::CanGoOnElsewhere(absl::Time now) {
+  return MayRepeat() && !IsQuarantined() && MayTryAnother(now) && AnotherWorkerIsFree(now);
+}
+
 bool RequestRelay::AnotherWorkerIsFree(absl::Time now) const {
   if (PrefersForward() && MayForward() &&
       context_->peers->Choose(declined_peers_, now) != nullptr) {
@@ -425,7 +434,7 @@
     GiveUp(504, "deadline");
     return;
   }
-  if (now >= StallLimit() && !(MayTryAnother(now) && AnotherWorkerIsFree(now))) {
+  if (now >= StallLimit() && !CanGoOnElsewhere(now)) {
     // The attempt continues, as the answer may still arrive.
     stall_checked_ = now;
     SetTimer(now);
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -4,7 +4,6 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
-#include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 #include "hingespan/serving/request_relay.h"
 
@@ -272,8 +271,7 @@
                         {"framing", std::string(FramingName(answer_head_))},
                         {"attempt", absl::StrCat(attempts_)},
                         {"after_ms", Milliseconds(now - attempt_started_)}});
-  const bool may_repeat = (!may_have_run_ || route_->MayRunAgain()) && CanGoOn() &&
-                          context_->quarantine->MayRepeat(service_, shared_parts_);
+  const bool may_repeat = (!may_have_run_ || route_->MayRunAgain()) && MayRepeat();
   if (may_repeat && MayTryAnotherOrRecordDenial(now)) {
     if (stream_started_) {
       ++context_->metrics->streams_resumed;
