Gateway tests: a stream whose caller reads slowly (LOST), failing

A caller doesn't read for 3.0 s of the 3.2 s that it waits for an event. The node stops reading from the worker meanwhile, takes it for silent and sends the stream to another worker, which rejects it: the stream is cut.

Output: `ERROR: CHECK( call->result == kComplete )`, `values: CHECK( 2 == 0 )`, the last event is missing; `CHECK( node->metrics.attempts == 1 )`, `2 == 1`.

--- a/tests/serving/silent_worker_test.cc
+++ b/tests/serving/silent_worker_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "tests/serving/gateway_world.h"
 
 namespace hingespan::gateway {
@@ -108,6 +109,29 @@
   CHECK(fixture.call->body == Events(1, kEvents));
 }
 
+// Guards against taking a worker for silent that the node itself doesn't read from, as the caller
+// is slow.
+TEST_CASE("a stream stays with its worker while its caller doesn't read") {
+  constexpr int kManyEvents = 400;
+  constexpr std::size_t kPadding = 64 * 1024;
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  emulator::PlatformWorkerOptions options = ModelWorker("w1");
+  options.shapes["/stream/"] = {kManyEvents, absl::ZeroDuration(), kPadding};
+  fixture.AddWorker(options);
+  const auto call = fixture.Send(node, ResumableStream());
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  call->exchange->PauseReading();
+  fixture.AddWorker(ModelWorker("w2"))->SetFault(WorkerFault::kRejects);
+  const auto timer = fixture.loop.MakeTimer();
+  timer->Set(fixture.loop.Now() + kSilencePastStall, [&] { call->exchange->ResumeReading(); });
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body.find(absl::StrCat("data: event ", kManyEvents)) != std::string::npos);
+  CHECK(node->metrics.attempts == 1);
+}
+
 // Guards against waiting for a silent worker until the caller leaves.
 TEST_CASE("a stream goes on at another worker before its caller gives up") {
   SilenceFixture fixture;
