--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 
 namespace hingespan::gateway {
@@ -346,11 +347,22 @@
                         {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
 }
 
+bool RequestRelay::MayRepeat() const {
+  return CanGoOn() && context_->quarantine->MayRepeat(service_, shared_parts_);
+}
+
+bool RequestRelay::CanGoOnElsewhere(absl::Time now) {
+  return MayRepeat() && !IsQuarantined() && MayTryAnother(now) && AnotherWorkerIsFree(now);
+}
+
 bool RequestRelay::AnotherWorkerIsFree(absl::Time now) const {
   if (PrefersForward() && MayForward() &&
       context_->peers->Choose(declined_peers_, now) != nullptr) {
     return true;
   }
+  if (stream_started_ && path_->lost()) {
+    return false;  // The stream would be broken off.
+  }
   return context_->workers->Choose(Demand(), routes_->configuration(), now).worker != nullptr;
 }
 
@@ -373,7 +385,13 @@
   if (answer_started_) {
     return last_progress_ + kEventStallFraction * EventTimeout();
   }
-  return attempt_started_ + std::max(kMinFirstEventStallTimeout, 2 * route_->target_latency);
+  const absl::Time first_event_limit =
+      attempt_started_ + std::max(kMinFirstEventStallTimeout, 2 * route_->target_latency);
+  if (stream_started_) {
+    // The caller has events of an earlier attempt.
+    return std::max(first_event_limit, last_event_at_ + kEventStallFraction * EventTimeout());
+  }
+  return first_event_limit;
 }
 
 void RequestRelay::SetTimer(absl::Time now) {
@@ -419,7 +437,7 @@
     GiveUp(504, "deadline");
     return;
   }
-  if (now >= StallLimit() && !(MayTryAnother(now) && AnotherWorkerIsFree(now))) {
+  if (now >= StallLimit() && !CanGoOnElsewhere(now)) {
     // The attempt continues, as the answer may still arrive.
     stall_checked_ = now;
     SetTimer(now);
--- a/tests/serving/silent_worker_test.cc
+++ b/tests/serving/silent_worker_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "tests/serving/gateway_world.h"
 
 namespace hingespan::gateway {
@@ -15,6 +16,10 @@
 constexpr int kEvents = 4;
 // Shorter than the time for which the fixture's callers wait for the next event.
 constexpr absl::Duration kSilence = absl::Milliseconds(1600);
+// Longer than a worker may take for its first event, shorter than kSilencePastStall.
+constexpr absl::Duration kLongSilence = absl::Milliseconds(2200);
+// Longer than a stream stays with a silent worker if another one may go on with it.
+constexpr absl::Duration kSilencePastStall = absl::Milliseconds(3000);
 constexpr absl::Duration kEndlessSilence = absl::Minutes(1);
 
 emulator::PlatformWorkerOptions ModelWorker(const std::string& id) {
@@ -75,6 +80,58 @@
   CHECK(fixture.call->body == Events(1, kEvents));
 }
 
+// Guards against cutting a stream that went on at a second worker, when that one falls silent and
+// a third one can't go on with it.
+TEST_CASE("a stream arrives whole when the worker that it went on at falls silent") {
+  GatewayFixture fixture;
+  fixture.PutConfiguration(2, 10000, 0.03, 800, 3);
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  fixture.AddWorker(ModelWorker("w1"))->SetFault(WorkerFault::kBreaksStream);
+  const auto call = fixture.Send(node, ResumableStream());
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  fixture.AddWorker(ModelWorker("w2"))->FallSilent(kLongSilence);
+  REQUIRE(fixture.Wait([&] { return node->metrics.repeats == 1; }));
+  fixture.AddWorker(ModelWorker("w3"))->SetFault(WorkerFault::kRejects);
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, kEvents));
+}
+
+// Guards against leaving a silent worker for others that the node has lost its path to.
+TEST_CASE("a stream arrives whole when all workers are silent for longer and no peer is there") {
+  SilenceFixture fixture;
+  PlatformWorker* const second = fixture.AddWorker(ModelWorker("w2"));
+  fixture.first->FallSilent(kSilencePastStall);
+  second->FallSilent(kSilencePastStall);
+  REQUIRE(fixture.Wait([&] { return fixture.call->ended; }));
+  CHECK(fixture.call->result == ExchangeResult::kComplete);
+  CHECK(fixture.call->body == Events(1, kEvents));
+}
+
+// Guards against taking a worker for silent that the node itself doesn't read from, as the caller
+// is slow.
+TEST_CASE("a stream stays with its worker while its caller doesn't read") {
+  constexpr int kManyEvents = 400;
+  constexpr std::size_t kPadding = 64 * 1024;
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  emulator::PlatformWorkerOptions options = ModelWorker("w1");
+  options.shapes["/stream/"] = {kManyEvents, absl::ZeroDuration(), kPadding};
+  fixture.AddWorker(options);
+  const auto call = fixture.Send(node, ResumableStream());
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  call->exchange->PauseReading();
+  fixture.AddWorker(ModelWorker("w2"))->SetFault(WorkerFault::kRejects);
+  const auto timer = fixture.loop.MakeTimer();
+  timer->Set(fixture.loop.Now() + kSilencePastStall, [&] { call->exchange->ResumeReading(); });
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body.find(absl::StrCat("data: event ", kManyEvents)) != std::string::npos);
+  CHECK(node->metrics.attempts == 1);
+}
+
 // Guards against waiting for a silent worker until the caller leaves.
 TEST_CASE("a stream goes on at another worker before its caller gives up") {
   SilenceFixture fixture;
