Prompt quarantine: a trial is not repeated

Each trial would have sent two requests with the crashing part to workers: a quarantine takes the crashes that it explains out of the evidence, and with it what denies the repeat. Change: a prompt under quarantine is not repeated.

--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -102,7 +102,8 @@
   // Extends the quarantine as requests with its parts still come. Returns whether the other nodes
   // should be told.
   bool Renew(Quarantine* quarantine, absl::Time now);
-  // Returns whether a request that a crash has interrupted may be sent to another worker.
+  // Returns whether a request that a crash has interrupted may be sent to another worker. A trial
+  // may not.
   bool MayRepeat(const std::string& service, const PromptPartIds& parts, absl::Time now) const;
   const std::vector<Quarantine>& quarantines() const { return quarantines_; }
   std::size_t suspected_parts() const { return evidence_.size(); }
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -259,7 +259,11 @@
 
 bool PromptQuarantine::MayRepeat(const std::string& service, const PromptPartIds& parts,
                                  absl::Time now) const {
-  return std::none_of(parts.begin(), parts.end(), [&](const std::string& part) {
+  const bool quarantined =
+      std::any_of(quarantines_.begin(), quarantines_.end(), [&](const Quarantine& each) {
+        return each.service == service && each.expires > now && HasAll(parts, each.parts);
+      });
+  return !quarantined && std::none_of(parts.begin(), parts.end(), [&](const std::string& part) {
     const PartKey key{service, part};
     const auto entry = evidence_.find(key);
     return entry != evidence_.end() &&
--- a/tests/quarantine/prompt_quarantine_test.cc
+++ b/tests/quarantine/prompt_quarantine_test.cc
@@ -210,6 +210,13 @@
         std::vector<absl::Duration>{absl::Seconds(30), absl::Seconds(120), absl::Seconds(390)});
 }
 
+// Guards against a second request that reaches a worker for each trial.
+TEST_CASE("a request that was admitted as a trial is not sent to another worker") {
+  const PromptQuarantine quarantine = WithQuarantine({"bad"});
+  CHECK(!quarantine.MayRepeat(kService, {"bad", "sound"}, At(31)));
+  CHECK(quarantine.MayRepeat(kService, {"sound"}, At(31)));
+}
+
 // Guards against a sound part that stays quarantined as the node with its trials restarts, and
 // against a trial that is repeated then.
 TEST_CASE("trials follow from the age of the quarantine at each node") {
