HTTP server: at the limit a new connection replaces the longest idle one

Callers saw: with max_connections reached, each new connection was closed unread, though most of the open ones carried no request. While one node takes most new connections, the idle ones of callers that keep theirs pile up there for idle_timeout and shut out everybody else.

Cause: HttpServer counted idle connections like busy ones and gave none of them up.

Evidence: tests/http "at the limit a new connection takes the place of the one that was idle longest" failed before: REQUIRE( fixture.held != nullptr ), the request of the new connection was never read.

Change: the server keeps its idle connections in the order in which they became idle. At the limit it closes the first that has no byte under way in either direction (16 are tried). A connection that is closed leaves the count at once, not when its last handler has run.

A connection with part of a request, or with an answer open, is not given up (same case).

Why it works: a caller whose idle connection is closed has no request open; one that crosses the close was not read and may be sent again.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -24,6 +24,8 @@
   // A keep-alive connection without a request is closed after this time. While an answer is being
   // sent, it is closed only if the caller has acknowledged none of it for this long.
   absl::Duration idle_timeout = absl::Seconds(15);
+  // At the limit, a new connection takes the place of the one that has been idle longest. If none
+  // is idle, the new one is closed unread.
   std::size_t max_connections = 3000;
 };
 
--- a/include/hingespan/http/server_connection.h
+++ b/include/hingespan/http/server_connection.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <list>
 #include <memory>
 
 #include "absl/container/flat_hash_set.h"
@@ -15,6 +16,8 @@
  public:
   virtual ~ServerConnection() = default;
   virtual void AddTo(ServerActivity* activity) const = 0;
+  // Closes a connection that waits for a request, unless bytes are under way in either direction.
+  virtual bool CloseIfIdle() = 0;
 };
 
 // State shared by all connections of a server.
@@ -24,6 +27,8 @@
   ServerLimits limits;
   bool ask_to_close = false;
   absl::flat_hash_set<const ServerConnection*> connections;
+  // Connections that wait for a request, the one that has waited longest first.
+  std::list<ServerConnection*> idle;
 };
 
 // Reads requests from `socket` and passes them to the handler until the connection ends.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -13,6 +13,13 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+// Idle connections that are looked at for one that can be closed. Others have bytes under way.
+constexpr std::size_t kMaxIdleTried = 16;
+
+}  // namespace
+
 struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
   Implementation(EventLoop* event_loop, Handler request_handler)
       : loop(event_loop), acceptor(event_loop->context()) {
@@ -36,12 +43,26 @@
   }
 
   void StartConnection(tcp::socket socket) {
-    if (shared->connections.size() >= shared->limits.max_connections) {
+    if (shared->connections.size() >= shared->limits.max_connections && !CloseLongestIdle()) {
       return;  // Destroying the socket closes it before anything was read from it.
     }
     StartServerConnection(shared, std::move(socket));
   }
 
+  // Callers that keep their connections would otherwise shut out all others.
+  bool CloseLongestIdle() {
+    std::size_t tried = 0;
+    for (auto place = shared->idle.begin(); place != shared->idle.end() && tried < kMaxIdleTried;
+         ++tried) {
+      // Closing a connection removes it from the list.
+      ServerConnection* const connection = *place++;
+      if (connection->CloseIfIdle()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   EventLoop* loop;
   tcp::acceptor acceptor;
   std::shared_ptr<ServerState> shared;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
+#include <list>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -83,7 +85,7 @@
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
   }
-  ~Connection() override { server_->connections.erase(this); }
+  ~Connection() override { LeaveServer(); }
 
   void Start() {
     WaitForRequest();
@@ -93,6 +95,15 @@
   bool has_input() const { return !input_.empty(); }
   std::size_t pending_bytes() const { return writing_.size() - bytes_written_ + queued_.size(); }
 
+  bool CloseIfIdle() override {
+    boost::system::error_code ignored;
+    if (pending_bytes() > 0 || unacknowledged_bytes() > 0 || socket_.available(ignored) > 0) {
+      return false;
+    }
+    Close();
+    return true;
+  }
+
   void AddTo(ServerActivity* activity) const override {
     if (closed_) {
       return;
@@ -160,7 +171,21 @@
   }
 
  private:
+  void LeaveIdle() {
+    if (idle_place_.has_value()) {
+      server_->idle.erase(*idle_place_);
+      idle_place_.reset();
+    }
+  }
+
+  void LeaveServer() {
+    LeaveIdle();
+    server_->connections.erase(this);
+  }
+
   void WaitForRequest() {
+    LeaveIdle();
+    idle_place_ = server_->idle.insert(server_->idle.end(), this);
     timer_->Set(server_->loop->Now() + server_->limits.idle_timeout,
                 [weak = weak_from_this(), unsent = pending_bytes() + unacknowledged_bytes()] {
                   if (const auto self = weak.lock()) {
@@ -235,6 +260,7 @@
     }
     if (!head_timer_running_) {
       head_timer_running_ = true;
+      LeaveIdle();
       received_ = server_->loop->Now();
       RestartHeadTimer();
     }
@@ -350,6 +376,7 @@
       return;
     }
     closed_ = true;
+    LeaveServer();
     timer_->Cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
@@ -374,6 +401,8 @@
   std::string queued_;
   std::weak_ptr<Exchange> current_;
   absl::Time received_;
+  // Place among the server's idle connections.
+  std::optional<std::list<ServerConnection*>::iterator> idle_place_;
   bool reading_ = false;
   bool exchange_open_ = false;
   bool head_timer_running_ = false;
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -120,5 +120,43 @@
   }
 }
 
+// Guards against callers that keep connections they don't use shutting out all new callers.
+TEST_CASE("at the limit a new connection takes the place of the one that was idle longest") {
+  Fixture fixture;
+  ServerLimits limits;
+  limits.max_connections = 3;
+  fixture.server.SetLimits(limits);
+  RawClient busy(fixture.server.address());
+  REQUIRE(busy.Send(kRequest));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+  const std::shared_ptr<ServerExchange> first = std::move(fixture.held);
+  RawClient oldest(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 2; }));
+  RawClient younger(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 3; }));
+
+  RawClient caller(fixture.server.address());
+  REQUIRE(caller.Send(kRequest));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr || caller.Readable(0); }));
+  REQUIRE(fixture.held != nullptr);
+  CHECK(oldest.ReadAll().empty());
+  CHECK(!younger.Readable(0));
+  CHECK(fixture.server.connections() == 3);
+
+  // Requests that are being read or answered are not given up.
+  REQUIRE(younger.Send("GET / HT"));
+  REQUIRE(fixture.Wait([&] {
+    return fixture.server.activity().idle == 1 && fixture.server.activity().unread_bytes == 0;
+  }));
+  RawClient refused(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return refused.Readable(0); }));
+  CHECK(refused.ReadAll().empty());
+  first->Answer(200, "OK", {}, "first");
+  fixture.held->Answer(200, "OK", {}, "second");
+  REQUIRE(fixture.Wait([&] { return busy.Readable(0) && caller.Readable(0); }));
+  CHECK(busy.ReadUntil("first").ends_with("first"));
+  CHECK(caller.ReadUntil("second").ends_with("second"));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
