Fleet: a node takes its own part of a late load update from the right report

Callers saw: requests held or refused as "all busy" at a node with many requests while workers had free slots. The more of the load one node has, the larger the error.

Cause: an update carries the load of all nodes together. A node subtracted its newest report, but the holder may have added up an earlier one. Requests that ended in between became load of other nodes until the next update (300 ms and 10 ms a node later).

Evidence: tests/fleet "a late update does not turn a node's own ended requests into load of others" failed before: CHECK( other->peers_running() == 0 ), values 4 == 0.

Change: updates with loads name the report of each node that they include; a node keeps its last 32 reports and subtracts that one. A holder of an earlier release names none; then it is the newest as before. Not measured: an update grows by a name and a number for each node.

After: the case passes; test-fleet 81 of 81 cases.

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -132,6 +132,8 @@
   void SendOrder(const PlannedOrder& planned);
   void SendUpdates(std::vector<ReplicaUpdate> replicas);
   void ApplyUpdate(const PlacementUpdate& update);
+  // Returns this node's own part of the update's loads, by worker.
+  std::map<std::string, PeersLoad> OwnPart(const PlacementUpdate& update) const;
   void PauseTick();
   void NotePause();
 
@@ -151,8 +153,8 @@
   std::map<std::string, std::string> peers_;
   // By model and software version; the empty version has the latest expectation for any.
   std::map<std::pair<ModelKey, std::string>, absl::Time> expected_ready_;
-  std::map<std::string, int> own_running_reported_;
-  std::map<std::string, int> own_tokens_reported_;
+  // This node's last reported loads by worker, by the number of the report.
+  std::map<std::uint64_t, std::map<std::string, PeersLoad>> own_reports_;
   absl::Time report_due_ = absl::InfiniteFuture();
   absl::Time placement_due_ = absl::InfiniteFuture();
   absl::Time last_placement_ = absl::InfinitePast();
--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -3,6 +3,7 @@
 #define HINGESPAN_FLEET_FLEET_MESSAGES_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -90,6 +91,8 @@
   std::vector<ReplicaUpdate> replicas;
   // All workers with load; absent if this update carries no loads.
   std::optional<std::vector<WorkerLoad>> loads;
+  // Number of the report of each node that `loads` includes; absent from an earlier release.
+  std::optional<std::map<std::string, std::uint64_t>> reports;
 };
 
 // Sent by the node that has begun a stream to the holders of its record.
--- a/include/hingespan/fleet/fleet_placer.h
+++ b/include/hingespan/fleet/fleet_placer.h
@@ -101,6 +101,8 @@
   absl::Time NextDue(absl::Time now) const;
   // Returns the load of all nodes together at each worker.
   std::vector<WorkerLoad> TotalLoads(absl::Time now) const;
+  // Number of the report of each node that TotalLoads includes.
+  std::map<std::string, std::uint64_t> IncludedReports(absl::Time now) const;
   // Estimate of the weight store's capacity, and the loads from it that are in flight.
   const WeightStoreLimit& weight_store() const { return weight_store_; }
 
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -16,6 +16,9 @@
 constexpr absl::Duration kPauseTick = absl::Milliseconds(400);
 // Delay before the removal of the node's row is retried if its outcome is unknown.
 constexpr absl::Duration kRemovalRetryDelay = absl::Milliseconds(500);
+// Reports that are kept until an update includes them. Beyond, the newest one is taken for it.
+constexpr std::size_t kMaxOwnReports = 32;
+
 std::string EncodeLease(const LeaseRecord& record) {
   return Json{{"holder", record.holder},
               {"incarnation", record.incarnation},
@@ -318,11 +321,12 @@
     waiting = waiting || demand.waiting > 0;
     anything = true;
   }
-  own_running_reported_.clear();
-  own_tokens_reported_.clear();
+  std::map<std::string, PeersLoad>& own = own_reports_[report.number];
   for (const WorkerLoad& load : report.loads) {
-    own_running_reported_[load.worker_id] = load.running;
-    own_tokens_reported_[load.worker_id] = load.unread_tokens;
+    own[load.worker_id] = {load.running, load.unread_tokens};
+  }
+  if (own_reports_.size() > kMaxOwnReports) {
+    own_reports_.erase(own_reports_.begin());
   }
   if (lease_.holding()) {
     placer_.OnReport(report, parts_.loop->Now());
--- a/src/fleet/fleet_coordinator_placement.cc
+++ b/src/fleet/fleet_coordinator_placement.cc
@@ -40,6 +40,22 @@
          settings_.load_update_interval_per_node * static_cast<double>(peers_.size());
 }
 
+std::map<std::string, PeersLoad> FleetCoordinator::OwnPart(const PlacementUpdate& update) const {
+  if (own_reports_.empty()) {
+    return {};
+  }
+  const std::map<std::string, PeersLoad>& newest = own_reports_.rbegin()->second;
+  if (!update.reports.has_value()) {
+    return newest;
+  }
+  const auto included = update.reports->find(settings_.node);
+  if (included == update.reports->end()) {
+    return {};
+  }
+  const auto report = own_reports_.find(included->second);
+  return report == own_reports_.end() ? newest : report->second;
+}
+
 void FleetCoordinator::ApplyUpdate(const PlacementUpdate& update) {
   const absl::Time now = parts_.loop->Now();
   for (const ReplicaUpdate& replica : update.replicas) {
@@ -62,11 +78,12 @@
     }
   }
   if (update.loads.has_value()) {
+    std::map<std::string, PeersLoad> own = OwnPart(update);
     std::map<std::string, PeersLoad> loads;
     for (const WorkerLoad& load : *update.loads) {
-      loads[load.worker_id] = {
-          std::max(0, load.running - own_running_reported_[load.worker_id]),
-          std::max(0, load.unread_tokens - own_tokens_reported_[load.worker_id])};
+      const PeersLoad& part = own[load.worker_id];
+      loads[load.worker_id] = {std::max(0, load.running - part.running),
+                               std::max(0, load.unread_tokens - part.unread_tokens)};
     }
     parts_.workers->SetPeersLoads(loads, now);
   }
@@ -194,6 +211,7 @@
     begin = end;
     if (with_loads && begin >= replicas.size()) {
       update.loads = placer_.TotalLoads(now);
+      update.reports = placer_.IncludedReports(now);
     }
     const std::string bytes = EncodeFleetMessage(update);
     for (const auto& [node, address] : peers_) {
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -103,9 +103,10 @@
     replicas.push_back(Json::array({replica.worker_id, replica.model, replica.adapter,
                                     static_cast<int>(replica.state), replica.expected_in_ms}));
   }
-  return Json::array(
-      {kPlacementUpdate, update.holder, update.token, update.number, std::move(replicas),
-       update.loads.has_value() ? EncodeLoads(*update.loads) : Json(), update.address});
+  return Json::array({kPlacementUpdate, update.holder, update.token, update.number,
+                      std::move(replicas),
+                      update.loads.has_value() ? EncodeLoads(*update.loads) : Json(),
+                      update.address, update.reports.has_value() ? Json(*update.reports) : Json()});
 }
 
 PlacementUpdate DecodeUpdate(const Json& json) {
@@ -126,6 +127,10 @@
     update.loads = DecodeLoads(json.at(5));
   }
   update.address = json.at(6).get<std::string>();
+  constexpr std::size_t kReportsEntry = 7;
+  if (json.size() > kReportsEntry && !json.at(kReportsEntry).is_null()) {
+    update.reports = json.at(kReportsEntry).get<std::map<std::string, std::uint64_t>>();
+  }
   return update;
 }
 
--- a/src/fleet/fleet_placer.cc
+++ b/src/fleet/fleet_placer.cc
@@ -449,4 +449,14 @@
   return loads;
 }
 
+std::map<std::string, std::uint64_t> FleetPlacer::IncludedReports(absl::Time now) const {
+  std::map<std::string, std::uint64_t> numbers;
+  for (const auto& [node, known] : reports_) {
+    if (now - known.received <= settings_.report_lifetime) {
+      numbers[node] = known.report.number;
+    }
+  }
+  return numbers;
+}
+
 }  // namespace hingespan::gateway
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -135,6 +135,9 @@
   std::vector<std::unique_ptr<Node>> ended;
   // Nodes by name, which is also their address.
   std::map<std::string, std::unique_ptr<Node>> nodes;
+  // Datagrams to this address are kept in `held`.
+  std::string held_address;
+  std::vector<std::string> held;
 };
 
 Node::Node(Fleet* fleet, const std::string& name, std::uint64_t incarnation)
@@ -162,6 +165,10 @@
   parts.reads_store = [] { return true; };
   parts.reads_for_others = [] { return true; };
   parts.send = [fleet](const std::string& address, absl::string_view bytes) {
+    if (address == fleet->held_address) {
+      fleet->held.emplace_back(bytes);
+      return;
+    }
     fleet->loop.Post([fleet, address, datagram = std::string(bytes)] {
       fleet->nodes.at(address)->Receive(datagram);
     });
@@ -192,6 +199,30 @@
   CHECK(fleet.Wait([&] { return holder->peers_running() == 0 && other->peers_running() == 0; }));
 }
 
+// Guards against a node that takes most callers counting its own requests as those of others, and
+// its workers as full, because some of them ended between its report and the holder's update.
+TEST_CASE("a late update does not turn a node's own ended requests into load of others") {
+  Fleet fleet;
+  Node* const holder = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return holder->coordinator->holds_lease(); }));
+  Node* const other = fleet.Add("n2");
+  other->Run(6);
+  REQUIRE(fleet.Wait([&] { return holder->peers_running() == 6; }));
+  CHECK(other->peers_running() == 0);
+  const auto carries_loads = [](const std::string& datagram) {
+    const std::optional<FleetMessage> message = DecodeFleetMessage(datagram);
+    return std::get<PlacementUpdate>(*message).loads.has_value();
+  };
+  fleet.held_address = "n2";
+  REQUIRE(
+      fleet.Wait([&] { return std::any_of(fleet.held.begin(), fleet.held.end(), carries_loads); }));
+  const std::string update = *std::find_if(fleet.held.begin(), fleet.held.end(), carries_loads);
+  other->Run(2);
+  REQUIRE(fleet.Wait([&] { return holder->peers_running() == 2; }));
+  other->Receive(update);
+  CHECK(other->peers_running() == 0);
+}
+
 // Guards against a new holder announcing zero load for all workers because no node has reported to
 // it yet.
 TEST_CASE("a node that becomes the holder keeps the loads it knows") {
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -39,7 +39,7 @@
 
 TEST_CASE("a placement update is decoded as it was encoded") {
   const PlacementUpdate update{
-      "n1", "1.2.3.4:5", 7, 2, {{"w1", "m", "", ReplicaState::kLoading, 40}}, {}};
+      "n1", "1.2.3.4:5", 7, 2, {{"w1", "m", "", ReplicaState::kLoading, 40}}, {}, {{{"n2", 9}}}};
   const auto read = DecodeFleetMessage(EncodeFleetMessage(update));
   REQUIRE(read.has_value());
   const auto* const same = std::get_if<PlacementUpdate>(&*read);
@@ -50,6 +50,8 @@
   CHECK(same->replicas[0].state == ReplicaState::kLoading);
   CHECK(same->replicas[0].expected_in_ms == 40);
   CHECK(!same->loads.has_value());
+  REQUIRE(same->reports.has_value());
+  CHECK(same->reports->at("n2") == 9);
 }
 
 TEST_CASE("messages about streams are decoded as they were encoded") {
