HTTP server: without free descriptors, idle connections are closed and accepting pauses

Callers saw: nothing was accepted while the process had no free descriptor, though idle connections held many, and requests in progress slowed down.

Cause: an accept that fails with EMFILE was repeated at once and failed again, for as long as a caller waited in the queue, which takes the whole processor share. Idle connections were kept.

Change: when an accept lacks descriptors or memory, the longest idle connection is closed and accept is tried again; without one, the next try comes after 20 ms.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -17,12 +17,21 @@
 
 // Idle connections that are looked at for one that can be closed. Others have bytes under way.
 constexpr std::size_t kMaxIdleTried = 16;
+// Pause before the next attempt to accept a connection for which the process lacks a descriptor or
+// memory. The connection stays in the queue, so that the attempt would fail again at once.
+constexpr absl::Duration kAcceptPause = absl::Milliseconds(20);
+
+bool LacksResources(const boost::system::error_code& error) {
+  namespace errc = boost::system::errc;
+  return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system ||
+         error == errc::no_buffer_space || error == errc::not_enough_memory;
+}
 
 }  // namespace
 
 struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
   Implementation(EventLoop* event_loop, Handler request_handler)
-      : loop(event_loop), acceptor(event_loop->context()) {
+      : loop(event_loop), acceptor(event_loop->context()), accept_timer(event_loop->MakeTimer()) {
     shared = std::make_shared<ServerState>();
     shared->loop = event_loop;
     shared->handler = std::move(request_handler);
@@ -37,11 +46,22 @@
           }
           if (!error) {
             self->StartConnection(std::move(socket));
+          } else if (LacksResources(error) && !self->CloseLongestIdle()) {
+            self->AcceptLater();
+            return;
           }
           self->Accept();
         });
   }
 
+  void AcceptLater() {
+    accept_timer->Set(loop->Now() + kAcceptPause, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->Accept();
+      }
+    });
+  }
+
   void StartConnection(tcp::socket socket) {
     if (shared->connections.size() >= shared->limits.max_connections && !CloseLongestIdle()) {
       return;  // Destroying the socket closes it before anything was read from it.
@@ -65,6 +85,7 @@
 
   EventLoop* loop;
   tcp::acceptor acceptor;
+  std::unique_ptr<LoopTimer> accept_timer;
   std::shared_ptr<ServerState> shared;
 };
 
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -1,6 +1,8 @@
 #include "hingespan/http/http_server.h"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -158,5 +160,53 @@
   CHECK(caller.ReadUntil("second").ends_with("second"));
 }
 
+// Sets the process's limit of open descriptors to those that are open.
+class NoFreeDescriptors {
+ public:
+  NoFreeDescriptors() {
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
+    const int next = dup(STDERR_FILENO);
+    close(next);
+    rlimit limit = before_;
+    limit.rlim_cur = static_cast<rlim_t>(next);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  }
+  ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+// Guards against a process without free descriptors spending all of its processor time on trying to
+// accept, and against callers that get no connection then while others hold idle ones.
+TEST_CASE("without a free descriptor the server closes an idle connection and doesn't spin") {
+  Fixture fixture;
+  RawClient idle(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 1; }));
+  RawClient caller(fixture.server.address());
+  RawClient waiting(fixture.server.address());
+  REQUIRE(caller.Send(kRequest));
+  REQUIRE(waiting.Send(kRequest));
+  {
+    const NoFreeDescriptors none;
+    REQUIRE(fixture.Wait([&] { return fixture.held != nullptr || idle.Readable(0); }));
+    REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+    CHECK(idle.ReadAll().empty());
+    // No connection is idle now.
+    constexpr int kMaxHandlers = 40;
+    const std::unique_ptr<LoopTimer> timer = fixture.loop.MakeTimer();
+    bool over = false;
+    timer->Set(fixture.loop.Now() + absl::Milliseconds(100), [&] { over = true; });
+    int handlers = 0;
+    REQUIRE(fixture.Wait([&] { return over || ++handlers > 10 * kMaxHandlers; }));
+    CHECK(handlers <= kMaxHandlers);
+  }
+  fixture.held->Answer(200, "OK", {}, {});
+  fixture.held.reset();
+  CHECK(fixture.Wait([&] { return fixture.held != nullptr; }));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
