HTTP server: answers 204 and 304 carry no Content-Length

Callers saw: a worker's 204 or 304 without framing came back with "Content-Length: 0", which RFC 9110 rules out for a 204 and which for a 304 names the length of another answer.

Cause: ServerExchange::Answer added the length to every answer.

Change: these two end with their head. The emulated worker answers unframed on request and can reset a plain answer inside its body.

--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -118,7 +118,7 @@
   }
   const std::string expected = Field(*exchange, "Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
-    exchange->Answer(421, "Misdirected Request", {{"Instance-Id", options_.id}}, "");
+    Answer(exchange.get(), 421, "Misdirected Request", {{"Instance-Id", options_.id}}, "");
     return;
   }
   if (target == "/api/order") {
@@ -186,7 +186,7 @@
     order.status = ApplyOrder(order.operation, order.model, order.adapter);
   }
   orders_.push_back(order);
-  exchange->Answer(order.status, "Status", {}, "");
+  Answer(exchange.get(), order.status, "Status", {}, "");
 }
 
 void PlatformWorker::OnReport(const std::shared_ptr<ServerExchange>& exchange) {
@@ -196,19 +196,19 @@
                     {"sequence", sequence_},
                     {"waiting", 0},
                     {"running", 0}};
-  exchange->Answer(200, "OK", {{"Content-Type", "application/json"}}, report.dump());
+  Answer(exchange.get(), 200, "OK", {{"Content-Type", "application/json"}}, report.dump());
 }
 
 void PlatformWorker::RunRequest(const std::shared_ptr<ServerExchange>& exchange) {
   const std::string id = Field(*exchange, "Attempt-Id");
   if (fault_ == WorkerFault::kRejects) {
-    exchange->Answer(503, "Service Unavailable", NotExecuted(id), "");
+    Answer(exchange.get(), 503, "Service Unavailable", NotExecuted(id), "");
     return;
   }
   const std::string model = Field(*exchange, "Model");
   const std::string base = model.substr(0, model.find('/'));
   if (!model.empty() && !Holds(base)) {
-    exchange->Answer(421, "Misdirected Request", NotExecuted(id), "");
+    Answer(exchange.get(), 421, "Misdirected Request", NotExecuted(id), "");
     return;
   }
   runs_.push_back({id, exchange->head().target, exchange->body(), Field(*exchange, "Deadline-Ms"),
@@ -219,6 +219,13 @@
     run->caller_disconnected_at = loop_->Now();
   });
   switch (fault_) {
+    case WorkerFault::kResetsAnswer:
+      exchange->StartUnframed(200, "OK",
+                              {{"Attempt-Id", id}, {"Server-Seal", absl::StrCat("seal-", id)}});
+      exchange->WriteChunk("answer");
+      // Once the part has been sent, as a reset discards what was not.
+      loop_->Post([exchange] { exchange->Abort(); });
+      return;
     case WorkerFault::kSilent:
       silent_.push_back(exchange);
       return;
@@ -226,17 +233,17 @@
       exchange->Abort();
       return;
     case WorkerFault::kFails:
-      exchange->Answer(500, "Failed", {{"Attempt-Id", id}, {"Server-Seal", "seal-500"}}, "");
+      Answer(exchange.get(), 500, "Failed", {{"Attempt-Id", id}, {"Server-Seal", "seal-500"}}, "");
       return;
     case WorkerFault::kEncodes:
-      exchange->Answer(200, "OK",
-                       {{"Attempt-Id", id},
-                        {"Server-Seal", absl::StrCat("seal-", id)},
-                        {"Content-Encoding", "gzip"}},
-                       "not as it was");
+      Answer(exchange.get(), 200, "OK",
+             {{"Attempt-Id", id},
+              {"Server-Seal", absl::StrCat("seal-", id)},
+              {"Content-Encoding", "gzip"}},
+             "not as it was");
       return;
     case WorkerFault::kOtherRequest:
-      exchange->Answer(200, "OK", {{"Attempt-Id", "another"}, {"Server-Seal", "s"}}, "wrong");
+      Answer(exchange.get(), 200, "OK", {{"Attempt-Id", "another"}, {"Server-Seal", "s"}}, "wrong");
       return;
     default:
       break;
@@ -246,9 +253,21 @@
     return;
   }
   run->ended = true;
-  exchange->Answer(200, "OK", {{"Attempt-Id", id}, {"Server-Seal", absl::StrCat("seal-", id)}},
-                   absl::StrCat("answer of ", options_.id,
-                                options_.includes_request_id ? absl::StrCat(" to ", id) : ""));
+  Answer(exchange.get(), 200, "OK",
+         {{"Attempt-Id", id}, {"Server-Seal", absl::StrCat("seal-", id)}},
+         absl::StrCat("answer of ", options_.id,
+                      options_.includes_request_id ? absl::StrCat(" to ", id) : ""));
+}
+
+void PlatformWorker::Answer(ServerExchange* exchange, int status, absl::string_view reason,
+                            const HeaderFields& fields, absl::string_view body) const {
+  if (!unframed_answers_) {
+    exchange->Answer(status, reason, fields, body);
+    return;
+  }
+  exchange->StartUnframed(status, reason, fields);
+  exchange->WriteChunk(body);
+  exchange->FinishChunked();
 }
 
 StreamShape PlatformWorker::ShapeOf(const std::string& target) const {
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -36,6 +36,8 @@
   // Breaks a stream off inside the event that follows `events_before_break`. The connection of an
   // unframed stream is closed in the usual way, as by the kernel of a process that has crashed.
   kBreaksStream,
+  // Resets the connection inside the body of a plain answer.
+  kResetsAnswer,
   // Finishes a stream like a complete one, but inside the event that follows `events_before_break`.
   kFinishesInsideEvent,
 };
@@ -123,6 +125,8 @@
   };
 
   void SetFault(WorkerFault fault) { fault_ = fault; }
+  // From now on plain answers have neither a length nor chunks and end with their connection.
+  void AnswerUnframed() { unframed_answers_ = true; }
   void SetDraining();
   // Sends nothing for this long, then goes on. Connections stay open and requests are accepted.
   void FallSilent(absl::Duration duration);
@@ -150,6 +154,9 @@
   StreamShape ShapeOf(const std::string& target) const;
   void NextEvent(const std::shared_ptr<Stream>& stream);
   bool CrashesOn(const gateway::ServerExchange& exchange) const;
+  // Sends a complete answer in the framing of the worker's options.
+  void Answer(gateway::ServerExchange* exchange, int status, absl::string_view reason,
+              const gateway::HeaderFields& fields, absl::string_view body) const;
   void SendHeartbeat();
   void CheckMemory(const std::string& model);
   int ApplyOrder(const std::string& operation, const std::string& model,
@@ -175,6 +182,7 @@
   std::string announced_address_;
   bool exceeded_memory_ = false;
   bool adapters_changed_ = false;
+  bool unframed_answers_ = false;
   bool draining_ = false;
   bool busy_ = false;
   bool crashed_ = false;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -24,6 +24,10 @@
 // arrives.
 constexpr absl::Duration kLingerTime = absl::Milliseconds(500);
 
+// RFC 9110: these answers end with their head, and a length would be wrong (204) or that of another
+// answer (304).
+bool HasNoBody(int status) { return status == 204 || status == 304; }
+
 class Connection;
 
 class Exchange : public ServerExchange {
@@ -441,7 +445,11 @@
     return;
   }
   std::string text = HeadText(status, reason, fields);
-  absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n\r\n", body);
+  if (HasNoBody(status)) {
+    text.append("\r\n");
+  } else {
+    absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n\r\n", body);
+  }
   connection_->Write(text);
   Done();
 }
--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -232,6 +232,39 @@
   CHECK(fixture.Runs() == 2);
 }
 
+// Guards against answers that lose their end or their meaning on the way through a peer.
+TEST_CASE("answers without a length or chunks reach the caller through a peer") {
+  PartitionFixture fixture;
+  for (const auto& worker : fixture.workers) {
+    worker->AnswerUnframed();
+  }
+  fixture.links.SetFault(LinkFault::kRefuse);
+  fixture.AwaitLost();
+  SUBCASE("served") { CHECK(fixture.CountServed() == 2 * kRequests); }
+  SUBCASE("the worker's own 500") {
+    for (const auto& worker : fixture.workers) {
+      worker->SetFault(WorkerFault::kFails);
+    }
+    const auto call = fixture.Ask(fixture.cut, TestRequest{});
+    CHECK(call->head.status == 500);
+    CHECK(FindField(call->head.fields, "Server-Seal") != nullptr);
+  }
+  SUBCASE("not run") {
+    for (const auto& worker : fixture.workers) {
+      worker->SetFault(WorkerFault::kRejects);
+    }
+    CHECK(fixture.Ask(fixture.cut, TestRequest{})->head.status == 503);
+  }
+  SUBCASE("reset in transit") {
+    for (const auto& worker : fixture.workers) {
+      worker->SetFault(WorkerFault::kResetsAnswer);
+    }
+    const auto call = fixture.Ask(fixture.cut, TestRequest{});
+    CHECK(call->head.status == 502);
+    CHECK(call->body.empty());
+  }
+}
+
 // Guards against holding callers until their deadline when no node reaches a worker.
 TEST_CASE("a request that no node can send to a worker is refused as not executed") {
   PartitionFixture fixture;
