Tests: answers that end with their connection, at calls of ours and in hingespand's client

An order's, a report's or the store's answer without framing is whole only if its connection ends in order, and its connection is not used again (platform/json_call.cc); hingespand's client makes a new connection after such an answer (net/http_exchange.cc). Both passed as they are.

--- a/tests/net/http_exchange_test.cc
+++ b/tests/net/http_exchange_test.cc
@@ -3,7 +3,10 @@
 #include <doctest/doctest.h>
 #include <httplib.h>
 
+#include <array>
+#include <cstring>
 #include <string>
+#include <thread>
 
 #include "absl/synchronization/notification.h"
 #include "hingespan/common/clock.h"
@@ -149,6 +152,30 @@
   CHECK(end_of(ConnectionEnd::kNone, absl::Milliseconds(200)) == ExchangeEnd::kTimeout);
 }
 
+// Guards against a request that gets lost on a connection which the last answer has ended.
+TEST_CASE("a connection that an answer without a length has ended is not used again") {
+  const Listener listener;
+  std::thread server([&] {
+    for (const char* const bytes :
+         {"HTTP/1.1 200 OK\r\n\r\nabc", "HTTP/1.1 500 Failed\r\n\r\ndef"}) {
+      const int connection = listener.Accept();
+      std::array<char, 4096> request;
+      (void)recv(connection, request.data(), request.size(), 0);
+      (void)send(connection, bytes, strlen(bytes), MSG_NOSIGNAL);
+      close(connection);
+    }
+  });
+  HttpClientPool pool((HttpClientOptions()));
+  const HttpAnswer first = pool.Exchange(Exchange(listener.address(), kLimit));
+  const HttpAnswer second = pool.Exchange(Exchange(listener.address(), kLimit));
+  server.join();
+  CHECK(first.end == ExchangeEnd::kComplete);
+  CHECK(first.body == "abc");
+  CHECK(second.end == ExchangeEnd::kComplete);
+  CHECK(second.status == 500);
+  CHECK(second.body == "def");
+}
+
 TEST_CASE("with an idle limit, a stream that keeps arriving outlasts the first deadline") {
   const SlowServer server("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n");
   HttpClientPool pool((HttpClientOptions()));
--- a/tests/platform/json_call_test.cc
+++ b/tests/platform/json_call_test.cc
@@ -2,8 +2,11 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "hingespan/http/http_server.h"
 #include "tests/http/endless_server.h"
@@ -64,6 +67,38 @@
   CHECK(answer->body == "[1][1][1][1][1]");
 }
 
+// Guards against an order or a report that seems to be lost, or half of one that seems to be whole,
+// where only the end of the connection marks its end.
+TEST_CASE("an answer that ends with its connection is whole only if that ends in order") {
+  EventLoop loop;
+  HttpClient client(&loop, ClientLimits{});
+  std::shared_ptr<ServerExchange> held;
+  HttpServer server(&loop,
+                    [&](std::shared_ptr<ServerExchange> exchange) { held = std::move(exchange); });
+  REQUIRE(!server.Listen("127.0.0.1:0"));
+  const auto ask = [&](const std::function<void()>& end) {
+    std::optional<Result<JsonAnswer>> result;
+    JsonCall call;
+    call.address = server.address();
+    call.target = "/";
+    call.timeout = kTimeout;
+    StartJsonCall(&loop, &client, call, [&](Result<JsonAnswer> answer) { result = answer; });
+    REQUIRE(loop.RunUntil([&] { return held != nullptr; }, kLimit));
+    held->StartUnframed(200, "OK", {});
+    held->WriteChunk("[1]");
+    end();
+    REQUIRE(loop.RunUntil([&] { return result.has_value(); }, kLimit));
+    held.reset();
+    CHECK(client.connections(server.address()) == 0);
+    return *result;
+  };
+  const Result<JsonAnswer> whole = ask([&] { held->FinishChunked(); });
+  REQUIRE(whole.ok());
+  CHECK(whole->body == "[1]");
+  const Result<JsonAnswer> reset = ask([&] { held->Abort(); });
+  CHECK(reset.error() == make_error_code(Error::kAnswerLost));
+}
+
 // Guards against a worker's report that holds its call, and fills the memory, without an end.
 TEST_CASE("an answer without an end is lost") {
   EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "[1]");
