--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -16,6 +16,9 @@
 constexpr absl::Duration kPauseTick = absl::Milliseconds(400);
 // Delay before the removal of the node's row is retried if its outcome is unknown.
 constexpr absl::Duration kRemovalRetryDelay = absl::Milliseconds(500);
+// Reports that are kept until an update includes them. Beyond, the newest one is taken for it.
+constexpr std::size_t kMaxOwnReports = 32;
+
 std::string EncodeLease(const LeaseRecord& record) {
   return Json{{"holder", record.holder},
               {"incarnation", record.incarnation},
@@ -290,7 +293,13 @@
   parts_.log->Write(LogLevel::kWarning, "lease_lost", {});
 }
 
-void FleetCoordinator::DemandWaits() { ScheduleReport(absl::Milliseconds(3)); }
+void FleetCoordinator::DemandWaits() {
+  // Each waiting request asks for a report, and each report walks over all of them.
+  const bool many = recent_reports_.size() >= settings_.report_burst;
+  const absl::Time allowed =
+      many ? recent_reports_.front() + settings_.report_burst_window : absl::InfinitePast();
+  ScheduleReport(std::max(absl::Milliseconds(3), allowed - parts_.loop->Now()));
+}
 
 void FleetCoordinator::DemandChanged() { ScheduleReport(settings_.report_interval); }
 
@@ -311,6 +320,10 @@
   report.node = settings_.node;
   report.incarnation = settings_.incarnation;
   report.number = ++report_number_;
+  recent_reports_.push_back(parts_.loop->Now());
+  if (recent_reports_.size() > settings_.report_burst) {
+    recent_reports_.pop_front();
+  }
   parts_.fill_report(&report);
   bool waiting = false;
   bool anything = !report.loads.empty();
@@ -318,11 +331,12 @@
     waiting = waiting || demand.waiting > 0;
     anything = true;
   }
-  own_running_reported_.clear();
-  own_tokens_reported_.clear();
+  std::map<std::string, PeersLoad>& own = own_reports_[report.number];
   for (const WorkerLoad& load : report.loads) {
-    own_running_reported_[load.worker_id] = load.running;
-    own_tokens_reported_[load.worker_id] = load.unread_tokens;
+    own[load.worker_id] = {load.running, load.unread_tokens};
+  }
+  if (own_reports_.size() > kMaxOwnReports) {
+    own_reports_.erase(own_reports_.begin());
   }
   if (lease_.holding()) {
     placer_.OnReport(report, parts_.loop->Now());
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
+#include <list>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -22,6 +24,10 @@
 // arrives.
 constexpr absl::Duration kLingerTime = absl::Milliseconds(500);
 
+// RFC 9110: these answers end with their head, and a length would be wrong (204) or that of another
+// answer (304).
+bool HasNoBody(int status) { return status == 204 || status == 304; }
+
 class Connection;
 
 class Exchange : public ServerExchange {
@@ -83,7 +89,7 @@
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
   }
-  ~Connection() override { server_->connections.erase(this); }
+  ~Connection() override { LeaveServer(); }
 
   void Start() {
     WaitForRequest();
@@ -93,6 +99,15 @@
   bool has_input() const { return !input_.empty(); }
   std::size_t pending_bytes() const { return writing_.size() - bytes_written_ + queued_.size(); }
 
+  bool CloseIfIdle() override {
+    boost::system::error_code ignored;
+    if (pending_bytes() > 0 || unacknowledged_bytes() > 0 || socket_.available(ignored) > 0) {
+      return false;
+    }
+    Close();
+    return true;
+  }
+
   void AddTo(ServerActivity* activity) const override {
     if (closed_) {
       return;
@@ -160,7 +175,21 @@
   }
 
  private:
+  void LeaveIdle() {
+    if (idle_place_.has_value()) {
+      server_->idle.erase(*idle_place_);
+      idle_place_.reset();
+    }
+  }
+
+  void LeaveServer() {
+    LeaveIdle();
+    server_->connections.erase(this);
+  }
+
   void WaitForRequest() {
+    LeaveIdle();
+    idle_place_ = server_->idle.insert(server_->idle.end(), this);
     idle_since_ = server_->loop->Now();
     SetIdleTimer(pending_bytes() + unacknowledged_bytes());
   }
@@ -244,6 +273,7 @@
     }
     if (!head_timer_running_) {
       head_timer_running_ = true;
+      LeaveIdle();
       received_ = server_->loop->Now();
       RestartHeadTimer();
     }
@@ -359,6 +389,7 @@
       return;
     }
     closed_ = true;
+    LeaveServer();
     timer_->Cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
@@ -384,6 +415,8 @@
   std::weak_ptr<Exchange> current_;
   absl::Time received_;
   absl::Time idle_since_;
+  // Place among the server's idle connections.
+  std::optional<std::list<ServerConnection*>::iterator> idle_place_;
   bool reading_ = false;
   bool exchange_open_ = false;
   bool head_timer_running_ = false;
@@ -422,7 +455,11 @@
     return;
   }
   std::string text = HeadText(status, reason, fields);
-  absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n\r\n", body);
+  if (HasNoBody(status)) {
+    text.append("\r\n");
+  } else {
+    absl::StrAppend(&text, "Content-Length: ", body.size(), "\r\n\r\n", body);
+  }
   connection_->Write(text);
   Done();
 }
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -112,6 +112,7 @@
   int peers_running() { return workers.Find("w")->peers_running; }
 
   int running = 0;
+  int reports = 0;
   WorkerDirectory workers;
   VersionRegistry versions;
   DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
@@ -135,6 +136,9 @@
   std::vector<std::unique_ptr<Node>> ended;
   // Nodes by name, which is also their address.
   std::map<std::string, std::unique_ptr<Node>> nodes;
+  // Datagrams to this address are kept in `held`.
+  std::string held_address;
+  std::vector<std::string> held;
 };
 
 Node::Node(Fleet* fleet, const std::string& name, std::uint64_t incarnation)
@@ -162,11 +166,16 @@
   parts.reads_store = [] { return true; };
   parts.reads_for_others = [] { return true; };
   parts.send = [fleet](const std::string& address, absl::string_view bytes) {
+    if (address == fleet->held_address) {
+      fleet->held.emplace_back(bytes);
+      return;
+    }
     fleet->loop.Post([fleet, address, datagram = std::string(bytes)] {
       fleet->nodes.at(address)->Receive(datagram);
     });
   };
   parts.fill_report = [this](DemandReport* report) {
+    ++reports;
     if (running > 0) {
       report->loads.push_back({"w", running, 0, {}});
     }
@@ -192,6 +201,57 @@
   CHECK(fleet.Wait([&] { return holder->peers_running() == 0 && other->peers_running() == 0; }));
 }
 
+// Guards against a node that takes most callers counting its own requests as those of others, and
+// its workers as full, because some of them ended between its report and the holder's update.
+TEST_CASE("a late update does not turn a node's own ended requests into load of others") {
+  Fleet fleet;
+  Node* const holder = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return holder->coordinator->holds_lease(); }));
+  Node* const other = fleet.Add("n2");
+  other->Run(6);
+  REQUIRE(fleet.Wait([&] { return holder->peers_running() == 6; }));
+  CHECK(other->peers_running() == 0);
+  const auto carries_loads = [](const std::string& datagram) {
+    const std::optional<FleetMessage> message = DecodeFleetMessage(datagram);
+    return std::get<PlacementUpdate>(*message).loads.has_value();
+  };
+  fleet.held_address = "n2";
+  REQUIRE(
+      fleet.Wait([&] { return std::any_of(fleet.held.begin(), fleet.held.end(), carries_loads); }));
+  const std::string update = *std::find_if(fleet.held.begin(), fleet.held.end(), carries_loads);
+  other->Run(2);
+  REQUIRE(fleet.Wait([&] { return holder->peers_running() == 2; }));
+  other->Receive(update);
+  CHECK(other->peers_running() == 0);
+}
+
+// Guards against a node that takes most callers spending its processor time on reports: each
+// request that has to wait asks for one at once.
+TEST_CASE("reports of a node whose requests keep waiting are bounded in number") {
+  Fleet fleet;
+  Node* const node = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return node->coordinator->holds_lease(); }));
+  node->reports = 0;
+  const std::unique_ptr<LoopTimer> timer = fleet.loop.MakeTimer();
+  constexpr int kWaits = 100;
+  constexpr absl::Duration kBetween = absl::Milliseconds(4);
+  int waits = 0;
+  std::function<void()> wait = [&] {
+    ++waits;
+    node->coordinator->DemandWaits();
+    timer->Set(fleet.loop.Now() + kBetween, wait);
+  };
+  const absl::Time began = fleet.loop.Now();
+  wait();
+  REQUIRE(fleet.Wait([&] { return node->reports > 0; }));
+  REQUIRE(fleet.Wait([&] { return waits >= kWaits; }));
+  timer->Cancel();
+  const double seconds = absl::ToDoubleSeconds(fleet.loop.Now() - began);
+  constexpr double kMaxReportsPerSecond = 45;
+  constexpr int kBurst = 8;
+  CHECK(node->reports <= kBurst + kMaxReportsPerSecond * seconds);
+}
+
 // Guards against a new holder announcing zero load for all workers because no node has reported to
 // it yet.
 TEST_CASE("a node that becomes the holder keeps the loads it knows") {
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -1,6 +1,8 @@
 #include "hingespan/http/http_server.h"
 
 #include <doctest/doctest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <functional>
 #include <memory>
@@ -149,5 +151,91 @@
   }
 }
 
+// Guards against callers that keep connections they don't use shutting out all new callers.
+TEST_CASE("at the limit a new connection takes the place of the one that was idle longest") {
+  Fixture fixture;
+  ServerLimits limits;
+  limits.max_connections = 3;
+  fixture.server.SetLimits(limits);
+  RawClient busy(fixture.server.address());
+  REQUIRE(busy.Send(kRequest));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+  const std::shared_ptr<ServerExchange> first = std::move(fixture.held);
+  RawClient oldest(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 2; }));
+  RawClient younger(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 3; }));
+
+  RawClient caller(fixture.server.address());
+  REQUIRE(caller.Send(kRequest));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr || caller.Readable(0); }));
+  REQUIRE(fixture.held != nullptr);
+  CHECK(oldest.ReadAll().empty());
+  CHECK(!younger.Readable(0));
+  CHECK(fixture.server.connections() == 3);
+
+  // Requests that are being read or answered are not given up.
+  REQUIRE(younger.Send("GET / HT"));
+  REQUIRE(fixture.Wait([&] {
+    return fixture.server.activity().idle == 1 && fixture.server.activity().unread_bytes == 0;
+  }));
+  RawClient refused(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return refused.Readable(0); }));
+  CHECK(refused.ReadAll().empty());
+  first->Answer(200, "OK", {}, "first");
+  fixture.held->Answer(200, "OK", {}, "second");
+  REQUIRE(fixture.Wait([&] { return busy.Readable(0) && caller.Readable(0); }));
+  CHECK(busy.ReadUntil("first").ends_with("first"));
+  CHECK(caller.ReadUntil("second").ends_with("second"));
+}
+
+// Sets the process's limit of open descriptors to those that are open.
+class NoFreeDescriptors {
+ public:
+  NoFreeDescriptors() {
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &before_) == 0);
+    const int next = dup(STDERR_FILENO);
+    close(next);
+    rlimit limit = before_;
+    limit.rlim_cur = static_cast<rlim_t>(next);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  }
+  ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &before_); }
+  NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+  NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+// Guards against a process without free descriptors spending all of its processor time on trying to
+// accept, and against callers that get no connection then while others hold idle ones.
+TEST_CASE("without a free descriptor the server closes an idle connection and doesn't spin") {
+  Fixture fixture;
+  RawClient idle(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 1; }));
+  RawClient caller(fixture.server.address());
+  RawClient waiting(fixture.server.address());
+  REQUIRE(caller.Send(kRequest));
+  REQUIRE(waiting.Send(kRequest));
+  {
+    const NoFreeDescriptors none;
+    REQUIRE(fixture.Wait([&] { return fixture.held != nullptr || idle.Readable(0); }));
+    REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+    CHECK(idle.ReadAll().empty());
+    // No connection is idle now.
+    constexpr int kMaxHandlers = 40;
+    const std::unique_ptr<LoopTimer> timer = fixture.loop.MakeTimer();
+    bool over = false;
+    timer->Set(fixture.loop.Now() + absl::Milliseconds(100), [&] { over = true; });
+    int handlers = 0;
+    REQUIRE(fixture.Wait([&] { return over || ++handlers > 10 * kMaxHandlers; }));
+    CHECK(handlers <= kMaxHandlers);
+  }
+  fixture.held->Answer(200, "OK", {}, {});
+  fixture.held.reset();
+  CHECK(fixture.Wait([&] { return fixture.held != nullptr; }));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
