--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -4,9 +4,7 @@
 #ifndef HINGESPAN_FLEET_FLEET_COORDINATOR_H_
 #define HINGESPAN_FLEET_FLEET_COORDINATOR_H_
 
-#include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,10 +56,6 @@
   absl::Duration narrow_link_wait = absl::Seconds(2);
   absl::Duration report_interval = absl::Milliseconds(400);
   absl::Duration waiting_report_interval = absl::Milliseconds(150);
-  // Reports that waiting requests may cause within a time, so that their cost does not grow with
-  // the rate of requests.
-  std::size_t report_burst = 8;
-  absl::Duration report_burst_window = absl::Milliseconds(200);
   absl::Duration min_placement_interval = absl::Milliseconds(8);
   // A process that did not run for this long may have lost its lease in the meantime.
   absl::Duration pause_limit = absl::Milliseconds(1200);
@@ -161,7 +155,6 @@
   std::map<std::pair<ModelKey, std::string>, absl::Time> expected_ready_;
   // This node's last reported loads by worker, by the number of the report.
   std::map<std::uint64_t, std::map<std::string, PeersLoad>> own_reports_;
-  std::deque<absl::Time> recent_reports_;
   absl::Time report_due_ = absl::InfiniteFuture();
   absl::Time placement_due_ = absl::InfiniteFuture();
   absl::Time last_placement_ = absl::InfinitePast();
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -293,13 +293,7 @@
   parts_.log->Write(LogLevel::kWarning, "lease_lost", {});
 }
 
-void FleetCoordinator::DemandWaits() {
-  // Each waiting request asks for a report, and each report walks over all of them.
-  const bool many = recent_reports_.size() >= settings_.report_burst;
-  const absl::Time allowed =
-      many ? recent_reports_.front() + settings_.report_burst_window : absl::InfinitePast();
-  ScheduleReport(std::max(absl::Milliseconds(3), allowed - parts_.loop->Now()));
-}
+void FleetCoordinator::DemandWaits() { ScheduleReport(absl::Milliseconds(3)); }
 
 void FleetCoordinator::DemandChanged() { ScheduleReport(settings_.report_interval); }
 
@@ -320,10 +314,6 @@
   report.node = settings_.node;
   report.incarnation = settings_.incarnation;
   report.number = ++report_number_;
-  recent_reports_.push_back(parts_.loop->Now());
-  if (recent_reports_.size() > settings_.report_burst) {
-    recent_reports_.pop_front();
-  }
   parts_.fill_report(&report);
   bool waiting = false;
   bool anything = !report.loads.empty();
