Soak: sound workers that fall silent, and prompts that crash workers

Silence: workers send nothing for 0.5 to 1.8 s, one or up to eight at a time, in the series of the styles planned and mixed. It is no disruption: no disturbance is recorded, and every promise holds as without it. Callers of the soak's routes wait 2.4 s for an event (4 times the target latency of 600 ms, 8 times the gap target of 300 ms), so none leaves. An engine of its own draws it; the plans of older seeds only gain it.

Prompts: a style of its own. Requests with a part that crashes workers, no two alike, and sound ones with the same first part; a worker that crashes is back under a new id after 3 s; gateways are killed and stopped, the store is out at times. Promises: at most three arrivals with the part later than 3 s after the fifth crash, and from 6 s after it sound prompts served at least half as often as before the first crash; both at gateways in touch. Prompts with the part don't count as new streams, as they would loosen the check of streams that are taken up.

Seeds without a style: one in seven plays the new style, so their styles differ from before; the kept and fixed seeds name theirs.

--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -7,12 +7,21 @@
 namespace hingespan::soak {
 namespace {
 
-constexpr int kKinds = static_cast<int>(FaultKind::kWorkersBreakStreams) + 1;
+constexpr int kKinds = static_cast<int>(FaultKind::kWorkerFallsSilent) + 1;
 constexpr int kDrawnKinds = static_cast<int>(FaultKind::kWorkerSilent) + 1;
 constexpr double kMinSeconds = 0.3;
 constexpr double kMaxSeconds = 5.0;
 // XORed into the seed, so that the draws are independent of those of the times.
 constexpr std::uint64_t kStreamSeedMask = 0x57e3a5;
+constexpr std::uint64_t kSilenceSeedMask = 0x511e9ce;
+constexpr std::uint64_t kPromptSeedMask = 0x9a0b7;
+// Callers of the soak's routes wait 2.4 s for an event: 4 times the target latency, 8 times the
+// gap target.
+constexpr double kMinSilenceSeconds = 0.5;
+constexpr double kMaxSilenceSeconds = 1.8;
+constexpr double kMinSoundSeconds = 0.3;
+constexpr double kMaxSoundSeconds = 2.5;
+constexpr std::uint32_t kMaxSilentAtOnce = 8;
 constexpr absl::Duration kMaxServiceFault = absl::Milliseconds(600);
 
 }  // namespace
@@ -29,7 +38,8 @@
       "worker_mixes_answers", "worker_breaks_streams",  "worker_crash",
       "worker_leaves",        "worker_silent",          "gateway_stop_again",
       "gateway_stop_fresh",   "gateway_stop_all",       "configuration_change",
-      "workers_shed",         "workers_lose_answers",   "workers_break_streams"};
+      "workers_shed",         "workers_lose_answers",   "workers_break_streams",
+      "worker_falls_silent"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -75,4 +85,42 @@
   return plan;
 }
 
+std::vector<PlannedFault> MakeSilencePlan(const FaultPlanOptions& options) {
+  std::mt19937_64 random(options.seed ^ kSilenceSeedMask);
+  const auto between = [&random](double least, double most) {
+    return least + (most - least) * static_cast<double>(random() >> 11) * 0x1.0p-53;
+  };
+  std::vector<PlannedFault> plan;
+  double at = between(kMinSoundSeconds, kMaxSoundSeconds);
+  while (true) {
+    const double seconds = between(kMinSilenceSeconds, kMaxSilenceSeconds);
+    const bool several = random() % 3 == 0;
+    const std::uint32_t count =
+        several ? 2 + static_cast<std::uint32_t>(random() % (kMaxSilentAtOnce - 1)) : 1;
+    const auto target = static_cast<std::uint32_t>(random() >> 40);
+    if (absl::Seconds(at + seconds) >= options.length) {
+      return plan;
+    }
+    for (std::uint32_t each = 0; each < count; ++each) {
+      plan.push_back({FaultKind::kWorkerFallsSilent, absl::Seconds(at), absl::Seconds(seconds),
+                      target + each});
+    }
+    // A worker is never silent for longer than the longest silence.
+    at += seconds + between(kMinSoundSeconds, kMaxSoundSeconds);
+  }
+}
+
+std::vector<PlannedFault> MakePromptPlan(const FaultPlanOptions& options, absl::Duration begin) {
+  static constexpr FaultKind kKinds[] = {FaultKind::kGatewayKill, FaultKind::kGatewayKill,
+                                         FaultKind::kGatewayStop, FaultKind::kGatewayStop,
+                                         FaultKind::kStoreUnavailable};
+  std::vector<PlannedFault> plan = MakeFaultPlan(options);
+  std::erase_if(plan, [begin](const PlannedFault& fault) { return fault.at < begin; });
+  std::mt19937_64 random(options.seed ^ kPromptSeedMask);
+  for (PlannedFault& fault : plan) {
+    fault.kind = kKinds[random() % std::size(kKinds)];
+  }
+  return plan;
+}
+
 }  // namespace hingespan::soak
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -51,8 +51,9 @@
   // Faults of all workers of a service.
   kWorkersShed,
   kWorkersLoseAnswers,
-  // The last kind of all.
   kWorkersBreakStreams,
+  // The last kind of all: a sound worker sends nothing for a while. This is no disruption.
+  kWorkerFallsSilent,
 };
 
 struct PlannedFault {
@@ -88,6 +89,12 @@
 // Returns faults that break streams off, mostly of workers and with the store in order, sorted by
 // `at`.
 std::vector<PlannedFault> MakeStreamPlan(const FaultPlanOptions& options);
+// Returns silences of sound workers, one or several at a time, that don't overlap; sorted by `at`.
+// Its draws are independent of those of the other plans.
+std::vector<PlannedFault> MakeSilencePlan(const FaultPlanOptions& options);
+// Returns kills and stops of gateways and outages of the store, sorted by `at`, none before
+// `begin`.
+std::vector<PlannedFault> MakePromptPlan(const FaultPlanOptions& options, absl::Duration begin);
 // Returns the faults of both plans, sorted by `at`.
 std::vector<PlannedFault> MergePlans(std::vector<PlannedFault> left,
                                      const std::vector<PlannedFault>& right);
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "tests/soak/planned_work.h"
+#include "tests/soak/prompt_crashes.h"
 #include "tests/soak/repeat_budget.h"
 #include "tests/soak/run_index.h"
 #include "tests/soak/stream_versions.h"
@@ -54,6 +55,7 @@
     CheckStreamsGoOn(records_, &broken_);
     CheckPlannedWork(records_, runs_, &broken_);
     CheckRepeatBudget(records_, workers_, &broken_);
+    CheckPromptCrashes(records_, workers_, &broken_);
     CheckConfiguration();
     CheckLeaves();
     CheckOrders();
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -10,6 +10,8 @@
 constexpr absl::Duration kCancelAfter = absl::Milliseconds(150);
 constexpr double kCancelledFraction = 0.04;
 constexpr double kLargeFraction = 0.3;
+constexpr int kSoundParts = 7;
+constexpr double kCrashingFraction = 0.25;
 constexpr int kMaxFurtherTries = 3;
 // A stream with less time left is not taken up.
 constexpr absl::Duration kMinTimeLeft = absl::Seconds(1);
@@ -55,6 +57,13 @@
     fields.push_back({"Model", record->model});
     fields.push_back({"Token-Count", absl::StrCat("200,", 2 * record->events)});
   }
+  if (record->prompt != PromptKind::kNone) {
+    const std::string part = record->prompt == PromptKind::kCrashing
+                                 ? kCrashingPart
+                                 : absl::StrCat("sound", prompt_random_() % kSoundParts);
+    // No two prompts have the same last part.
+    fields.push_back({"Prompt-Prefix", absl::StrCat("first:80,", part, ":80,", record->id, ":40")});
+  }
   if (!record->resumed_id.empty()) {
     fields.push_back({"Resumes", record->resumed_id});
     fields.push_back({"Last-Event-Id", absl::StrCat(record->last_event)});
@@ -101,6 +110,7 @@
   next->padding = record.padding;
   next->resumed_id = record.resumed_id.empty() ? record.id : record.resumed_id;
   next->last_event = last_event;
+  next->prompt = record.prompt;
   next->earlier_tries = record.earlier_tries + 1;
   next->exchange =
       client_.Send(gateway.process->request_address(), RequestBytes(next, nullptr), next);
@@ -139,6 +149,24 @@
   Send(random_() % gateways_.size(), kind, target);
 }
 
+void SoakRun::SendPrompt() {
+  const bool crashing = FractionOf(&prompt_random_) < kCrashingFraction;
+  const std::size_t index = prompt_random_() % gateways_.size();
+  const absl::Duration since_begin = loop_.Now() - records_.traffic_began;
+  // Prompts with the crashing part are faults, and end with the others.
+  const bool in_time = since_begin >= kPromptsBegin && since_begin < options_.length;
+  const Gateway& gateway = gateways_[index];
+  if (!sending_ || !gateway.process->serving() || (crashing && !in_time)) {
+    return;
+  }
+  RequestRecord* const record = AddRecord(index, RequestKind::kResumableStream);
+  record->target = "/resumable/x";
+  record->model = kPromptModel;
+  record->prompt = crashing ? PromptKind::kCrashing : PromptKind::kSound;
+  record->exchange = client_.Send(gateway.process->request_address(),
+                                  RequestBytes(record, &prompt_random_), record);
+}
+
 void SoakRun::SendProbes() {
   for (std::size_t index = 0; sending_ && index < gateways_.size(); ++index) {
     for (const int version : {version_, version_ - 1}) {
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -14,6 +14,8 @@
 constexpr absl::Duration kServesAfterLeave = absl::Seconds(7);
 // Time for which the row of a crashed worker stays in the store.
 constexpr absl::Duration kRowAfterCrash = absl::Seconds(2);
+// Time from a crash by a prompt to the worker's replacement.
+constexpr absl::Duration kReplacedAfterCrash = absl::Seconds(3);
 constexpr absl::Duration kLinkDelay = absl::Milliseconds(120);
 
 WorkerFault WorkerFaultOf(FaultKind kind) {
@@ -183,6 +185,14 @@
     case FaultKind::kConfigurationChange:
       PutConfiguration();
       return;
+    case FaultKind::kWorkerFallsSilent: {
+      // No disturbance is recorded: no promise is loosened for a sound worker's silence.
+      const std::vector<Worker*> present = PresentWorkers();
+      if (!present.empty()) {
+        present[fault.target % present.size()]->worker->FallSilent(fault.duration);
+      }
+      return;
+    }
     default:
       InjectServiceFault(fault);
       return;
@@ -240,13 +250,30 @@
   });
 }
 
-void SoakRun::InjectWorkerFault(const PlannedFault& fault) {
+std::vector<SoakRun::Worker*> SoakRun::PresentWorkers() {
   std::vector<Worker*> present;
   for (const auto& worker : workers_) {
     if (worker->present) {
       present.push_back(worker.get());
     }
   }
+  return present;
+}
+
+void SoakRun::CrashByPrompt(Worker* worker) {
+  if (!worker->present) {
+    return;
+  }
+  records_.prompt_crashes.push_back(loop_.Now());
+  RecordDisturbance(Disturbance::Component::kWorker, 0, kReplacedAfterCrash + absl::Seconds(2));
+  RemoveWorker(worker, false);
+  const std::string version = VersionOfReplacement(worker->software_version);
+  At(kReplacedAfterCrash,
+     [this, service = worker->service, version] { AddWorker(service, kPromptModel, version); });
+}
+
+void SoakRun::InjectWorkerFault(const PlannedFault& fault) {
+  const std::vector<Worker*> present = PresentWorkers();
   if (present.empty()) {
     return;
   }
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -16,6 +16,8 @@
 // Number of events of a stream unless its request asks for more.
 constexpr int kStreamEvents = 12;
 constexpr const char* kEventEnd = "\n\n";
+// A gateway counts as in touch after this long without a disturbance.
+constexpr absl::Duration kContactTime = absl::Seconds(3);
 
 enum class RequestKind {
   // Plain request that may run only once.
@@ -30,6 +32,9 @@
   kProbe,
 };
 
+// Prompts whose second part crashes workers, and sound ones with the same first part.
+enum class PromptKind { kNone, kSound, kCrashing };
+
 struct RequestRecord : public gateway::AnswerReceiver {
   bool OnHead(const gateway::AnswerHead& answer) override {
     head = answer;
@@ -85,6 +90,7 @@
   // last event that the caller had then; empty and 0 for a new stream.
   std::string resumed_id;
   int last_event = 0;
+  PromptKind prompt = PromptKind::kNone;
   // Number of earlier requests for the same stream.
   int earlier_tries = 0;
   // True if the connection is used for many requests.
@@ -173,6 +179,14 @@
              !each.planned && each.begin <= end && each.end >= begin;
     });
   }
+  // Returns whether a gateway had been undisturbed for a while, and remained so until `end`.
+  bool InTouch(std::size_t gateway, absl::Time begin, absl::Time end) const {
+    using Component = Disturbance::Component;
+    const absl::Time from = begin - kContactTime;
+    return !Disturbed(Component::kGateway, gateway, from, end) &&
+           !Disturbed(Component::kStoreLink, gateway, from, end) &&
+           !Disturbed(Component::kStore, 0, from, end);
+  }
   // Returns whether there was any unplanned disturbance between the two instants.
   bool DisturbedUnplanned(absl::Time begin, absl::Time end) const {
     return std::any_of(disturbances.begin(), disturbances.end(), [&](const Disturbance& each) {
@@ -187,6 +201,8 @@
   std::vector<ConfigurationChange> changes;
   std::vector<WorkerLeave> leaves;
   std::vector<WorkerPresence> presences;
+  // Crashes of workers by a prompt part, in order.
+  std::vector<absl::Time> prompt_crashes;
   // Processes that ended unexpectedly, didn't stop in time or didn't start.
   std::vector<std::string> process_failures;
   // True if the run has only planned work.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "tests/soak/prompt_crashes.h"
 #include "tests/soak/stream_versions.h"
 
 namespace hingespan::soak {
@@ -35,6 +36,13 @@
 constexpr absl::Duration kUpgradeInterval = absl::Milliseconds(1500);
 constexpr double kUpgradeBegin = 0.35;
 constexpr absl::Duration kTakeUpInterval = absl::Milliseconds(40);
+// XORed into the seed for the draws of prompts.
+constexpr std::uint64_t kPromptSeedMask = 0x9a0b75;
+constexpr absl::Duration kPromptInterval = absl::Milliseconds(50);
+constexpr absl::Duration kPromptTime = absl::Milliseconds(30);
+// Mean time between faults beside prompts; most gateways must be in touch.
+constexpr absl::Duration kPromptFaultGap = absl::Seconds(4);
+constexpr int kPromptWorkers = 6;
 constexpr double kExtraRepeatsPerGateway = 5;
 // Gateways for each further worker of a service: larger fleets have more callers.
 constexpr std::size_t kGatewaysPerExtraWorker = 4;
@@ -57,12 +65,16 @@
       store_(&loop_),
       client_(&loop_, gateway::ClientLimits{}),
       gateways_(options_.gateways),
-      version_random_(options_.seed ^ kVersionSeedMask) {
+      version_random_(options_.seed ^ kVersionSeedMask),
+      prompt_random_(options_.seed ^ kPromptSeedMask) {
   FaultPlanOptions plan;
   plan.seed = options_.seed;
   plan.length = options_.length;
   if (options_.style == Style::kStreams) {
     plan_ = MakeStreamPlan(plan);
+  } else if (options_.style == Style::kPrompts) {
+    plan.mean_gap = kPromptFaultGap;
+    plan_ = MakePromptPlan(plan, kPromptsBegin);
   } else if (options_.style != Style::kPlanned) {
     plan_ = MakeFaultPlan(plan);
   }
@@ -73,6 +85,7 @@
     series.gateways = static_cast<std::uint32_t>(options_.gateways);
     series.unplanned = options_.style == Style::kMixed;
     plan_ = MergePlans(std::move(plan_), MakeSeriesPlan(series));
+    plan_ = MergePlans(std::move(plan_), MakeSilencePlan(plan));
     records_.repeats.extra = kExtraRepeatsPerGateway * static_cast<double>(options_.gateways);
   }
   records_.planned_only = options_.style == Style::kPlanned;
@@ -83,7 +96,8 @@
 
 Style SoakRun::DefaultStyle(std::uint64_t seed) {
   static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed,  Style::kPlanned,
-                                      Style::kMixed,   Style::kSingle, Style::kStreams};
+                                      Style::kMixed,   Style::kSingle, Style::kStreams,
+                                      Style::kPrompts};
   return kStyles[seed % std::size(kStyles)];
 }
 
@@ -140,6 +154,11 @@
   options.writes_row_at_start = false;
   options.model_memory_mb = kModelMemoryMb;
   options.memory_mb = kWorkerMemoryMb;
+  if (options_.style == Style::kPrompts && service == "models") {
+    options.prompt_time = kPromptTime;
+    options.crashing_part = kCrashingPart;
+    options.on_crash = [this, worker = entry.get()] { CrashByPrompt(worker); };
+  }
   if (!model.empty()) {
     options.models[model];
   }
@@ -254,6 +273,9 @@
   for (int number = 1; number <= 2; ++number) {
     AddWorker("models", absl::StrCat("m", number), "v2");
   }
+  for (int number = 0; options_.style == Style::kPrompts && number < kPromptWorkers; ++number) {
+    AddWorker("models", kPromptModel, "v1");
+  }
   PutConfiguration();
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     Gateway& gateway = gateways_[index];
@@ -279,7 +301,9 @@
     Every(kProbeInterval, [this] { SendProbes(); });
     Every(kChangeInterval, [this] { PutConfiguration(); });
     Every(kTakeUpInterval, [this] { TakeUpStreams(); });
-    if (options_.style != Style::kPlanned) {
+    if (options_.style == Style::kPrompts) {
+      Every(kPromptInterval, [this] { SendPrompt(); });
+    } else if (options_.style != Style::kPlanned) {
       At(options_.length * kUpgradeBegin, [this] { BeginUpgrade(); });
     }
     if (options_.style != Style::kSingle) {
@@ -300,11 +324,10 @@
     loop_.Stop();
   });
   loop_.Run();
-  std::vector<SoakWorkerView> views;
   for (const auto& worker : workers_) {
-    views.push_back({worker->id, worker->worker.get(), worker->service});
+    views_.push_back({worker->id, worker->worker.get(), worker->service});
   }
-  return CheckPromises(records_, views);
+  return CheckPromises(records_, views_);
 }
 
 const char* StyleName(Style style) {
@@ -317,6 +340,8 @@
       return "planned";
     case Style::kStreams:
       return "streams";
+    case Style::kPrompts:
+      return "prompts";
   }
   return "";
 }
@@ -333,6 +358,13 @@
   const auto [fresh, taken_up] = CountStreams(records_);
   absl::StrAppend(&text, ", streams begun in touch ", fresh.served, " of ", fresh.all,
                   ", gone on in touch ", taken_up.served, " of ", taken_up.all);
+  if (options_.style == Style::kPrompts) {
+    const PromptCounts prompts = CountPrompts(records_, views_);
+    absl::StrAppend(
+        &text, ", crashes by prompts ", records_.prompt_crashes.size(), ", late arrivals in touch ",
+        prompts.late_arrivals, ", sound prompts in touch before ", prompts.before.served, " of ",
+        prompts.before.all, ", after ", prompts.after.served, " of ", prompts.after.all);
+  }
   for (const auto& [name, count] : counts) {
     absl::StrAppend(&text, ", ", name, ": ", count);
   }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -26,6 +26,12 @@
 // Time from SIGTERM to SIGKILL.
 constexpr int kStopSeconds = 6;
 
+// Part of prompts that crashes workers, and the model that all requests with prompts name.
+constexpr const char* kCrashingPart = "bad";
+constexpr const char* kPromptModel = "m1";
+// Time after the first request at which prompts with the crashing part begin.
+constexpr absl::Duration kPromptsBegin = absl::Seconds(4);
+
 constexpr int kModels = 4;
 constexpr const char* kHost = "soak.example";
 constexpr const char* kLargeStreamTarget = "/resumable/large";
@@ -42,6 +48,8 @@
   kPlanned,
   // Faults that break streams off, with little else.
   kStreams,
+  // Prompts with a part that crashes workers, beside sound ones; gateways are killed and stopped.
+  kPrompts,
 };
 
 const char* StyleName(Style style);
@@ -103,6 +111,7 @@
   // Takes up streams whose answer ended early.
   void TakeUpStreams();
   void TakeUp(const RequestRecord& record);
+  void SendPrompt();
   void PutConfiguration();
   void Every(absl::Duration interval, std::function<void()> task);
   void At(absl::Duration after, std::function<void()> task);
@@ -125,6 +134,9 @@
   void StopGateway(std::size_t index);
   // Signals the gateway if it serves; returns whether it does.
   bool SignalAsOperator(std::size_t index, int signal);
+  std::vector<Worker*> PresentWorkers();
+  // Lets a worker that is about to answer a prompt with the crashing part crash.
+  void CrashByPrompt(Worker* worker);
   void RemoveWorker(Worker* worker, bool announced);
   void RecordDisturbance(Disturbance::Component component, std::size_t target,
                          absl::Duration duration);
@@ -139,6 +151,8 @@
   gateway::HttpClient client_;
   std::vector<Gateway> gateways_;
   std::vector<std::unique_ptr<Worker>> workers_;
+  // Of all workers that there were; filled at the end of the run.
+  std::vector<SoakWorkerView> views_;
   std::vector<PlannedFault> plan_;
   std::vector<std::unique_ptr<gateway::LoopTimer>> timers_;
   SoakRecords records_;
@@ -146,6 +160,7 @@
   std::vector<std::unique_ptr<KeepAliveCaller>> keep_alive_callers_;
   // Draws that are apart, so that they don't change those of the other callers and faults.
   std::mt19937_64 version_random_;
+  std::mt19937_64 prompt_random_;
   // Requests whose streams may still have to be taken up.
   std::vector<RequestRecord*> open_streams_;
   int newest_version_ = 2;
--- a/tests/soak/stream_versions.cc
+++ b/tests/soak/stream_versions.cc
@@ -16,8 +16,6 @@
 constexpr int kMinTakenUp = 12;
 constexpr double kMinShareOfNew = 0.5;
 constexpr int kMinWorkersOfVersion = 2;
-// A gateway counts as in touch after this long without a disturbance.
-constexpr absl::Duration kContactTime = absl::Seconds(3);
 
 // Returns the versions of all whole events of an answer.
 std::set<std::string> VersionsOf(const RequestRecord& request) {
@@ -39,14 +37,6 @@
                                         request.result == gateway::ExchangeResult::kComplete);
 }
 
-bool InTouch(const SoakRecords& records, const RequestRecord& request) {
-  using Component = Disturbance::Component;
-  const absl::Time from = request.sent - kContactTime;
-  return !records.Disturbed(Component::kGateway, request.gateway, from, request.ended_at) &&
-         !records.Disturbed(Component::kStoreLink, request.gateway, from, request.ended_at) &&
-         !records.Disturbed(Component::kStore, 0, from, request.ended_at);
-}
-
 int WorkersOfVersion(const SoakRecords& records, const std::string& suffix, absl::Time at) {
   return static_cast<int>(
       std::count_if(records.presences.begin(), records.presences.end(), [&](const auto& each) {
@@ -87,14 +77,17 @@
   std::map<std::string, std::string> version_of;
   StreamShares shares;
   for (const auto& request : records.requests) {
-    if (request->kind != RequestKind::kResumableStream) {
+    // That a prompt which crashes workers brings no event must not excuse streams that don't go on.
+    if (request->kind != RequestKind::kResumableStream ||
+        request->prompt == PromptKind::kCrashing) {
       continue;
     }
     if (request->resumed_id.empty()) {
       const std::set<std::string> versions = VersionsOf(*request);
       version_of[request->id] = versions.empty() ? std::string() : *versions.begin();
     }
-    if (request->cancelled() || !InTouch(records, *request)) {
+    if (request->cancelled() ||
+        !records.InTouch(request->gateway, request->sent, request->ended_at)) {
       continue;
     }
     if (request->resumed_id.empty()) {
