--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -21,7 +21,8 @@
 constexpr double kMaxSilenceSeconds = 1.8;
 constexpr double kMinSoundSeconds = 0.3;
 constexpr double kMaxSoundSeconds = 2.5;
-constexpr std::uint32_t kMaxSilentAtOnce = 8;
+// More workers than a run with a few gateways has, for silences of all of them.
+constexpr std::uint32_t kMoreThanAll = 16;
 constexpr absl::Duration kMaxServiceFault = absl::Milliseconds(600);
 
 }  // namespace
@@ -94,9 +95,8 @@
   double at = between(kMinSoundSeconds, kMaxSoundSeconds);
   while (true) {
     const double seconds = between(kMinSilenceSeconds, kMaxSilenceSeconds);
-    const bool several = random() % 3 == 0;
-    const std::uint32_t count =
-        several ? 2 + static_cast<std::uint32_t>(random() % (kMaxSilentAtOnce - 1)) : 1;
+    static constexpr std::uint32_t kAtOnce[] = {1, 3, kMoreThanAll, kMoreThanAll};
+    const std::uint32_t count = kAtOnce[random() % std::size(kAtOnce)];
     const auto target = static_cast<std::uint32_t>(random() >> 40);
     if (absl::Seconds(at + seconds) >= options.length) {
       return plan;
