Gateway: a worker that isn't read from doesn't count as silent

Cause: the node stops reading from the worker for such a caller, and took the absence of bytes that it did not read for the worker's silence.

Change: while reading is paused, an attempt has no limit for silence; when it is resumed, the time counts from then. The deadline and a caller that leaves end the attempt as before.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -191,6 +191,8 @@
   // Takes a token if an earlier attempt may have arrived at a worker. Returns false after giving
   // the request up for want of one.
   bool AcquireRepeat(absl::Time now);
+  // Reads from the worker again after a pause for a slow caller.
+  void ResumeReading();
   // Counts the request in the retry budget, once in all nodes.
   void CountInBudget();
   void OnPeerVerdict(PeerVerdict verdict);
@@ -298,6 +300,8 @@
   bool answer_started_ = false;
   absl::Time answer_started_at_;
   bool answer_noted_ = false;
+  // True while nothing is read from the worker, as the caller is slow.
+  bool reading_paused_ = false;
   AnswerHead answer_head_;
   AnswerFacts answer_facts_;
   bool forwarding_events_ = false;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -102,9 +102,8 @@
   });
   exchange_->OnDrained([weak = weak_from_this()] {
     const auto self = weak.lock();
-    if (self != nullptr && self->upstream_ != nullptr &&
-        self->exchange_->pending_bytes() < kMaxPendingBytes) {
-      self->upstream_->ResumeReading();
+    if (self != nullptr && self->exchange_->pending_bytes() < kMaxPendingBytes) {
+      self->ResumeReading();
     }
   });
   if (RefuseIfQuarantined()) {
@@ -117,6 +116,16 @@
   BeginWaiting();
 }
 
+void RequestRelay::ResumeReading() {
+  if (!reading_paused_ || upstream_ == nullptr) {
+    return;
+  }
+  reading_paused_ = false;
+  last_progress_ = context_->loop->Now();
+  upstream_->ResumeReading();
+  SetTimer(last_progress_);
+}
+
 void RequestRelay::CountInBudget() {
   if (!origin_.counted) {
     origin_.counted = true;
@@ -226,6 +235,7 @@
   last_progress_ = now;
   answer_started_ = false;
   answer_noted_ = false;
+  reading_paused_ = false;
   answer_head_ = {};
   forwarding_events_ = false;
   answer_body_.clear();
@@ -371,6 +381,9 @@
   if (!route_->MayRunAgain() || AttemptsCounted() >= route_->max_attempts) {
     return absl::InfiniteFuture();
   }
+  if (reading_paused_) {
+    return absl::InfiniteFuture();  // The worker can't be heard.
+  }
   if (!peer_.empty()) {
     // The peer itself leaves silent workers; it is left only if its caller would leave as well.
     return answer_started_ ? last_progress_ + EventTimeout() : absl::InfiniteFuture();
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -107,6 +107,7 @@
   last_event_at_ = now;
   exchange_->WriteChunk(events);
   if (upstream_ != nullptr && exchange_->pending_bytes() > kMaxPendingBytes) {
+    reading_paused_ = true;
     upstream_->PauseReading();
   }
 }
