--- a/tests/soak_checks/stream_versions_test.cc
+++ b/tests/soak_checks/stream_versions_test.cc
@@ -82,5 +82,22 @@
   CHECK(fixture.Broken().empty());
 }
 
+TEST_CASE("prompts that crash workers excuse no streams that don't go on") {
+  Fixture fixture;
+  fixture.records.presences = {{"w1", "models", "v1", At(0)}, {"w2", "models", "v1", At(0)}};
+  for (int number = 0; number < kStreams; ++number) {
+    RequestRecord* const next = AddTakenUp(&fixture, "v1");
+    next->head.status = 503;
+    next->body.clear();
+  }
+  for (int number = 0; number < 9 * kStreams; ++number) {
+    fixture.Add(RequestKind::kResumableStream, 502, "")->prompt = PromptKind::kCrashing;
+  }
+  for (int number = 0; number < kStreams / 3; ++number) {
+    AddTakenUp(&fixture, "v1");
+  }
+  CHECK(fixture.Broken() == Names{"streams that are taken up go on"});
+}
+
 }  // namespace
 }  // namespace hingespan::soak
