Tests: a node that starts under a quarantine, and many crashes at once

A fourth node sends no request with the crashing part once it has taken the quarantine over. Six of eight workers crash at once, five times, with sound requests under way: afterwards 30 of 30 are served. Before the nodes know the workers that are back, they refuse as their path is lost, which is not the quarantine's doing (no quarantine was imposed; seen in n0's log). Sizes of the messages are printed by test-fleet.

--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -104,6 +104,31 @@
   CHECK(std::get<QuarantineQuestion>(*question).reply_address == "x");
 }
 
+// Guards against messages about quarantines that exceed a datagram of one packet. The sizes that it
+// prints are those in docs/DESIGN.md.
+TEST_CASE("messages about quarantines fit into one packet") {
+  constexpr std::size_t kPacket = 1400;
+  std::set<std::string> parts;
+  for (int part = 0; part < 40; ++part) {
+    parts.insert("0123456789abcde" + std::to_string(part));
+  }
+  const std::set<std::string> two = {"0123456789abcdef", "0123456789abcdeg"};
+  const std::set<std::string> workers = {"worker-101", "worker-102", "worker-103"};
+  const std::string address = "10.20.30.40:45678";
+  const std::size_t few =
+      EncodeFleetMessage(CrashNotice{"worker-101", "models", two, address}).size();
+  const std::size_t most =
+      EncodeFleetMessage(CrashNotice{"worker-101", "models", parts, address}).size();
+  const std::size_t notice =
+      EncodeFleetMessage(QuarantineNotice{"models", two, workers, 900, 60'000, address}).size();
+  const std::size_t cleared = EncodeFleetMessage(ClearedParts{"models", two, true}).size();
+  const std::size_t question = EncodeFleetMessage(QuarantineQuestion{address}).size();
+  MESSAGE("bytes: crash of 2 parts " << few << ", of 40 parts " << most << ", quarantine " << notice
+                                     << ", cleared " << cleared << ", question " << question);
+  CHECK(most <= kPacket);
+  CHECK(notice <= kPacket);
+}
+
 TEST_CASE("an update without loads differs from one with no loaded workers") {
   PlacementUpdate update;
   update.loads.emplace();
--- a/tests/quarantine/crashing_prompt_test.cc
+++ b/tests/quarantine/crashing_prompt_test.cc
@@ -2,12 +2,14 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "tests/serving/gateway_world.h"
 #include "tests/soak/fault_proxy.h"
 
@@ -96,10 +98,47 @@
       }
       return loop.Now() >= end;
     }));
+    REQUIRE(Wait([&] { return AllEnded(); }));
+  }
+
+  bool AllEnded() const {
+    return std::all_of(calls.begin(), calls.end(),
+                       [](const Call& call) { return call.call->ended; });
+  }
+
+  // Sends sound requests until as many in a row were served as there are nodes twice.
+  void SendSoundUntilServed() {
+    absl::Time next = loop.Now();
+    std::size_t sent = 0;
     REQUIRE(Wait([&] {
-      return std::all_of(calls.begin(), calls.end(),
-                         [](const Call& call) { return call.call->ended; });
+      if (loop.Now() >= next) {
+        next += kRequestInterval;
+        SendPrompt(absl::StrCat("sound", sent % 2));
+        ++sent;
+      }
+      const std::size_t needed = 2 * nodes.size();
+      return sent >= needed &&
+             std::all_of(calls.end() - static_cast<std::ptrdiff_t>(needed), calls.end(),
+                         [](const Call& call) { return call.call->head.status == 200; });
     }));
+    REQUIRE(Wait([&] { return AllEnded(); }));
+  }
+
+  // Number of calls by status.
+  std::string Outcomes() const {
+    std::map<int, int> counts;
+    for (const Call& call : calls) {
+      ++counts[call.call->head.status];
+    }
+    return absl::StrJoin(counts, " ", absl::PairFormatter(":"));
+  }
+
+  std::size_t Arrivals() const {
+    std::size_t count = 0;
+    for (const auto& worker : workers) {
+      count += worker->arrivals().size();
+    }
+    return count;
   }
 
   // Requests with the crashing part that reached workers after this time.
@@ -159,5 +198,62 @@
   CHECK(2 * served >= sound);
 }
 
+// Guards against a restarted node that sends requests with a crashing part again (BUDGET).
+TEST_CASE("a node that starts after the quarantine sends no requests with a crashing part") {
+  CrashFixture fixture;
+  fixture.SendFor(kContactTime);
+  REQUIRE(std::any_of(fixture.nodes.begin(), fixture.nodes.end(),
+                      [](const auto& node) { return HasLine(*node, "quarantine_imposed"); }));
+  TestNode* const started = fixture.AddNode("n3");
+  REQUIRE(fixture.Wait([&] { return HasLine(*started, "quarantine_taken_over"); }));
+  const absl::Time taken_over = fixture.loop.Now();
+  const std::size_t first = fixture.calls.size();
+  fixture.SendFor(kContactTime);
+  CHECK(fixture.ArrivalsAfter(taken_over) == 0);
+  int refused = 0;
+  for (std::size_t call = first; call < fixture.calls.size(); ++call) {
+    if (fixture.calls[call].second_part == kCrashingPart) {
+      CHECK(fixture.calls[call].call->head.status == 503);
+      ++refused;
+    } else {
+      CHECK(fixture.calls[call].call->head.status == 200);
+    }
+  }
+  CHECK(refused >= 10);
+}
+
+// Guards against refusing the sound requests that were under way as many workers crashed (LOST).
+TEST_CASE("many workers that crash at once lead to no lasting refusal of sound requests") {
+  CrashFixture fixture;
+  const auto send_sound = [&](int count) {
+    for (int number = 0; number < count; ++number) {
+      fixture.SendPrompt(absl::StrCat("sound", number % 2));
+    }
+  };
+  for (int event = 0; event < kCrashesBeforeBound; ++event) {
+    const std::size_t before = fixture.crashes.size();
+    const std::size_t arrivals = fixture.Arrivals();
+    send_sound(30);
+    // The workers write the first events later.
+    CAPTURE(event);
+    CAPTURE(fixture.Outcomes());
+    REQUIRE(fixture.Wait([&] { return fixture.Arrivals() >= arrivals + 10; }));
+    const std::size_t end = fixture.links.size();
+    for (std::size_t index = end - kWorkers; index < end - kWorkers / 4; ++index) {
+      fixture.Crash(index);
+    }
+    REQUIRE(fixture.crashes.size() > before);
+    REQUIRE(fixture.Wait([&] { return fixture.links.size() >= end + kWorkers * 3 / 4; }));
+    // Until the nodes know the workers that are back, other mechanisms refuse.
+    fixture.SendSoundUntilServed();
+  }
+  const std::size_t first = fixture.calls.size();
+  send_sound(30);
+  REQUIRE(fixture.Wait([&] { return fixture.AllEnded(); }));
+  for (std::size_t call = first; call < fixture.calls.size(); ++call) {
+    CHECK(fixture.calls[call].call->head.status == 200);
+  }
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
