--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -96,8 +96,9 @@
 }
 
 absl::Time PromptQuarantine::DueAt(const PartKey& key, const Evidence& evidence) const {
-  const std::size_t needed = static_cast<std::size_t>(
-      settings_.crashes + (answered_.contains(key) ? settings_.more_if_answered : 0));
+  const int crashes =
+      settings_.crashes + (answered_.contains(key) ? settings_.more_if_answered : 0);
+  const auto needed = static_cast<std::size_t>(crashes);
   if (!evidence.own || evidence.crashes.size() < needed) {
     return absl::InfiniteFuture();
   }
@@ -160,8 +161,9 @@
                                                bool with_answered) const {
   PromptPartIds parts;
   for (const auto& [key, evidence] : evidence_) {
+    const auto& crashes = evidence.crashes;
     const bool all = std::all_of(workers.begin(), workers.end(), [&](const std::string& worker) {
-      return evidence.crashes.contains(worker);
+      return crashes.contains(worker);
     });
     if (key.first == service && all && (with_answered || !answered_.contains(key))) {
       parts.insert(key.second);
