--- a/tests/quarantine/crashing_prompt_test.cc
+++ b/tests/quarantine/crashing_prompt_test.cc
@@ -24,7 +24,7 @@
 constexpr const char* kFirstPart = "first";
 constexpr int kNodes = 3;
 constexpr int kWorkers = 8;
-// Of the users' platform: a node that was undisturbed for this long is in touch.
+// A node that was undisturbed for this long is in touch, as the users' platform has it.
 constexpr absl::Duration kContactTime = absl::Seconds(3);
 constexpr int kCrashesBeforeBound = 5;
 constexpr int kMaxArrivalsAfter = 3;
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -23,7 +23,7 @@
 // Sound requests come for this long after the last one with the crashing part, so that a trial has
 // shown each sound part to be sound.
 constexpr absl::Duration kSoundAfter = absl::Seconds(45);
-// Of the users' rules.
+// Bounds of the users' rules.
 constexpr absl::Duration kContactTime = absl::Seconds(3);
 constexpr std::size_t kCrashesBeforeBound = 5;
 constexpr int kMaxArrivalsAfter = 3;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -151,7 +151,7 @@
   gateway::HttpClient client_;
   std::vector<Gateway> gateways_;
   std::vector<std::unique_ptr<Worker>> workers_;
-  // Of all workers that there were; filled at the end of the run.
+  // Views of all workers that there were; filled at the end of the run.
   std::vector<SoakWorkerView> views_;
   std::vector<PlannedFault> plan_;
   std::vector<std::unique_ptr<gateway::LoopTimer>> timers_;
