Emulated brittle workers, a world test and a soak style that fail on the present code

Emulator: a worker with slots and a queue rejects what finds no room, says Server-Brittle in all answers while it is brittle, and falls once it rejects more than so many requests within a second. test-brittle: 12 nodes before 6 such workers of 4 slots, whose queues shrink to none 3 s after they first said so; fallen ones are back after 1.5 s. The soak's style "brittle" does the same with gateway processes that are killed and stopped, and callers that press.

--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -55,6 +55,7 @@
               [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
       load_timer_(loop->MakeTimer()),
       heartbeat_timer_(loop->MakeTimer()),
+      room_(options_.slots, options_.queue.value_or(0)),
       silence_timer_(loop->MakeTimer()) {
   (void)server_.Listen("127.0.0.1:0");
   announced_address_ = server_.address();
@@ -98,6 +99,12 @@
   WriteRow();
 }
 
+void PlatformWorker::SetBrittle(int survived_rejections) {
+  room_.SetSurvivedRejections(survived_rejections);
+}
+
+void PlatformWorker::SetSturdy() { room_.SetSurvivedRejections(std::nullopt); }
+
 void PlatformWorker::FallSilent(absl::Duration duration) {
   silent_until_ = loop_->Now() + duration;
   silence_timer_->Set(silent_until_, [this] {
@@ -108,6 +115,10 @@
 }
 
 void PlatformWorker::OnRequest(const std::shared_ptr<ServerExchange>& exchange) {
+  if (fallen()) {
+    exchange->Abort();
+    return;
+  }
   if (loop_->Now() < silent_until_) {
     delayed_.push_back(exchange);
     return;
@@ -126,7 +137,7 @@
   } else if (target == "/api/report") {
     OnReport(exchange);
   } else {
-    RunRequest(exchange);
+    AdmitRequest(exchange);
   }
 }
 
@@ -199,24 +210,59 @@
   Answer(exchange.get(), 200, "OK", {{"Content-Type", "application/json"}}, report.dump());
 }
 
-void PlatformWorker::RunRequest(const std::shared_ptr<ServerExchange>& exchange) {
-  const std::string id = Field(*exchange, "Attempt-Id");
+void PlatformWorker::AdmitRequest(const std::shared_ptr<ServerExchange>& exchange) {
   if (fault_ == WorkerFault::kRejects) {
-    Answer(exchange.get(), 503, "Service Unavailable", NotExecuted(id), "");
+    RejectRequest(exchange.get());
     return;
   }
   const std::string model = Field(*exchange, "Model");
   const std::string base = model.substr(0, model.find('/'));
   if (!model.empty() && !Holds(base)) {
-    Answer(exchange.get(), 421, "Misdirected Request", NotExecuted(id), "");
+    Answer(exchange.get(), 421, "Misdirected Request", NotExecuted(Field(*exchange, "Attempt-Id")),
+           "");
+    return;
+  }
+  if (!options_.queue.has_value()) {
+    RunRequest(exchange, std::nullopt);
     return;
   }
+  const std::optional<std::uint64_t> waiting =
+      room_.Enter([this, exchange](std::uint64_t slot) { RunRequest(exchange, slot); });
+  if (!waiting.has_value()) {
+    RejectRequest(exchange.get());
+  } else if (*waiting != 0) {
+    exchange->OnCallerGone([this, waiting] { room_.Leave(*waiting); });
+  }
+}
+
+void PlatformWorker::RejectRequest(ServerExchange* exchange) {
+  Answer(exchange, 503, "Service Unavailable", NotExecuted(Field(*exchange, "Attempt-Id")), "");
+  rejected_.push_back({Field(*exchange, "Attempt-Id"), loop_->Now()});
+  if (!room_.Reject(loop_->Now()) && !fallen()) {
+    fell_at_ = loop_->Now();
+    crashed_ = true;
+    // Posted, as the owner may destroy what this runs in.
+    loop_->Post(options_.on_crash);
+  }
+}
+
+void PlatformWorker::LeaveSlot(Run* run) {
+  if (run->slot.has_value()) {
+    room_.Leave(*std::exchange(run->slot, std::nullopt));
+  }
+}
+
+void PlatformWorker::RunRequest(const std::shared_ptr<ServerExchange>& exchange,
+                                std::optional<std::uint64_t> slot) {
+  const std::string id = Field(*exchange, "Attempt-Id");
   runs_.push_back({id, exchange->head().target, exchange->body(), Field(*exchange, "Deadline-Ms"),
                    Field(*exchange, "Last-Event-Id"), Field(*exchange, "Resumes"), loop_->Now()});
   Run* const run = &runs_.back();
+  run->slot = slot;
   exchange->OnCallerGone([this, run] {
     run->caller_disconnected = true;
     run->caller_disconnected_at = loop_->Now();
+    LeaveSlot(run);
   });
   switch (fault_) {
     case WorkerFault::kResetsAnswer:
@@ -225,15 +271,18 @@
       exchange->WriteChunk("answer");
       // Once the part has been sent, as a reset discards what was not.
       loop_->Post([exchange] { exchange->Abort(); });
+      LeaveSlot(run);
       return;
     case WorkerFault::kSilent:
       silent_.push_back(exchange);
       return;
     case WorkerFault::kLosesAnswer:
       exchange->Abort();
+      LeaveSlot(run);
       return;
     case WorkerFault::kFails:
       Answer(exchange.get(), 500, "Failed", {{"Attempt-Id", id}, {"Server-Seal", "seal-500"}}, "");
+      LeaveSlot(run);
       return;
     case WorkerFault::kEncodes:
       Answer(exchange.get(), 200, "OK",
@@ -241,31 +290,54 @@
               {"Server-Seal", absl::StrCat("seal-", id)},
               {"Content-Encoding", "gzip"}},
              "not as it was");
+      LeaveSlot(run);
       return;
     case WorkerFault::kOtherRequest:
       Answer(exchange.get(), 200, "OK", {{"Attempt-Id", "another"}, {"Server-Seal", "s"}}, "wrong");
+      LeaveSlot(run);
       return;
     default:
       break;
   }
-  if (!model.empty()) {
+  if (!Field(*exchange, "Model").empty()) {
     StartStream(exchange, run);
     return;
   }
+  if (options_.run_time == absl::ZeroDuration()) {
+    AnswerPlain(exchange, run);
+    return;
+  }
+  const std::shared_ptr<gateway::LoopTimer> timer = loop_->MakeTimer();
+  timer->Set(loop_->Now() + options_.run_time, [this, exchange, run, timer] {
+    if (!crashed_ && !run->caller_disconnected) {
+      AnswerPlain(exchange, run);
+    }
+  });
+}
+
+void PlatformWorker::AnswerPlain(const std::shared_ptr<ServerExchange>& exchange, Run* run) {
   run->ended = true;
   Answer(exchange.get(), 200, "OK",
-         {{"Attempt-Id", id}, {"Server-Seal", absl::StrCat("seal-", id)}},
+         {{"Attempt-Id", run->id}, {"Server-Seal", absl::StrCat("seal-", run->id)}},
          absl::StrCat("answer of ", options_.id,
-                      options_.includes_request_id ? absl::StrCat(" to ", id) : ""));
+                      options_.includes_request_id ? absl::StrCat(" to ", run->id) : ""));
+  LeaveSlot(run);
+}
+
+HeaderFields PlatformWorker::WithNotices(HeaderFields fields) const {
+  if (room_.survived_rejections().has_value()) {
+    fields.push_back({"Server-Brittle", absl::StrCat(*room_.survived_rejections())});
+  }
+  return fields;
 }
 
 void PlatformWorker::Answer(ServerExchange* exchange, int status, absl::string_view reason,
                             const HeaderFields& fields, absl::string_view body) const {
   if (!unframed_answers_) {
-    exchange->Answer(status, reason, fields, body);
+    exchange->Answer(status, reason, WithNotices(fields), body);
     return;
   }
-  exchange->StartUnframed(status, reason, fields);
+  exchange->StartUnframed(status, reason, WithNotices(fields));
   exchange->WriteChunk(body);
   exchange->FinishChunked();
 }
@@ -292,9 +364,9 @@
                                {"Server-Seal", absl::StrCat("seal-", run->id, "-", options_.id)},
                                {"Content-Type", "text/event-stream"}};
   if (options_.unframed_streams) {
-    exchange->StartUnframed(200, "OK", fields);
+    exchange->StartUnframed(200, "OK", WithNotices(fields));
   } else {
-    exchange->StartChunked(200, "OK", fields);
+    exchange->StartChunked(200, "OK", WithNotices(fields));
   }
   if (options_.prompt_time > absl::ZeroDuration()) {
     stream->timer->Set(loop_->Now() + options_.prompt_time, [this, stream] { NextEvent(stream); });
@@ -333,7 +405,8 @@
   if (breaks && stream->sent == options_.events_before_break) {
     const bool finishes = options_.unframed_streams || fault_ == WorkerFault::kFinishesInsideEvent;
     stream->exchange->WriteChunk(absl::StrCat("id: ", stream->next, "\ndata: ha"));
-    stream->timer->Set(loop_->Now() + stream->shape.interval, [stream, finishes] {
+    stream->timer->Set(loop_->Now() + stream->shape.interval, [this, stream, finishes] {
+      LeaveSlot(stream->run);
       if (finishes) {
         stream->exchange->FinishChunked();
       } else {
@@ -345,6 +418,7 @@
   if (stream->next > stream->shape.events) {
     stream->run->ended = true;
     stream->exchange->FinishChunked();
+    LeaveSlot(stream->run);
     return;
   }
   stream->exchange->WriteChunk(absl::StrCat(
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -8,12 +8,14 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "emulator/platform_store.h"
+#include "emulator/worker_room.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/http/http_server.h"
 
@@ -58,6 +60,11 @@
   // together, and a worker doesn't check which version began a stream.
   std::string software_version = "v1";
   int slots = 6;
+  // Number of requests that wait while all slots are taken; more are rejected. Absent if the worker
+  // runs all requests at once, whatever its slots.
+  std::optional<int> queue;
+  // Time that a plain request takes.
+  absl::Duration run_time = absl::ZeroDuration();
   std::map<std::string, std::set<std::string>> models;
   // Events of a stream and the interval between them.
   int events = 6;
@@ -71,7 +78,8 @@
   // Id of a prompt part: the worker crashes as it begins to answer a prompt that has it, unless as
   // its last part. Empty for none.
   std::string crashing_part;
-  // Called when the worker crashes. Whoever owns it ends its connections and removes its row.
+  // Called when the worker crashes or falls. Whoever owns it ends its connections and removes its
+  // row.
   std::function<void()> on_crash;
   // True if streams have neither a length nor chunks and end with their connection.
   bool unframed_streams = false;
@@ -109,6 +117,8 @@
     bool ended = false;
     bool caller_disconnected = false;
     absl::Time caller_disconnected_at = absl::InfiniteFuture();
+    // Key of the request's slot; absent if it has none any more, or needs none.
+    std::optional<std::uint64_t> slot;
   };
   // A request that reached the worker, whether rejected or not.
   struct Arrival {
@@ -128,6 +138,12 @@
   // From now on plain answers have neither a length nor chunks and end with their connection.
   void AnswerUnframed() { unframed_answers_ = true; }
   void SetDraining();
+  // From now on all answers say that the worker falls once it rejects more than so many requests
+  // within a second for want of room. Needs a queue.
+  void SetBrittle(int survived_rejections);
+  // Not brittle any more.
+  void SetSturdy();
+  void SetQueue(int queue) { room_.SetQueue(queue); }
   // Sends nothing for this long, then goes on. Connections stay open and requests are accepted.
   void FallSilent(absl::Duration duration);
   // Writes the worker's row with this address instead of its own, e.g. a relay's.
@@ -136,6 +152,12 @@
   bool exceeded_memory() const { return exceeded_memory_; }
   const std::list<Run>& runs() const { return runs_; }
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
+  const WorkerRoom& room() const { return room_; }
+  // Requests that were rejected for want of room.
+  const std::vector<Arrival>& rejected() const { return rejected_; }
+  // True once the worker has fallen under the requests that it rejected.
+  bool fallen() const { return fell_at_ != absl::InfiniteFuture(); }
+  absl::Time fell_at() const { return fell_at_; }
   const std::vector<Order>& orders() const { return orders_; }
   bool Holds(const std::string& model) const { return options_.models.contains(model); }
   std::string address() const { return server_.address(); }
@@ -149,7 +171,16 @@
   void OnRequest(const std::shared_ptr<gateway::ServerExchange>& exchange);
   void OnOrder(const std::shared_ptr<gateway::ServerExchange>& exchange);
   void OnReport(const std::shared_ptr<gateway::ServerExchange>& exchange);
-  void RunRequest(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  // Runs the request as soon as there is a slot, or rejects it.
+  void AdmitRequest(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  void RejectRequest(gateway::ServerExchange* exchange);
+  void RunRequest(const std::shared_ptr<gateway::ServerExchange>& exchange,
+                  std::optional<std::uint64_t> slot);
+  // Frees the slot of a request that has ended.
+  void LeaveSlot(Run* run);
+  void AnswerPlain(const std::shared_ptr<gateway::ServerExchange>& exchange, Run* run);
+  // Adds what all answers say.
+  gateway::HeaderFields WithNotices(gateway::HeaderFields fields) const;
   void StartStream(const std::shared_ptr<gateway::ServerExchange>& exchange, Run* run);
   StreamShape ShapeOf(const std::string& target) const;
   void NextEvent(const std::shared_ptr<Stream>& stream);
@@ -168,8 +199,10 @@
   gateway::HttpServer server_;
   std::unique_ptr<gateway::LoopTimer> load_timer_;
   std::unique_ptr<gateway::LoopTimer> heartbeat_timer_;
+  WorkerRoom room_;
   std::list<Run> runs_;
   std::vector<Arrival> arrivals_;
+  std::vector<Arrival> rejected_;
   std::vector<Order> orders_;
   std::list<std::shared_ptr<gateway::ServerExchange>> silent_;
   // Requests that are handled when the worker is no longer silent.
@@ -186,6 +219,7 @@
   bool draining_ = false;
   bool busy_ = false;
   bool crashed_ = false;
+  absl::Time fell_at_ = absl::InfiniteFuture();
 };
 
 }  // namespace hingespan::emulator
--- /dev/null
+++ b/tests/brittle/brittle_world.cc
@@ -0,0 +1,151 @@
+#include "tests/brittle/brittle_world.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace hingespan::gateway {
+namespace {
+
+constexpr absl::Duration kRestartTime = absl::Milliseconds(1500);
+constexpr int kEvents = 6;
+constexpr int kDeadlineMs = 2000;
+
+}  // namespace
+
+BrittleWorld::BrittleWorld(BrittleOptions world_options) : options(std::move(world_options)) {
+  for (int number = 0; number < options.workers; ++number) {
+    StartWorker();
+  }
+  for (int number = 0; number < options.nodes; ++number) {
+    AddNode(absl::StrCat("n", number));
+  }
+  for (const auto& node : nodes) {
+    REQUIRE(Wait([&] { return node->gateway.fleet_size() == options.nodes; }));
+  }
+  left_out.resize(nodes.size());
+}
+
+void BrittleWorld::StartWorker() {
+  const std::size_t index = links.size();
+  emulator::PlatformWorkerOptions worker;
+  worker.id = absl::StrCat("w", index);
+  worker.service = options.service;
+  worker.slots = options.slots;
+  worker.queue = short_queues ? options.brittle_queue : options.queue;
+  worker.run_time = options.run_time;
+  worker.events = kEvents;
+  worker.event_interval = options.run_time / kEvents;
+  worker.writes_row_at_start = false;
+  if (options.service == "models") {
+    worker.models["m1"];
+  }
+  worker.on_crash = [this, index] {
+    fallen.push_back(loop.Now());
+    links[index]->SetFault(soak::LinkFault::kReset);
+    timers.push_back(loop.MakeTimer());
+    timers.back()->Set(loop.Now() + kRestartTime, [this, index] {
+      store.Remove("servers", absl::StrCat("w", index));
+      StartWorker();
+    });
+  };
+  emulator::PlatformWorker* const started = AddWorker(worker);
+  if (brittle) {
+    started->SetBrittle(options.survived_rejections);
+  }
+  links.push_back(std::make_unique<soak::FaultProxy>(&loop, started->address()));
+  started->Announce(links.back()->address());
+}
+
+void BrittleWorld::BeginBrittle() {
+  brittle = true;
+  for (const auto& worker : workers) {
+    worker->SetBrittle(options.survived_rejections);
+  }
+  // Workers must have rejected nothing before their queues are short.
+  SendFor(kContactTime, 0.3);
+  short_queues = true;
+  for (const auto& worker : workers) {
+    worker->SetQueue(options.brittle_queue);
+  }
+}
+
+double BrittleWorld::Capacity() const {
+  return options.workers * options.slots / absl::ToDoubleSeconds(options.run_time);
+}
+
+std::uint64_t BrittleWorld::Draw() {
+  random ^= random << 13;
+  random ^= random >> 7;
+  random ^= random << 17;
+  return random;
+}
+
+void BrittleWorld::SendFor(absl::Duration time, double load) {
+  const absl::Duration interval = absl::Seconds(1) / (Capacity() * load);
+  const absl::Time end = loop.Now() + time;
+  absl::Time next = loop.Now();
+  REQUIRE(Wait([&] {
+    for (; loop.Now() >= next && next < end; next += interval) {
+      std::size_t node = Draw() % nodes.size();
+      while (left_out[node]) {
+        node = (node + 1) % nodes.size();
+      }
+      SendRequest(node);
+    }
+    return loop.Now() >= end;
+  }));
+  REQUIRE(Wait([&] { return AllEnded(); }));
+}
+
+void BrittleWorld::SendRequest(std::size_t node) {
+  const std::string id = absl::StrCat("r", calls.size());
+  TestRequest request;
+  request.target = calls.size() % 2 == 0 ? "/safe/x" : "/plain/x";
+  if (options.service == "models") {
+    request = StreamRequest("/stream/x", "m1");
+    request.fields.back().value = absl::StrCat("aa:5,", id, ":5");
+  }
+  request.id = id;
+  request.body = absl::StrCat("body of ", id);
+  request.deadline_ms = kDeadlineMs;
+  calls.push_back({loop.Now(), node, Send(nodes[node].get(), request)});
+}
+
+bool BrittleWorld::AllEnded() const {
+  return std::all_of(calls.begin(), calls.end(), [](const Call& call) { return call.call->ended; });
+}
+
+int BrittleWorld::Rejections() const {
+  int count = 0;
+  for (const auto& worker : workers) {
+    count += worker->room().rejections();
+  }
+  return count;
+}
+
+std::map<int, int> BrittleWorld::Statuses(std::size_t first) const {
+  std::map<int, int> statuses;
+  for (std::size_t call = first; call < calls.size(); ++call) {
+    ++statuses[calls[call].call->head.status];
+  }
+  return statuses;
+}
+
+double BrittleWorld::ServedShare(std::size_t first) const {
+  const std::map<int, int> statuses = Statuses(first);
+  const auto served = statuses.find(200);
+  return served == statuses.end()
+             ? 0.0
+             : static_cast<double>(served->second) / static_cast<double>(calls.size() - first);
+}
+
+std::string BrittleWorld::Outcomes(std::size_t first) const {
+  return absl::StrCat("falls ", falls(), ", rejections ", Rejections(), ", statuses ",
+                      absl::StrJoin(Statuses(first), " ", absl::PairFormatter(":")));
+}
+
+}  // namespace hingespan::gateway
--- /dev/null
+++ b/tests/brittle/brittle_world.h
@@ -0,0 +1,77 @@
+// Test fixture: many nodes before workers that fall over once all nodes together make them reject
+// too many requests.
+#ifndef TESTS_BRITTLE_BRITTLE_WORLD_H_
+#define TESTS_BRITTLE_BRITTLE_WORLD_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/serving/gateway_world.h"
+#include "tests/soak/fault_proxy.h"
+
+namespace hingespan::gateway {
+
+// A node that was undisturbed for this long is in touch, as the users' platform has it. For so long
+// after workers have said that they are brittle, they reject as before.
+inline constexpr absl::Duration kContactTime = absl::Seconds(3);
+
+struct BrittleOptions {
+  int nodes = 12;
+  int workers = 6;
+  int slots = 4;
+  // Number of requests that wait at a worker, before and while it is brittle.
+  int queue = 12;
+  int brittle_queue = 0;
+  int survived_rejections = 3;
+  absl::Duration run_time = absl::Milliseconds(100);
+  // "plain" or "models".
+  std::string service = "plain";
+};
+
+struct BrittleWorld : GatewayFixture {
+  explicit BrittleWorld(BrittleOptions world_options);
+
+  // Starts a worker behind a link of its own.
+  void StartWorker();
+  // Tells all nodes by their answers that the workers are brittle, then shortens the queues.
+  void BeginBrittle();
+  // Requests a second that the workers can serve.
+  double Capacity() const;
+  // For this long, sends requests to random nodes at a rate, in parts of the capacity.
+  void SendFor(absl::Duration time, double load);
+  // Sends one request to the node.
+  void SendRequest(std::size_t node);
+  bool AllEnded() const;
+
+  // Workers that have fallen, and how many may.
+  int falls() const { return static_cast<int>(fallen.size()); }
+  int allowed_falls() const { return 2 + options.workers / 10; }
+  int Rejections() const;
+  // Numbers of requests sent since `first`, by status.
+  std::map<int, int> Statuses(std::size_t first) const;
+  double ServedShare(std::size_t first) const;
+  std::string Outcomes(std::size_t first) const;
+
+  BrittleOptions options;
+  std::vector<std::unique_ptr<soak::FaultProxy>> links;
+  std::vector<std::unique_ptr<LoopTimer>> timers;
+  std::vector<absl::Time> fallen;
+  struct Call {
+    absl::Time sent;
+    std::size_t node = 0;
+    std::unique_ptr<TestCall> call;
+  };
+  std::vector<Call> calls;
+  // Nodes that get no requests, as they have not started or are gone.
+  std::vector<bool> left_out;
+  bool brittle = false;
+  bool short_queues = false;
+  std::uint64_t random = 88172645463325252ULL;
+  std::uint64_t Draw();
+};
+
+}  // namespace hingespan::gateway
+
+#endif  // TESTS_BRITTLE_BRITTLE_WORLD_H_
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "tests/soak/brittle_workers.h"
 #include "tests/soak/planned_work.h"
 #include "tests/soak/prompt_crashes.h"
 #include "tests/soak/repeat_budget.h"
@@ -56,6 +57,7 @@
     CheckPlannedWork(records_, runs_, &broken_);
     CheckRepeatBudget(records_, workers_, &broken_);
     CheckPromptCrashes(records_, workers_, &broken_);
+    CheckBrittleWorkers(records_, workers_, &broken_);
     CheckConfiguration();
     CheckLeaves();
     CheckOrders();
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -167,6 +167,24 @@
                                   RequestBytes(record, &prompt_random_), record);
 }
 
+void SoakRun::Press() {
+  static constexpr std::pair<RequestKind, const char*> kKinds[] = {
+      {RequestKind::kAct, "/act/x"},
+      {RequestKind::kRead, "/read/x"},
+      {RequestKind::kRead, "/read/x"},
+      {RequestKind::kResumableStream, "/resumable/x"}};
+  const std::size_t index = press_random_() % gateways_.size();
+  const Gateway& gateway = gateways_[index];
+  if (!brittle_ || !gateway.process->serving()) {
+    return;
+  }
+  const auto& [kind, target] = kKinds[press_random_() % std::size(kKinds)];
+  RequestRecord* const record = AddRecord(index, kind);
+  record->target = target;
+  record->exchange = client_.Send(gateway.process->request_address(),
+                                  RequestBytes(record, &press_random_), record);
+}
+
 void SoakRun::SendProbes() {
   for (std::size_t index = 0; sending_ && index < gateways_.size(); ++index) {
     for (const int version : {version_, version_ - 1}) {
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -16,6 +16,8 @@
 constexpr absl::Duration kRowAfterCrash = absl::Seconds(2);
 // Time from a crash by a prompt to the worker's replacement.
 constexpr absl::Duration kReplacedAfterCrash = absl::Seconds(3);
+// Rejections within a second that a brittle worker survives.
+constexpr int kSurvivedRejections = 3;
 constexpr absl::Duration kLinkDelay = absl::Milliseconds(120);
 
 WorkerFault WorkerFaultOf(FaultKind kind) {
@@ -272,6 +274,54 @@
      [this, service = worker->service, version] { AddWorker(service, kPromptModel, version); });
 }
 
+void SoakRun::SetRoom(Worker* worker) {
+  if (brittle_) {
+    worker->worker->SetBrittle(kSurvivedRejections);
+  }
+  if (short_queues_) {
+    worker->worker->SetQueue(0);
+  }
+}
+
+void SoakRun::BeginBrittle() {
+  brittle_ = true;
+  records_.brittle.from = loop_.Now();
+  for (Worker* const worker : PresentWorkers()) {
+    ++records_.brittle.workers[worker->service];
+    SetRoom(worker);
+  }
+  At(kContactTime, [this] {
+    short_queues_ = true;
+    records_.brittle.short_queues_from = loop_.Now();
+    for (Worker* const worker : PresentWorkers()) {
+      SetRoom(worker);
+    }
+  });
+}
+
+void SoakRun::EndBrittle() {
+  brittle_ = false;
+  short_queues_ = false;
+  records_.brittle.until = loop_.Now();
+  for (const auto& worker : workers_) {
+    worker->worker->SetSturdy();
+    worker->worker->SetQueue(kQueue);
+  }
+}
+
+void SoakRun::FallOver(Worker* worker) {
+  if (!worker->present) {
+    return;
+  }
+  RecordDisturbance(Disturbance::Component::kWorker, 0, kReplacedAfterCrash + absl::Seconds(2));
+  RemoveWorker(worker, false);
+  const std::string model = worker->service == "models" ? kPromptModel : "";
+  At(kReplacedAfterCrash,
+     [this, service = worker->service, model, version = worker->software_version] {
+       AddWorker(service, model, version);
+     });
+}
+
 void SoakRun::InjectWorkerFault(const PlannedFault& fault) {
   const std::vector<Worker*> present = PresentWorkers();
   if (present.empty()) {
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -155,6 +156,16 @@
   absl::Time until = absl::InfiniteFuture();
 };
 
+// Time in which workers say that they are brittle.
+struct BrittleTime {
+  absl::Time from = absl::InfiniteFuture();
+  // From then on they let fewer wait.
+  absl::Time short_queues_from = absl::InfiniteFuture();
+  absl::Time until = absl::InfiniteFuture();
+  // Number of workers by service.
+  std::map<std::string, int> workers;
+};
+
 struct SoakRecords {
   // Returns whether a component of this kind was disturbed between the two instants. Disturbances
   // of the store and of workers count whatever their target.
@@ -203,6 +214,7 @@
   std::vector<WorkerPresence> presences;
   // Crashes of workers by a prompt part, in order.
   std::vector<absl::Time> prompt_crashes;
+  BrittleTime brittle;
   // Processes that ended unexpectedly, didn't stop in time or didn't start.
   std::vector<std::string> process_failures;
   // True if the run has only planned work.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "tests/soak/brittle_workers.h"
 #include "tests/soak/prompt_crashes.h"
 #include "tests/soak/stream_versions.h"
 
@@ -43,6 +44,12 @@
 // Mean time between faults beside prompts; most gateways must be in touch.
 constexpr absl::Duration kPromptFaultGap = absl::Seconds(4);
 constexpr int kPromptWorkers = 6;
+// XORed into the seed for the draws of what presses brittle workers.
+constexpr std::uint64_t kPressSeedMask = 0xb2177;
+constexpr absl::Duration kPressInterval = absl::Milliseconds(4);
+constexpr absl::Duration kBrittleBegin = absl::Seconds(2);
+constexpr int kBrittleSlots = 4;
+constexpr absl::Duration kBrittleRunTime = absl::Milliseconds(60);
 constexpr double kExtraRepeatsPerGateway = 5;
 // Gateways for each further worker of a service: larger fleets have more callers.
 constexpr std::size_t kGatewaysPerExtraWorker = 4;
@@ -66,13 +73,14 @@
       client_(&loop_, gateway::ClientLimits{}),
       gateways_(options_.gateways),
       version_random_(options_.seed ^ kVersionSeedMask),
-      prompt_random_(options_.seed ^ kPromptSeedMask) {
+      prompt_random_(options_.seed ^ kPromptSeedMask),
+      press_random_(options_.seed ^ kPressSeedMask) {
   FaultPlanOptions plan;
   plan.seed = options_.seed;
   plan.length = options_.length;
   if (options_.style == Style::kStreams) {
     plan_ = MakeStreamPlan(plan);
-  } else if (options_.style == Style::kPrompts) {
+  } else if (options_.style == Style::kPrompts || options_.style == Style::kBrittle) {
     plan.mean_gap = kPromptFaultGap;
     plan_ = MakePromptPlan(plan, kPromptsBegin);
   } else if (options_.style != Style::kPlanned) {
@@ -97,7 +105,7 @@
 Style SoakRun::DefaultStyle(std::uint64_t seed) {
   static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed,  Style::kPlanned,
                                       Style::kMixed,   Style::kSingle, Style::kStreams,
-                                      Style::kPrompts};
+                                      Style::kPrompts, Style::kBrittle};
   return kStyles[seed % std::size(kStyles)];
 }
 
@@ -159,12 +167,19 @@
     options.crashing_part = kCrashingPart;
     options.on_crash = [this, worker = entry.get()] { CrashByPrompt(worker); };
   }
+  if (options_.style == Style::kBrittle) {
+    options.slots = kBrittleSlots;
+    options.queue = kQueue;
+    options.run_time = kBrittleRunTime;
+    options.on_crash = [this, worker = entry.get()] { FallOver(worker); };
+  }
   if (!model.empty()) {
     options.models[model];
   }
   entry->worker = std::make_unique<emulator::PlatformWorker>(&loop_, &store_, std::move(options));
   entry->link = std::make_unique<FaultProxy>(&loop_, entry->worker->address());
   entry->worker->Announce(entry->link->address());
+  SetRoom(entry.get());
   workers_.push_back(std::move(entry));
 }
 
@@ -303,6 +318,9 @@
     Every(kTakeUpInterval, [this] { TakeUpStreams(); });
     if (options_.style == Style::kPrompts) {
       Every(kPromptInterval, [this] { SendPrompt(); });
+    } else if (options_.style == Style::kBrittle) {
+      At(kBrittleBegin, [this] { BeginBrittle(); });
+      Every(kPressInterval, [this] { Press(); });
     } else if (options_.style != Style::kPlanned) {
       At(options_.length * kUpgradeBegin, [this] { BeginUpgrade(); });
     }
@@ -314,7 +332,10 @@
     }
   });
   Every(kProcessPollInterval, [this] { KeepGatewaysRunning(); });
-  At(kSettleTime + options_.length, [this] { records_.faults_over = loop_.Now(); });
+  At(kSettleTime + options_.length, [this] {
+    records_.faults_over = loop_.Now();
+    EndBrittle();
+  });
   At(kSettleTime + options_.length + kRecoveryTime,
      [this] { records_.recovery_began = loop_.Now(); });
   const absl::Duration traffic = kSettleTime + options_.length + kRecoveryTime + kFinalTraffic;
@@ -342,6 +363,8 @@
       return "streams";
     case Style::kPrompts:
       return "prompts";
+    case Style::kBrittle:
+      return "brittle";
   }
   return "";
 }
@@ -365,6 +388,10 @@
         prompts.late_arrivals, ", sound prompts in touch before ", prompts.before.served, " of ",
         prompts.before.all, ", after ", prompts.after.served, " of ", prompts.after.all);
   }
+  for (const auto& [service, brittle] : CountBrittle(records_, views_)) {
+    absl::StrAppend(&text, ", brittle ", service, ": falls ", brittle.falls, ", rejections ",
+                    brittle.rejections, ", served in touch ", brittle.served, " of ", brittle.sent);
+  }
   for (const auto& [name, count] : counts) {
     absl::StrAppend(&text, ", ", name, ": ", count);
   }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -39,6 +39,9 @@
 constexpr int kLargeStreamEvents = 200;
 constexpr std::size_t kLargeStreamPadding = 1500;
 
+// Requests that wait at a worker with limited room unless it is brittle.
+constexpr int kQueue = 24;
+
 enum class Style {
   // Single faults, drawn from all kinds.
   kSingle,
@@ -50,6 +53,9 @@
   kStreams,
   // Prompts with a part that crashes workers, beside sound ones; gateways are killed and stopped.
   kPrompts,
+  // Workers that fall over when they reject much, under more requests than they can serve; gateways
+  // are killed and stopped.
+  kBrittle,
 };
 
 const char* StyleName(Style style);
@@ -112,6 +118,13 @@
   void TakeUpStreams();
   void TakeUp(const RequestRecord& record);
   void SendPrompt();
+  // Lets the workers be brittle from now on.
+  void BeginBrittle();
+  void EndBrittle();
+  void SetRoom(Worker* worker);
+  // Sends more requests than brittle workers have room for.
+  void Press();
+  void FallOver(Worker* worker);
   void PutConfiguration();
   void Every(absl::Duration interval, std::function<void()> task);
   void At(absl::Duration after, std::function<void()> task);
@@ -161,12 +174,15 @@
   // Draws that are apart, so that they don't change those of the other callers and faults.
   std::mt19937_64 version_random_;
   std::mt19937_64 prompt_random_;
+  std::mt19937_64 press_random_;
   // Requests whose streams may still have to be taken up.
   std::vector<RequestRecord*> open_streams_;
   int newest_version_ = 2;
   int next_request_ = 0;
   int next_worker_ = 0;
   int version_ = 0;
+  bool brittle_ = false;
+  bool short_queues_ = false;
   bool finished_ = false;
   bool sending_ = true;
 };
