Gateway: log and count the attempts that workers reject for want of room

A rejection was logged only if the request was repeated, and nothing told what the node knew of the worker's load.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -225,6 +225,8 @@
   void LogRepeat(absl::string_view event, absl::Time now) const;
   void EndAttempt(AttemptOutcome outcome);
   void OnNotExecuted();
+  // Logs a rejection with the worker's load as known here, this attempt included.
+  void LogRejection();
   void OnNotSent();
   void NoteAnswerStarted(absl::Time now);
   void OnWholeAnswer();
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -159,6 +159,8 @@
   count("hingespan_streams_gone_on_total", "Of them, those that went on", metrics.streams_gone_on);
   count("hingespan_worker_crashes_total", "Workers that crashed with unanswered prompts",
         metrics.worker_crashes);
+  count("hingespan_worker_rejections_total", "Attempts that workers rejected for want of room",
+        metrics.worker_rejections);
   count("hingespan_quarantines_total", "Quarantines of prompt parts imposed by this node",
         metrics.quarantines);
   count("hingespan_quarantine_datagrams_total", "Datagrams about crashes and quarantines",
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -237,9 +237,27 @@
   Finish(answer_head_.status, answer_head_.status < 400 ? "served" : "worker_failure");
 }
 
+void RequestRelay::LogRejection() {
+  ++context_->metrics->worker_rejections;
+  const WorkerState* const worker = context_->workers->Find(worker_id_);
+  if (worker == nullptr) {
+    return;
+  }
+  context_->log->Write(LogLevel::kInfo, "worker_rejected",
+                       {{"request", facts_.id},
+                        {"worker", worker_id_},
+                        {"attempt", absl::StrCat(attempts_)},
+                        {"running", absl::StrCat(worker->running)},
+                        {"peers_running", absl::StrCat(worker->peers_running)},
+                        {"slots", absl::StrCat(worker->record.slots)}});
+}
+
 void RequestRelay::OnNotExecuted() {
   const absl::Time now = context_->loop->Now();
   const bool misdirected = answer_facts_.misdirected;
+  if (!misdirected && peer_.empty()) {
+    LogRejection();
+  }
   EndAttempt(AttemptOutcome::kFull);
   if (answer_facts_.from_other_worker) {
     context_->workers->MarkEnded(worker_id_);
--- a/tests/brittle/brittle_world.cc
+++ b/tests/brittle/brittle_world.cc
@@ -3,7 +3,9 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 
@@ -143,9 +145,34 @@
              : static_cast<double>(served->second) / static_cast<double>(calls.size() - first);
 }
 
+std::string BrittleWorld::ViewsAtRejections() const {
+  int all = 0;
+  int with_room = 0;
+  int repeats = 0;
+  for (const auto& node : nodes) {
+    for (const std::string& line : node->LogLines()) {
+      const nlohmann::json json = nlohmann::json::parse(line, nullptr, false);
+      if (json.value("event", "") != "worker_rejected") {
+        continue;
+      }
+      const auto number = [&json](const char* key) {
+        int value = 0;
+        (void)absl::SimpleAtoi(json.value(key, ""), &value);
+        return value;
+      };
+      ++all;
+      with_room += number("running") + number("peers_running") <= number("slots") ? 1 : 0;
+      repeats += number("attempt") > 1 ? 1 : 0;
+    }
+  }
+  return absl::StrCat("rejections logged ", all, ", with room in the node's view ", with_room,
+                      ", of repeats ", repeats);
+}
+
 std::string BrittleWorld::Outcomes(std::size_t first) const {
   return absl::StrCat("falls ", falls(), ", rejections ", Rejections(), ", statuses ",
-                      absl::StrJoin(Statuses(first), " ", absl::PairFormatter(":")));
+                      absl::StrJoin(Statuses(first), " ", absl::PairFormatter(":")), ", ",
+                      ViewsAtRejections());
 }
 
 }  // namespace hingespan::gateway
--- a/tests/brittle/brittle_world.h
+++ b/tests/brittle/brittle_world.h
@@ -53,6 +53,8 @@
   std::map<int, int> Statuses(std::size_t first) const;
   double ServedShare(std::size_t first) const;
   std::string Outcomes(std::size_t first) const;
+  // How nodes saw the workers that rejected their attempts, from their logs.
+  std::string ViewsAtRejections() const;
 
   BrittleOptions options;
   std::vector<std::unique_ptr<soak::FaultProxy>> links;
