Fleet: slots of brittle workers are lent, so that all nodes together send them no more than they have room for

Cause: nothing read Server-Brittle. A node decides about a worker's room by its own attempts and the others' as last reported; the sum of what all nodes send was bounded by nothing but the worker's queue, which brittle workers shorten.

Change: while a service's workers say that they are brittle, each attempt needs a slot of its worker, lent by one node (SlotLedger, SlotExchange). A second node lends while the first is silent; a new lender takes over what the old one knows; rejections lower what is lent; a node that reaches no lender sends one attempt at a time. Nothing is sent while no service is brittle.

Why it works: a slot is held by one node at a time whatever messages are lost or late (property in slot_ledger_test), so a worker gets no more at once than it has slots. What can still be rejected, after a lender is lost or a room smaller than told, lowers what is lent before the next attempt.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -1,4 +1,4 @@
-// Messages between nodes about demand, replicas, streams and crashes, and their encoding.
+// Messages between nodes about demand, replicas, streams, crashes and slots, and their encoding.
 #ifndef HINGESPAN_FLEET_FLEET_MESSAGES_H_
 #define HINGESPAN_FLEET_FLEET_MESSAGES_H_
 
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
+#include "hingespan/serving/slot_ledger.h"
 #include "hingespan/serving/stream_source.h"
 
 namespace hingespan::gateway {
@@ -160,9 +161,31 @@
   std::string reply_address;
 };
 
+// Answers a node's SlotRequest, and tells it later that a slot was lent to it.
+struct SlotReply {
+  std::string worker_id;
+  // Number of the request.
+  std::uint64_t number = 0;
+  bool lent = false;
+};
+
+// Sent by a node that begins to lend a worker's slots to those that may have lent them before.
+struct SlotTakeover {
+  std::string worker_id;
+  // Address of the new lender.
+  std::string address;
+};
+
+// Tells the other nodes that the workers of a service are brittle.
+struct BrittleNotice {
+  std::string service;
+  int survived_rejections = 0;
+};
+
 using FleetMessage =
     std::variant<DemandReport, PlacementUpdate, StreamNotice, StreamQuestion, StreamReply,
-                 CrashNotice, QuarantineNotice, ClearedParts, QuarantineQuestion>;
+                 CrashNotice, QuarantineNotice, ClearedParts, QuarantineQuestion, SlotRequest,
+                 SlotReply, SlotTakeover, BrittleNotice>;
 
 // Encodes the message as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -16,6 +16,7 @@
 #include "hingespan/fleet/peer_link.h"
 #include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/fleet/shared_reading.h"
+#include "hingespan/fleet/slot_exchange.h"
 #include "hingespan/fleet/stream_directory.h"
 #include "hingespan/fleet/version_registry.h"
 #include "hingespan/http/event_loop.h"
@@ -119,6 +120,8 @@
   void OnProbesEnded(const std::string& service, bool answered);
   void OnPathLost(const std::string& service);
   void OnQuarantine();
+  // Tokens that an engine of the service has memory for; 0 if its workers are no engines.
+  double TokenCapacity(const std::string& service) const;
   // Returns whether this node's orders could reach a worker.
   bool ReachesModelWorkers() const;
   ServerActivity Activity() const;
@@ -160,6 +163,7 @@
   VersionRegistry versions_;
   StreamDirectory streams_;
   QuarantineExchange quarantine_;
+  SlotExchange slots_;
   SharedReading reading_;
   std::unique_ptr<FleetCoordinator> fleet_;
   std::unique_ptr<TableFollower> configuration_follower_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -53,6 +53,8 @@
   std::uint64_t quarantine_datagrams = 0;
   // Attempts that workers rejected for want of room.
   std::uint64_t worker_rejections = 0;
+  // Datagrams about brittle workers and their slots.
+  std::uint64_t slot_datagrams = 0;
   std::uint64_t callers_gone = 0;
   // Attempts that were forwarded to another node, and those that it couldn't take.
   std::uint64_t forwards = 0;
--- a/include/hingespan/serving/request_dialect.h
+++ b/include/hingespan/serving/request_dialect.h
@@ -58,6 +58,9 @@
   bool misdirected = false;
   // Another worker answers at the intended worker's address, so the intended worker has ended.
   bool from_other_worker = false;
+  // The worker is brittle: it falls over once it rejects more than so many requests within a second
+  // for want of room.
+  std::optional<int> survived_rejections;
   // The body has a content encoding. Workers never encode bodies, as callers ask for the identity
   // encoding.
   bool is_encoded = false;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -37,6 +37,8 @@
 namespace hingespan::gateway {
 
 class QuarantineExchange;
+class SlotExchange;
+enum class SlotEnd;
 struct GatewayMetrics;
 
 // Interface of the gateway to its requests.
@@ -86,6 +88,7 @@
   PeerDirectory* peers = nullptr;
   RetryBudget* budget = nullptr;
   QuarantineExchange* quarantine = nullptr;
+  SlotExchange* slots = nullptr;
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
   RelayHost* host = nullptr;
@@ -177,6 +180,14 @@
   bool IsQuarantined();
   // Records that the worker goes on with its answer, which clears the prompt's parts.
   void NoteAnswerGoesOn(absl::Time now, bool ended);
+  // Chooses a worker that has room. If the service's workers are brittle, the choice comes with a
+  // slot of the worker.
+  WorkerChoice ChooseWorker(const WorkerDemand& demand, absl::Time now);
+  WorkerChoice ChooseWithSlot(WorkerDemand demand, absl::Time now);
+  // Tokens of the prompt and the longest answer.
+  double Tokens() const { return facts_.prompt_tokens + facts_.max_output_tokens; }
+  // Gives the attempt's slot back.
+  void ReturnSlot(SlotEnd end);
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
   // Sets the state that a new attempt begins with.
   void BeginAttempt(absl::Time now);
@@ -291,6 +302,8 @@
   // State of the attempt in flight.
   std::unique_ptr<ClientExchange> upstream_;
   std::string worker_id_;
+  // Worker of which a slot was taken for the attempt; empty if none was.
+  std::string slot_of_;
   // Peer to which the attempt was forwarded; empty if it was sent to a worker.
   std::string peer_;
   std::optional<PeerVerdict> verdict_;
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -101,6 +101,11 @@
   const std::set<std::string>* excluded = nullptr;
   // Software version that the worker must have; null for any.
   const std::string* software_version = nullptr;
+  // The only workers that may be chosen; null for all.
+  const std::set<std::string>* among = nullptr;
+  // True if a slot is borrowed before the request is sent, so that the worker's load, which is only
+  // known as it was, does not decide whether it has room.
+  bool borrows_slot = false;
 };
 
 enum class ChoiceProblem {
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -21,6 +21,10 @@
 constexpr int kQuarantineNotice = 7;
 constexpr int kClearedParts = 8;
 constexpr int kQuarantineQuestion = 9;
+constexpr int kSlotRequest = 10;
+constexpr int kSlotReply = 11;
+constexpr int kBrittleNotice = 12;
+constexpr int kSlotTakeover = 13;
 
 Json Encode(const WorkerLoad& load) {
   Json list = Json::array({load.worker_id, load.running, load.unread_tokens});
@@ -215,6 +219,48 @@
   return Json::array({kQuarantineQuestion, question.reply_address});
 }
 
+Json Encode(const SlotRequest& request) {
+  return Json::array(
+      {kSlotRequest, request.worker_id, request.borrower.node, request.borrower.incarnation,
+       request.borrower.address, request.number, request.held.slots, request.held.starting,
+       request.held.tokens, request.capacity.slots, request.capacity.tokens,
+       request.capacity.survived_rejections, request.confirmed, request.rejections,
+       request.wants_reply, request.wants_slot, request.wanted_tokens, request.passed_on});
+}
+
+SlotRequest DecodeSlotRequest(const Json& json) {
+  SlotRequest request;
+  request.worker_id = json.at(1).get<std::string>();
+  request.borrower = {json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
+                      json.at(4).get<std::string>()};
+  request.number = json.at(5).get<std::uint64_t>();
+  request.held = {json.at(6).get<int>(), json.at(7).get<int>(), json.at(8).get<double>()};
+  request.capacity = {json.at(9).get<int>(), json.at(10).get<double>(), json.at(11).get<int>()};
+  request.confirmed = json.at(12).get<std::uint64_t>();
+  request.rejections = json.at(13).get<int>();
+  request.wants_reply = json.at(14).get<bool>();
+  request.wants_slot = json.at(15).get<bool>();
+  request.wanted_tokens = json.at(16).get<double>();
+  request.passed_on = json.at(17).get<bool>();
+  return request;
+}
+
+Json Encode(const SlotReply& reply) {
+  return Json::array({kSlotReply, reply.worker_id, reply.number, reply.lent});
+}
+
+SlotReply DecodeSlotReply(const Json& json) {
+  return {json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(), json.at(3).get<bool>()};
+}
+
+Json Encode(const SlotTakeover& takeover) {
+  return Json::array({kSlotTakeover, takeover.worker_id, takeover.address});
+}
+
+Json Encode(const BrittleNotice& notice) {
+  return Json::array({kBrittleNotice, notice.service, notice.survived_rejections});
+}
+
 }  // namespace
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
@@ -249,6 +295,14 @@
         return DecodeCleared(json);
       case kQuarantineQuestion:
         return QuarantineQuestion{json.at(1).get<std::string>()};
+      case kSlotRequest:
+        return DecodeSlotRequest(json);
+      case kSlotReply:
+        return DecodeSlotReply(json);
+      case kSlotTakeover:
+        return SlotTakeover{json.at(1).get<std::string>(), json.at(2).get<std::string>()};
+      case kBrittleNotice:
+        return BrittleNotice{json.at(1).get<std::string>(), json.at(2).get<int>()};
       default:
         return std::nullopt;
     }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -104,6 +104,13 @@
                      parts_.control->Probe(address, std::move(callback));
                    },
                    [this] { OnQuarantine(); }}),
+      slots_(settings_.node, NewIncarnation(),
+             {parts_.loop, parts_.log, parts_.metrics, &workers_,
+              [this](const std::string& address, absl::string_view bytes) {
+                peers_.Send(address, bytes);
+              },
+              [this](const std::string& service) { return TokenCapacity(service); },
+              [this] { ScheduleDispatch(); }}),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
       dispatch_timer_(parts_.loop->MakeTimer()) {
@@ -114,6 +121,7 @@
   context_.peers = &peer_directory_;
   context_.budget = &budget_;
   context_.quarantine = &quarantine_;
+  context_.slots = &slots_;
   context_.log = parts_.log;
   context_.metrics = parts_.metrics;
   context_.host = this;
@@ -154,6 +162,7 @@
   settings_.peer_listen = peers_.address();
   streams_.SetAddress(peers_.address());
   quarantine_.SetAddress(peers_.address());
+  slots_.SetAddress(peers_.address());
   reading_.Share(parts_.reader->configuration_table(), nullptr);
   reading_.Share(parts_.reader->worker_table(),
                  [this](const StoreRow& left, const StoreRow& right) {
@@ -200,6 +209,7 @@
     }
     peer_directory_.SetPeers(peers);
     quarantine_.SetNodes(stream_nodes);
+    slots_.SetNodes(stream_nodes);
     streams_.SetNodes(std::move(stream_nodes));
     UpdateMixedServices();
     budget_.SetNodes(names, read_started, parts_.loop->Now());
@@ -395,6 +405,14 @@
                              : fleet_->ExpectedReady(model, software_version);
 }
 
+double Gateway::TokenCapacity(const std::string& service) const {
+  const Service* const found =
+      routes_ == nullptr ? nullptr : routes_->configuration().FindService(service);
+  return found == nullptr || !found->engine.has_value()
+             ? 0
+             : static_cast<double>(found->engine->token_capacity);
+}
+
 absl::Time Gateway::StopLimit() const {
   if (!stopping_) {
     return absl::InfiniteFuture();
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -161,6 +161,8 @@
         metrics.worker_crashes);
   count("hingespan_worker_rejections_total", "Attempts that workers rejected for want of room",
         metrics.worker_rejections);
+  count("hingespan_slot_datagrams_total", "Datagrams about the slots of brittle workers",
+        metrics.slot_datagrams);
   count("hingespan_quarantines_total", "Quarantines of prompt parts imposed by this node",
         metrics.quarantines);
   count("hingespan_quarantine_datagrams_total", "Datagrams about crashes and quarantines",
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -31,6 +31,15 @@
     quarantine_.OnCleared(*cleared);
   } else if (const auto* const asked = std::get_if<QuarantineQuestion>(&*message)) {
     quarantine_.OnQuestion(*asked);
+    slots_.OnQuestion(asked->reply_address);
+  } else if (const auto* const request = std::get_if<SlotRequest>(&*message)) {
+    slots_.OnRequest(*request);
+  } else if (const auto* const slot = std::get_if<SlotReply>(&*message)) {
+    slots_.OnReply(*slot);
+  } else if (const auto* const takeover = std::get_if<SlotTakeover>(&*message)) {
+    slots_.OnTakeover(*takeover);
+  } else if (const auto* const brittle = std::get_if<BrittleNotice>(&*message)) {
+    slots_.OnNotice(*brittle);
   }
 }
 
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "hingespan/fleet/quarantine_exchange.h"
+#include "hingespan/fleet/slot_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 
 namespace hingespan::gateway {
@@ -44,6 +45,8 @@
 constexpr double kMaxRetryAfterFraction = 0.3;
 // Reading from the worker pauses while more bytes than this wait for a slow caller.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
+// Number of workers of which a request waits for a slot at the same time.
+constexpr int kMaxLines = 2;
 // A request that still waits this long before its node's stop limit is refused, so that another
 // node can serve it.
 constexpr absl::Duration kQueueStopMargin = absl::Seconds(1);
@@ -66,6 +69,21 @@
   return "none";
 }
 
+// Returns how the slot of an attempt with this outcome ends.
+SlotEnd SlotEndOf(AttemptOutcome outcome, bool misdirected) {
+  switch (outcome) {
+    case AttemptOutcome::kServed:
+    case AttemptOutcome::kUnreachable:
+      return SlotEnd::kFreed;
+    case AttemptOutcome::kFull:
+      return misdirected ? SlotEnd::kFreed : SlotEnd::kRejected;
+    case AttemptOutcome::kFailed:
+    case AttemptOutcome::kCancelled:
+      return SlotEnd::kAbandoned;
+  }
+  return SlotEnd::kAbandoned;
+}
+
 }  // namespace
 
 RequestRelay::RequestRelay(const RelayContext* context, std::shared_ptr<ServerExchange> exchange,
@@ -177,7 +195,7 @@
     return true;
   }
   const WorkerDemand demand = Demand();
-  const WorkerChoice choice = context_->workers->Choose(demand, routes_->configuration(), now);
+  const WorkerChoice choice = ChooseWorker(demand, now);
   if (choice.worker == nullptr && choice.candidates == 0 && !unreachable_workers_.empty()) {
     if (!TryForward(now)) {
       GiveUp(502, kUnreachable);
@@ -194,10 +212,72 @@
   }
   if (AcquireRepeat(now)) {
     Dispatch(choice.worker, demand, now);
+  } else {
+    ReturnSlot(SlotEnd::kFreed);
   }
   return true;
 }
 
+WorkerChoice RequestRelay::ChooseWorker(const WorkerDemand& demand, absl::Time now) {
+  if (context_->slots->IsBrittle(service_)) {
+    return ChooseWithSlot(demand, now);
+  }
+  return context_->workers->Choose(demand, routes_->configuration(), now);
+}
+
+WorkerChoice RequestRelay::ChooseWithSlot(WorkerDemand demand, absl::Time now) {
+  using Outcome = SlotExchange::Outcome;
+  const auto choose = [&] {
+    return context_->workers->Choose(demand, routes_->configuration(), now);
+  };
+  const auto take = [&](const WorkerChoice& choice) {
+    const Outcome outcome = context_->slots->Take(choice.worker->record.id, Tokens());
+    if (outcome == Outcome::kTaken) {
+      slot_of_ = choice.worker->record.id;
+    }
+    return outcome;
+  };
+  demand.borrows_slot = true;
+  const std::set<std::string> with_slot = context_->slots->WorkersWithSlot();
+  if (!with_slot.empty()) {
+    demand.among = &with_slot;
+    const WorkerChoice choice = choose();
+    if (choice.worker != nullptr && take(choice) == Outcome::kTaken) {
+      return choice;
+    }
+    demand.among = nullptr;
+  }
+  std::set<std::string> excluded = excluded_workers_;
+  demand.excluded = &excluded;
+  WorkerChoice choice = choose();
+  const int candidates = choice.candidates;
+  for (int asked = 0; asked < kMaxLines && choice.worker != nullptr; ++asked) {
+    const Outcome outcome = take(choice);
+    if (outcome == Outcome::kTaken) {
+      return choice;
+    }
+    if (outcome == Outcome::kAsked) {
+      break;
+    }
+    excluded.insert(choice.worker->record.id);
+    choice = choose();
+  }
+  if (candidates == 0) {
+    return choice;
+  }
+  return {nullptr, ChoiceProblem::kAllBusy, candidates};
+}
+
+void RequestRelay::ReturnSlot(SlotEnd end) {
+  const std::string worker = std::exchange(slot_of_, {});
+  if (!worker.empty()) {
+    context_->slots->Return(worker, Tokens(), answer_started_, end);
+  } else if (peer_.empty()) {
+    // Sent before the workers were brittle.
+    context_->slots->Return(worker_id_, 0, true, end);
+  }
+}
+
 bool RequestRelay::AcquireRepeat(absl::Time now) {
   if (arrivals_ == 0) {
     return true;
@@ -474,6 +554,7 @@
   context_->workers->AttemptEnded(worker_id_, model_.model,
                                   answer_started_ ? 0 : facts_.prompt_tokens, outcome,
                                   context_->loop->Now());
+  ReturnSlot(SlotEndOf(outcome, answer_facts_.misdirected));
   context_->host->RunningChanged(service_, model_, -1);
   context_->host->ScheduleDispatch();
 }
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "hingespan/fleet/slot_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 #include "hingespan/serving/request_relay.h"
 
@@ -48,6 +49,9 @@
     return true;
   }
   answer_facts_ = context_->dialect->ReadAnswer(head, worker_id_);
+  if (peer_.empty() && answer_facts_.survived_rejections.has_value()) {
+    context_->slots->OnBrittleAnswer({service_, *answer_facts_.survived_rejections});
+  }
   const bool same_id = answer_facts_.id == facts_.id;
   const bool refusal_without_id = answer_facts_.id.empty() && answer_facts_.not_executed;
   if (!same_id && !refusal_without_id) {
@@ -179,6 +183,9 @@
   answer_started_at_ = now;
   if (peer_.empty()) {
     context_->workers->AnswerStarted(worker_id_, facts_.prompt_tokens, now - attempt_started_, now);
+    if (!slot_of_.empty()) {
+      context_->slots->OnAnswerStarted(worker_id_);
+    }
   }
 }
 
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -230,8 +230,11 @@
     if (demand.excluded != nullptr && demand.excluded->contains(id)) {
       continue;
     }
+    if (demand.among != nullptr && !demand.among->contains(id)) {
+      continue;
+    }
     ++choice.candidates;
-    if (IsFull(worker, demand, service)) {
+    if (!demand.borrows_slot && IsFull(worker, demand, service)) {
       continue;
     }
     const bool avoided = policy_.avoid_failing && worker.avoided_until > now;
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -131,6 +131,63 @@
   CHECK(notice <= kPacket);
 }
 
+TEST_CASE("messages about slots are decoded as they were encoded") {
+  SlotRequest request;
+  request.worker_id = "w1";
+  request.borrower = {"n1", 5, "127.0.0.1:7"};
+  request.number = 9;
+  request.held = {4, 2, 1500.5};
+  request.capacity = {16, 70048, 3};
+  request.confirmed = 8;
+  request.rejections = 1;
+  request.wants_reply = true;
+  request.wants_slot = true;
+  request.wanted_tokens = 1632;
+  request.passed_on = true;
+  const std::string bytes = EncodeFleetMessage(request);
+  MESSAGE("slot request: " << bytes.size() << " bytes");
+  const auto read = DecodeFleetMessage(bytes);
+  REQUIRE(read.has_value());
+  const auto* const same = std::get_if<SlotRequest>(&*read);
+  REQUIRE(same != nullptr);
+  CHECK(same->worker_id == "w1");
+  CHECK(same->borrower.node == "n1");
+  CHECK(same->borrower.incarnation == 5);
+  CHECK(same->borrower.address == "127.0.0.1:7");
+  CHECK(same->number == 9);
+  CHECK(same->held.slots == 4);
+  CHECK(same->held.starting == 2);
+  CHECK(same->held.tokens == 1500.5);
+  CHECK(same->capacity.slots == 16);
+  CHECK(same->capacity.tokens == 70048);
+  CHECK(same->capacity.survived_rejections == 3);
+  CHECK(same->confirmed == 8);
+  CHECK(same->rejections == 1);
+  CHECK(same->wants_reply);
+  CHECK(same->wants_slot);
+  CHECK(same->wanted_tokens == 1632);
+  CHECK(same->passed_on);
+
+  const std::string reply_bytes = EncodeFleetMessage(SlotReply{"w1", 9, true});
+  const std::string takeover_bytes = EncodeFleetMessage(SlotTakeover{"w1", "127.0.0.1:7"});
+  const std::string notice_bytes = EncodeFleetMessage(BrittleNotice{"s", 3});
+  MESSAGE("slot reply: " << reply_bytes.size() << ", takeover: " << takeover_bytes.size()
+                         << ", notice: " << notice_bytes.size() << " bytes");
+  const auto reply = DecodeFleetMessage(reply_bytes);
+  REQUIRE(reply.has_value());
+  REQUIRE(std::get_if<SlotReply>(&*reply) != nullptr);
+  CHECK(std::get<SlotReply>(*reply).number == 9);
+  CHECK(std::get<SlotReply>(*reply).lent);
+  const auto takeover = DecodeFleetMessage(takeover_bytes);
+  REQUIRE(takeover.has_value());
+  REQUIRE(std::get_if<SlotTakeover>(&*takeover) != nullptr);
+  CHECK(std::get<SlotTakeover>(*takeover).address == "127.0.0.1:7");
+  const auto notice = DecodeFleetMessage(notice_bytes);
+  REQUIRE(notice.has_value());
+  REQUIRE(std::get_if<BrittleNotice>(&*notice) != nullptr);
+  CHECK(std::get<BrittleNotice>(*notice).survived_rejections == 3);
+}
+
 TEST_CASE("an update without loads differs from one with no loaded workers") {
   PlacementUpdate update;
   update.loads.emplace();
--- a/tests/platform/request_fields_test.cc
+++ b/tests/platform/request_fields_test.cc
@@ -97,6 +97,11 @@
   CHECK(!RequestFields().ReadAnswer(head, "w1").not_executed);
   CHECK(RequestFields().ReadAnswer(head, "w1").is_signed);
   CHECK(!RequestFields().ReadAnswer(head, "w1").is_encoded);
+  CHECK_FALSE(RequestFields().ReadAnswer(head, "w1").survived_rejections.has_value());
+  head.fields.push_back({"server-brittle", "4"});
+  CHECK(RequestFields().ReadAnswer(head, "w1").survived_rejections == 4);
+  head.fields.back().value = "many";
+  CHECK_FALSE(RequestFields().ReadAnswer(head, "w1").survived_rejections.has_value());
   head.fields.push_back({"content-encoding", "gzip"});
   CHECK(RequestFields().ReadAnswer(head, "w1").is_encoded);
 }
