--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -240,9 +240,7 @@
   rejected_.push_back({Field(*exchange, "Attempt-Id"), loop_->Now()});
   if (!room_.Reject(loop_->Now()) && !fallen()) {
     fell_at_ = loop_->Now();
-    crashed_ = true;
-    // Posted, as the owner may destroy what this runs in.
-    loop_->Post(options_.on_crash);
+    Crash(Field(*exchange, "Attempt-Id"));
   }
 }
 
@@ -303,6 +301,10 @@
     StartStream(exchange, run);
     return;
   }
+  if (HasCrashingBody(*exchange)) {
+    Crash(id);
+    return;
+  }
   if (options_.run_time == absl::ZeroDuration()) {
     AnswerPlain(exchange, run);
     return;
@@ -386,6 +388,18 @@
   });
 }
 
+bool PlatformWorker::HasCrashingBody(const ServerExchange& exchange) const {
+  return !options_.crashing_body.empty() &&
+         absl::StrContains(exchange.body(), options_.crashing_body);
+}
+
+void PlatformWorker::Crash(const std::string& id) {
+  crashed_ = true;
+  crashed_by_ = id;
+  // Posted, as the owner may destroy what this runs in.
+  loop_->Post(options_.on_crash);
+}
+
 void PlatformWorker::NextEvent(const std::shared_ptr<Stream>& stream) {
   if (crashed_) {
     return;
@@ -394,10 +408,10 @@
     stream->timer->Set(silent_until_, [this, stream] { NextEvent(stream); });
     return;
   }
-  if (stream->sent == 0 && CrashesOn(*stream->exchange)) {
-    crashed_ = true;
-    // Posted, as the owner may destroy what this runs in.
-    loop_->Post(options_.on_crash);
+  const bool crashes_by_body =
+      stream->sent == options_.events_before_crash && HasCrashingBody(*stream->exchange);
+  if (crashes_by_body || (stream->sent == 0 && CrashesOn(*stream->exchange))) {
+    Crash(stream->run->id);
     return;
   }
   const bool breaks =
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -78,6 +78,10 @@
   // Id of a prompt part: the worker crashes as it begins to answer a prompt that has it, unless as
   // its last part. Empty for none.
   std::string crashing_part;
+  // Text in the body of requests that crash the worker as it runs them; empty for none. A stream
+  // crashes it after so many events of its run.
+  std::string crashing_body;
+  int events_before_crash = 0;
   // Called when the worker crashes or falls. Whoever owns it ends its connections and removes its
   // row.
   std::function<void()> on_crash;
@@ -152,6 +156,8 @@
   bool exceeded_memory() const { return exceeded_memory_; }
   const std::list<Run>& runs() const { return runs_; }
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
+  // Id of the request under which the worker has crashed or fallen; empty if it has not.
+  const std::string& crashed_by() const { return crashed_by_; }
   const WorkerRoom& room() const { return room_; }
   // Requests that were rejected for want of room.
   const std::vector<Arrival>& rejected() const { return rejected_; }
@@ -185,6 +191,9 @@
   StreamShape ShapeOf(const std::string& target) const;
   void NextEvent(const std::shared_ptr<Stream>& stream);
   bool CrashesOn(const gateway::ServerExchange& exchange) const;
+  bool HasCrashingBody(const gateway::ServerExchange& exchange) const;
+  // `id` is the request that the worker runs.
+  void Crash(const std::string& id);
   // Sends a complete answer in the framing of the worker's options.
   void Answer(gateway::ServerExchange* exchange, int status, absl::string_view reason,
               const gateway::HeaderFields& fields, absl::string_view body) const;
@@ -219,6 +228,7 @@
   bool draining_ = false;
   bool busy_ = false;
   bool crashed_ = false;
+  std::string crashed_by_;
   absl::Time fell_at_ = absl::InfiniteFuture();
 };
 
--- a/tests/soak/promises.cc
+++ b/tests/soak/promises.cc
@@ -11,6 +11,7 @@
 #include "tests/soak/planned_work.h"
 #include "tests/soak/prompt_crashes.h"
 #include "tests/soak/repeat_budget.h"
+#include "tests/soak/request_crashes.h"
 #include "tests/soak/run_index.h"
 #include "tests/soak/stream_versions.h"
 
@@ -58,6 +59,7 @@
     CheckRepeatBudget(records_, workers_, &broken_);
     CheckPromptCrashes(records_, workers_, &broken_);
     CheckBrittleWorkers(records_, workers_, &broken_);
+    CheckCrashingRequests(records_, workers_, &broken_);
     CheckConfiguration();
     CheckLeaves();
     CheckOrders();
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -68,10 +68,13 @@
     fields.push_back({"Resumes", record->resumed_id});
     fields.push_back({"Last-Event-Id", absl::StrCat(record->last_event)});
   }
-  if (record->kind == RequestKind::kResumableStream) {
+  if (record->kind == RequestKind::kResumableStream && record->crashing_name.empty()) {
     open_streams_.push_back(record);
   }
-  return gateway::RequestText("POST", record->target, kHost, fields, "body");
+  const std::string body = record->crashing_name.empty()
+                               ? "body"
+                               : absl::StrCat(record->crashing_name, " ", kCrashingBody);
+  return gateway::RequestText("POST", record->target, kHost, fields, body);
 }
 
 void SoakRun::TakeUpStreams() {
@@ -167,6 +170,55 @@
                                   RequestBytes(record, &prompt_random_), record);
 }
 
+void SoakRun::SendCrashing() {
+  const bool in_time = loop_.Now() - records_.traffic_began < options_.length;
+  const bool stream = press_random_() % 2 == 0;
+  const std::size_t index = press_random_() % gateways_.size();
+  if (!sending_ || !in_time || !gateways_[index].process->serving()) {
+    return;
+  }
+  RequestRecord* const record =
+      AddRecord(index, stream ? RequestKind::kResumableStream : RequestKind::kRead);
+  record->target = stream ? "/resumable/x" : "/read/x";
+  record->model = stream ? kPromptModel : "";
+  record->deadline = absl::Seconds(8);
+  record->crashing_name = record->id;
+  SendCrashingTry(record);
+}
+
+void SoakRun::SendCrashingTry(RequestRecord* record) {
+  open_crashing_.push_back(record);
+  record->exchange = client_.Send(gateways_[record->gateway].process->request_address(),
+                                  RequestBytes(record, &press_random_), record);
+}
+
+void SoakRun::RetryCrashing() {
+  const std::vector<RequestRecord*> open = std::exchange(open_crashing_, {});
+  for (RequestRecord* const record : open) {
+    if (!record->ended()) {
+      open_crashing_.push_back(record);
+      continue;
+    }
+    const absl::Duration left = record->deadline - (loop_.Now() - record->sent);
+    const std::size_t index = press_random_() % gateways_.size();
+    if (!sending_ || record->earlier_tries == kMaxFurtherTries || left < kMinTimeLeft ||
+        !gateways_[index].process->serving()) {
+      continue;
+    }
+    RequestRecord* const next = AddRecord(index, record->kind);
+    next->target = record->target;
+    next->model = record->model;
+    next->deadline = left;
+    next->crashing_name = record->crashing_name;
+    next->earlier_tries = record->earlier_tries + 1;
+    next->last_event = record->LastEvent();
+    if (next->last_event > 0) {
+      next->resumed_id = record->resumed_id.empty() ? record->id : record->resumed_id;
+    }
+    SendCrashingTry(next);
+  }
+}
+
 void SoakRun::Press() {
   static constexpr std::pair<RequestKind, const char*> kKinds[] = {
       {RequestKind::kAct, "/act/x"},
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -322,6 +322,24 @@
      });
 }
 
+void SoakRun::CrashByRequest(Worker* worker) {
+  if (!worker->present) {
+    return;
+  }
+  for (const auto& request : records_.requests) {
+    if (request->id == worker->worker->crashed_by()) {
+      records_.request_crashes.push_back({request->crashing_name, loop_.Now()});
+    }
+  }
+  RecordDisturbance(Disturbance::Component::kWorker, 0, kReplacedAfterCrash + absl::Seconds(2));
+  RemoveWorker(worker, false);
+  const std::string model = worker->service == "models" ? kPromptModel : "";
+  At(kReplacedAfterCrash,
+     [this, service = worker->service, model, version = worker->software_version] {
+       AddWorker(service, model, version);
+     });
+}
+
 void SoakRun::InjectWorkerFault(const PlannedFault& fault) {
   const std::vector<Worker*> present = PresentWorkers();
   if (present.empty()) {
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -16,8 +16,9 @@
 constexpr int kExitBroken = 1;
 constexpr int kMaxGateways = 64;
 const std::map<std::string, Style> kStyles = {
-    {"single", Style::kSingle},   {"mixed", Style::kMixed},     {"planned", Style::kPlanned},
-    {"streams", Style::kStreams}, {"prompts", Style::kPrompts}, {"brittle", Style::kBrittle}};
+    {"single", Style::kSingle},    {"mixed", Style::kMixed},     {"planned", Style::kPlanned},
+    {"streams", Style::kStreams},  {"prompts", Style::kPrompts}, {"brittle", Style::kBrittle},
+    {"requests", Style::kRequests}};
 
 struct Flags {
   std::vector<std::uint64_t> seeds;
@@ -75,8 +76,9 @@
   app.add_option("seeds", flags.seeds, "Seeds to play, one run each")->required();
   app.add_option("--seconds", flags.seconds, "How long faults come in each run");
   app.add_option("--gateways", flags.gateways, "Gateways")->check(CLI::Range(1, kMaxGateways));
-  app.add_option("--style", flags.style,
-                 "single, mixed, planned, streams, prompts or brittle; by the seed if not given")
+  app.add_option(
+         "--style", flags.style,
+         "single, mixed, planned, streams, prompts, brittle or requests; by the seed if not given")
       ->check(CLI::IsMember(kStyles));
   app.add_option("--logs", flags.folder, "Folder for settings and logs; those of kept runs go");
   app.add_option("--program", flags.program, "The gateway's program");
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -92,7 +92,9 @@
   std::string resumed_id;
   int last_event = 0;
   PromptKind prompt = PromptKind::kNone;
-  // Number of earlier requests for the same stream.
+  // Name of a request that ends workers, the same for all tries of its caller; empty for others.
+  std::string crashing_name;
+  // Number of earlier requests for the same stream, or tries of the same request.
   int earlier_tries = 0;
   // True if the connection is used for many requests.
   bool on_persistent_connection = false;
@@ -166,6 +168,12 @@
   std::map<std::string, int> workers;
 };
 
+// The end of a worker under a request.
+struct RequestCrash {
+  std::string name;
+  absl::Time at;
+};
+
 struct SoakRecords {
   // Returns whether a component of this kind was disturbed between the two instants. Disturbances
   // of the store and of workers count whatever their target.
@@ -215,6 +223,8 @@
   // Crashes of workers by a prompt part, in order.
   std::vector<absl::Time> prompt_crashes;
   BrittleTime brittle;
+  // In order.
+  std::vector<RequestCrash> request_crashes;
   // Processes that ended unexpectedly, didn't stop in time or didn't start.
   std::vector<std::string> process_failures;
   // True if the run has only planned work.
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "tests/soak/brittle_workers.h"
 #include "tests/soak/prompt_crashes.h"
+#include "tests/soak/request_crashes.h"
 #include "tests/soak/stream_versions.h"
 
 namespace hingespan::soak {
@@ -47,6 +48,7 @@
 // XORed into the seed for the draws of what presses brittle workers.
 constexpr std::uint64_t kPressSeedMask = 0xb2177;
 constexpr absl::Duration kPressInterval = absl::Milliseconds(4);
+constexpr absl::Duration kCrashingInterval = absl::Milliseconds(1500);
 constexpr absl::Duration kBrittleBegin = absl::Seconds(2);
 constexpr int kBrittleSlots = 4;
 constexpr absl::Duration kBrittleRunTime = absl::Milliseconds(60);
@@ -80,7 +82,8 @@
   plan.length = options_.length;
   if (options_.style == Style::kStreams) {
     plan_ = MakeStreamPlan(plan);
-  } else if (options_.style == Style::kPrompts || options_.style == Style::kBrittle) {
+  } else if (options_.style == Style::kPrompts || options_.style == Style::kBrittle ||
+             options_.style == Style::kRequests) {
     plan.mean_gap = kPromptFaultGap;
     plan_ = MakePromptPlan(plan, kPromptsBegin);
   } else if (options_.style != Style::kPlanned) {
@@ -103,9 +106,9 @@
 SoakRun::~SoakRun() = default;
 
 Style SoakRun::DefaultStyle(std::uint64_t seed) {
-  static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed,  Style::kPlanned,
-                                      Style::kMixed,   Style::kSingle, Style::kStreams,
-                                      Style::kPrompts, Style::kBrittle};
+  static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed,   Style::kPlanned,
+                                      Style::kMixed,   Style::kSingle,  Style::kStreams,
+                                      Style::kPrompts, Style::kBrittle, Style::kRequests};
   return kStyles[seed % std::size(kStyles)];
 }
 
@@ -167,6 +170,12 @@
     options.crashing_part = kCrashingPart;
     options.on_crash = [this, worker = entry.get()] { CrashByPrompt(worker); };
   }
+  if (options_.style == Style::kRequests) {
+    options.crashing_body = kCrashingBody;
+    // Some workers end before they answer, some inside a stream.
+    options.events_before_crash = next_worker_ % 2 == 0 ? 0 : 3;
+    options.on_crash = [this, worker = entry.get()] { CrashByRequest(worker); };
+  }
   if (options_.style == Style::kBrittle) {
     options.slots = kBrittleSlots;
     options.queue = kQueue;
@@ -291,6 +300,10 @@
   for (int number = 0; options_.style == Style::kPrompts && number < kPromptWorkers; ++number) {
     AddWorker("models", kPromptModel, "v1");
   }
+  for (int number = 0; options_.style == Style::kRequests && number < kPromptWorkers; ++number) {
+    AddWorker("models", kPromptModel, "v1");
+    AddWorker("plain", "", "v1");
+  }
   PutConfiguration();
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     Gateway& gateway = gateways_[index];
@@ -318,6 +331,9 @@
     Every(kTakeUpInterval, [this] { TakeUpStreams(); });
     if (options_.style == Style::kPrompts) {
       Every(kPromptInterval, [this] { SendPrompt(); });
+    } else if (options_.style == Style::kRequests) {
+      Every(kCrashingInterval, [this] { SendCrashing(); });
+      Every(kTakeUpInterval, [this] { RetryCrashing(); });
     } else if (options_.style == Style::kBrittle) {
       At(kBrittleBegin, [this] { BeginBrittle(); });
       Every(kPressInterval, [this] { Press(); });
@@ -365,6 +381,8 @@
       return "prompts";
     case Style::kBrittle:
       return "brittle";
+    case Style::kRequests:
+      return "requests";
   }
   return "";
 }
@@ -388,6 +406,11 @@
         prompts.late_arrivals, ", sound prompts in touch before ", prompts.before.served, " of ",
         prompts.before.all, ", after ", prompts.after.served, " of ", prompts.after.all);
   }
+  if (options_.style == Style::kRequests) {
+    const CrashingRequestCounts crashing = CountCrashingRequests(records_, views_);
+    absl::StrAppend(&text, ", ", crashing.ended_workers, " workers ended under ", crashing.requests,
+                    " requests, late arrivals in touch ", crashing.late_arrivals);
+  }
   for (const auto& [service, brittle] : CountBrittle(records_, views_)) {
     absl::StrAppend(&text, ", brittle ", service, ": falls ", brittle.falls, ", rejections ",
                     brittle.rejections, ", served in touch ", brittle.served, " of ", brittle.sent);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -39,6 +39,9 @@
 constexpr int kLargeStreamEvents = 200;
 constexpr std::size_t kLargeStreamPadding = 1500;
 
+// Text in the bodies of requests that end workers.
+constexpr const char* kCrashingBody = "ends workers";
+
 // Requests that wait at a worker with limited room unless it is brittle.
 constexpr int kQueue = 24;
 
@@ -56,6 +59,10 @@
   // Workers that fall over when they reject much, under more requests than they can serve; gateways
   // are killed and stopped.
   kBrittle,
+  // Single requests that end each worker which runs them, whose callers try again at other
+  // gateways;
+  // gateways are killed and stopped.
+  kRequests,
 };
 
 const char* StyleName(Style style);
@@ -125,6 +132,12 @@
   // Sends more requests than brittle workers have room for.
   void Press();
   void FallOver(Worker* worker);
+  // Sends a new request that ends workers.
+  void SendCrashing();
+  // Sends the next try of each such request whose last one has failed.
+  void RetryCrashing();
+  void SendCrashingTry(RequestRecord* record);
+  void CrashByRequest(Worker* worker);
   void PutConfiguration();
   void Every(absl::Duration interval, std::function<void()> task);
   void At(absl::Duration after, std::function<void()> task);
@@ -177,6 +190,8 @@
   std::mt19937_64 press_random_;
   // Requests whose streams may still have to be taken up.
   std::vector<RequestRecord*> open_streams_;
+  // The last tries of requests that end workers.
+  std::vector<RequestRecord*> open_crashing_;
   int newest_version_ = 2;
   int next_request_ = 0;
   int next_worker_ = 0;
