Quarantine: ends of workers count for the request, over its caller's tries at all nodes

Cause: a node counts the workers of one try. A further try has a new id and comes to another node, which knows nothing of the first. The quarantine of prompt parts doesn't see requests without parts, the last part, or answers that had begun.

Change: CrashingRequests counts ends by a hash of the request's content, which all tries have in common. QuarantineExchange tells them with its notices of crashes, asks the workers first unless it is the third end, and takes back what was no end. A request of which an equal one was served doesn't count. What is known of a worker's check holds for requests and prompt parts.

Why it works: each dispatch asks whether three have ended; a node's own ends count as they are seen, and those of others arrive before the caller's next try, as the third is told without waiting for the check.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
+#include "hingespan/serving/crashing_requests.h"
 #include "hingespan/serving/slot_ledger.h"
 #include "hingespan/serving/stream_source.h"
 
@@ -126,13 +127,27 @@
   std::set<std::string> versions;
 };
 
-// Tells the other nodes that a worker has crashed before it began to answer prompts of this node.
+// Tells the other nodes that a worker has crashed while it ran requests of this node.
 struct CrashNotice {
   std::string worker_id;
   std::string service;
-  // Shared parts of these prompts.
+  // Shared parts of the prompts that it had not begun to answer.
   std::set<std::string> parts;
   std::string reply_address;
+  // Requests that ended with it, and that their callers may send again.
+  std::set<RequestContent> requests;
+};
+
+// Tells the other nodes that a worker of an earlier CrashNotice has not crashed.
+struct CrashRetraction {
+  std::string worker_id;
+};
+
+// Tells the sender of a CrashNotice, or all nodes, that requests with this content were served.
+struct ServedRequests {
+  std::set<RequestContent> requests;
+  // True if all nodes are told, so that the receiver tells none.
+  bool to_all = false;
 };
 
 // Tells the other nodes which prompt parts are quarantined.
@@ -185,7 +200,7 @@
 using FleetMessage =
     std::variant<DemandReport, PlacementUpdate, StreamNotice, StreamQuestion, StreamReply,
                  CrashNotice, QuarantineNotice, ClearedParts, QuarantineQuestion, SlotRequest,
-                 SlotReply, SlotTakeover, BrittleNotice>;
+                 SlotReply, SlotTakeover, CrashRetraction, ServedRequests, BrittleNotice>;
 
 // Encodes the message as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -5,11 +5,15 @@
 // tells all nodes; those that have seen one of its parts answered meanwhile object, and all nodes
 // are told that it leaves the quarantine. A node that has started asks a few others for the
 // quarantines, and one that tells of a crash that a quarantine explains is told of it.
+//
+// The notices of crashes also name the requests under which workers have ended, so that none is
+// sent to a further worker when its caller tries again at another node (CrashingRequests).
 #ifndef HINGESPAN_FLEET_QUARANTINE_EXCHANGE_H_
 #define HINGESPAN_FLEET_QUARANTINE_EXCHANGE_H_
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -21,6 +25,7 @@
 #include "hingespan/fleet/fleet_messages.h"
 #include "hingespan/fleet/stream_holders.h"
 #include "hingespan/http/event_loop.h"
+#include "hingespan/serving/crashing_requests.h"
 #include "hingespan/serving/decision_log.h"
 #include "hingespan/serving/gateway_metrics.h"
 #include "hingespan/serving/prompt_quarantine.h"
@@ -67,12 +72,26 @@
   QuarantineVerdict Admit(const std::string& service, const PromptPartIds& parts);
   // Time left of the quarantine that requests with these parts are under, if there is one.
   std::optional<absl::Duration> TimeLeft(const std::string& service, const PromptPartIds& parts);
+  // Called when an attempt at the worker ended as if the worker had. The other nodes are told once
+  // the worker doesn't answer.
+  void OnRequestInterrupted(RequestContent request, const std::string& worker_id,
+                            const std::string& worker_address);
+  // Called when a request fails here for good, though its caller may send it again: the workers
+  // that seem to have ended under it are checked.
+  void OnRequestFailed(RequestContent request);
+  void RecordServed(RequestContent request);
+  // Time for which the request is not sent to a worker, as too many have ended under it; zero if it
+  // may be sent.
+  absl::Duration RefusedFor(RequestContent request) const;
+
   // Returns whether a request that was interrupted may be sent to another worker.
   bool MayRepeat(const std::string& service, const PromptPartIds& parts) const;
 
   void OnCrash(const CrashNotice& notice);
   void OnQuarantine(const QuarantineNotice& notice);
   void OnCleared(const ClearedParts& cleared);
+  void OnRetraction(const CrashRetraction& retraction);
+  void OnServed(const ServedRequests& served);
   void OnQuestion(const QuarantineQuestion& question);
 
  private:
@@ -86,8 +105,20 @@
     std::unique_ptr<LoopTimer> timer;
   };
 
-  void OnCrashConfirmed(const std::string& worker_id, const std::string& service,
-                        const PromptPartIds& parts);
+  // A worker that is being asked whether it still answers, or has crashed.
+  struct WorkerCheck {
+    bool crashed = false;
+    std::string service;
+    // Parts of the prompts that it had not begun to answer; empty while none is known.
+    PromptPartIds parts;
+  };
+
+  void CheckWorker(const std::string& worker_id, const std::string& address,
+                   const std::string& service, const PromptPartIds& parts);
+  void OnAlive(const std::string& worker_id);
+  // Takes over from a notice which requests have ended workers.
+  void TakeOverRequests(const CrashNotice& notice);
+  void OnCrashConfirmed(const std::string& worker_id, const WorkerCheck& check);
   void ImposeDue();
   void SetDueTimer();
   // Logs the quarantines that were narrowed or lifted here, and has later rounds of their notices
@@ -107,8 +138,12 @@
   std::string address_;
   std::vector<StreamNode> nodes_;
   PromptQuarantine quarantine_;
-  // Workers that are being checked, or have crashed.
-  std::set<std::string> checked_workers_;
+  CrashingRequests crashing_requests_;
+  // Addresses of workers that seem to have ended under requests and were not checked yet.
+  std::map<std::string, std::string> unchecked_workers_;
+  std::map<std::string, WorkerCheck> checked_workers_;
+  // Workers that the other nodes were told of before they were checked.
+  std::set<std::string> told_early_;
   std::list<Broadcast> broadcasts_;
   std::unique_ptr<LoopTimer> due_timer_;
   std::unique_ptr<LoopTimer> question_timer_;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -21,6 +21,7 @@
 #include "hingespan/http/event_loop.h"
 #include "hingespan/http/http_client.h"
 #include "hingespan/http/http_server.h"
+#include "hingespan/serving/crashing_requests.h"
 #include "hingespan/serving/decision_log.h"
 #include "hingespan/serving/event_splitter.h"
 #include "hingespan/serving/forwarding.h"
@@ -163,6 +164,8 @@
   static constexpr const char* kOtherService = "other_service";
   // Outcome of a request whose prompt has parts that crash workers.
   static constexpr const char* kQuarantined = "quarantined";
+  // Outcome of a request under which several workers have ended.
+  static constexpr const char* kEndsWorkers = "ends_workers";
   static constexpr const char* kRetryAfter = "Retry-After";
 
   // Returns whether the caller goes on with a stream of an earlier request.
@@ -178,6 +181,10 @@
   bool RefuseIfQuarantined();
   // Returns whether requests like this one are not sent to workers any more.
   bool IsQuarantined();
+  // Returns whether too many workers have ended under this request, at any node.
+  bool HasEndedWorkers() const;
+  // Records that the attempt has ended as if its worker had.
+  void NoteInterrupted();
   // Records that the worker goes on with its answer, which clears the prompt's parts.
   void NoteAnswerGoesOn(absl::Time now, bool ended);
   // Chooses a worker that has room. If the service's workers are brittle, the choice comes with a
@@ -271,6 +278,8 @@
   WorkerPath* path_;
   ModelKey model_;
   PromptPartIds shared_parts_;
+  // The same for all tries of the caller.
+  RequestContent content_;
   QueuePlace place_;
   absl::Time arrived_;
   // The earlier of the caller's and the route's deadline.
@@ -302,6 +311,7 @@
   // State of the attempt in flight.
   std::unique_ptr<ClientExchange> upstream_;
   std::string worker_id_;
+  std::string worker_address_;
   // Worker of which a slot was taken for the attempt; empty if none was.
   std::string slot_of_;
   // Peer to which the attempt was forwarded; empty if it was sent to a worker.
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -25,6 +25,8 @@
 constexpr int kSlotReply = 11;
 constexpr int kBrittleNotice = 12;
 constexpr int kSlotTakeover = 13;
+constexpr int kCrashRetraction = 14;
+constexpr int kServedRequests = 15;
 
 Json Encode(const WorkerLoad& load) {
   Json list = Json::array({load.worker_id, load.running, load.unread_tokens});
@@ -183,13 +185,22 @@
 }
 
 Json Encode(const CrashNotice& notice) {
-  return Json::array(
-      {kCrashNotice, notice.worker_id, notice.service, Json(notice.parts), notice.reply_address});
+  return Json::array({kCrashNotice, notice.worker_id, notice.service, Json(notice.parts),
+                      notice.reply_address, Json(notice.requests)});
 }
 
 CrashNotice DecodeCrash(const Json& json) {
-  return {json.at(1).get<std::string>(), json.at(2).get<std::string>(),
-          json.at(3).get<std::set<std::string>>(), json.at(4).get<std::string>()};
+  CrashNotice notice{json.at(1).get<std::string>(),
+                     json.at(2).get<std::string>(),
+                     json.at(3).get<std::set<std::string>>(),
+                     json.at(4).get<std::string>(),
+                     {}};
+  // Nodes of an earlier release send none.
+  constexpr std::size_t kRequestsEntry = 5;
+  if (json.size() > kRequestsEntry) {
+    notice.requests = json.at(kRequestsEntry).get<std::set<RequestContent>>();
+  }
+  return notice;
 }
 
 Json Encode(const QuarantineNotice& notice) {
@@ -257,6 +268,14 @@
   return Json::array({kSlotTakeover, takeover.worker_id, takeover.address});
 }
 
+Json Encode(const CrashRetraction& retraction) {
+  return Json::array({kCrashRetraction, retraction.worker_id});
+}
+
+Json Encode(const ServedRequests& served) {
+  return Json::array({kServedRequests, Json(served.requests), served.to_all});
+}
+
 Json Encode(const BrittleNotice& notice) {
   return Json::array({kBrittleNotice, notice.service, notice.survived_rejections});
 }
@@ -301,6 +320,10 @@
         return DecodeSlotReply(json);
       case kSlotTakeover:
         return SlotTakeover{json.at(1).get<std::string>(), json.at(2).get<std::string>()};
+      case kCrashRetraction:
+        return CrashRetraction{json.at(1).get<std::string>()};
+      case kServedRequests:
+        return ServedRequests{json.at(1).get<std::set<RequestContent>>(), json.at(2).get<bool>()};
       case kBrittleNotice:
         return BrittleNotice{json.at(1).get<std::string>(), json.at(2).get<int>()};
       default:
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -18,6 +18,8 @@
 // Parts of one datagram.
 constexpr std::size_t kMaxParts = 40;
 constexpr std::size_t kMaxCheckedWorkers = 4096;
+// Crashes that a node which has started is told of.
+constexpr std::size_t kMaxCrashesInReply = 64;
 
 }  // namespace
 
@@ -54,33 +56,139 @@
   for (const Quarantine& quarantine : quarantine_.quarantines()) {
     parts_.send(question.reply_address, EncodeFleetMessage(NoticeOf(quarantine)));
   }
+  std::size_t left = kMaxCrashesInReply;
+  for (const auto& [worker_id, check] : checked_workers_) {
+    CrashNotice notice{worker_id, {}, {}, address_, crashing_requests_.EndedBy(worker_id)};
+    if (check.crashed && !notice.requests.empty() && left-- > 0) {
+      parts_.send(question.reply_address, EncodeFleetMessage(notice));
+    }
+  }
 }
 
 void QuarantineExchange::OnAttemptBroken(const std::string& worker_id,
                                          const std::string& worker_address,
                                          const std::string& service, const PromptPartIds& parts) {
-  if (parts.empty() || checked_workers_.contains(worker_id)) {
+  if (!parts.empty()) {
+    CheckWorker(worker_id, worker_address, service, parts);
+  }
+}
+
+void QuarantineExchange::CheckWorker(const std::string& worker_id, const std::string& address,
+                                     const std::string& service, const PromptPartIds& parts) {
+  unchecked_workers_.erase(worker_id);
+  const auto known = checked_workers_.find(worker_id);
+  if (known != checked_workers_.end()) {
+    WorkerCheck& check = known->second;
+    if (check.parts.empty() && !parts.empty()) {
+      check.service = service;
+      check.parts = parts;
+      if (check.crashed) {
+        OnCrashConfirmed(worker_id, check);
+      }
+    }
     return;
   }
   if (checked_workers_.size() >= kMaxCheckedWorkers) {
     checked_workers_.clear();
   }
-  checked_workers_.insert(worker_id);
-  parts_.probe(worker_address, [this, worker_id, service, parts](bool answered) {
+  checked_workers_[worker_id] = {false, service, parts};
+  parts_.probe(address, [this, worker_id](bool answered) {
     if (answered) {
-      checked_workers_.erase(worker_id);
+      OnAlive(worker_id);
       return;
     }
-    OnCrashConfirmed(worker_id, service, parts);
+    WorkerCheck& check = checked_workers_[worker_id];
+    check.crashed = true;
+    OnCrashConfirmed(worker_id, check);
   });
 }
 
-void QuarantineExchange::OnCrashConfirmed(const std::string& worker_id, const std::string& service,
-                                          const PromptPartIds& parts) {
+void QuarantineExchange::OnAlive(const std::string& worker_id) {
+  checked_workers_.erase(worker_id);
+  crashing_requests_.RetractEnds(worker_id);
+  if (told_early_.erase(worker_id) > 0) {
+    SendToAll(CrashRetraction{worker_id});
+  }
+}
+
+void QuarantineExchange::OnRequestInterrupted(RequestContent request, const std::string& worker_id,
+                                              const std::string& worker_address) {
+  const absl::Time now = parts_.loop->Now();
+  crashing_requests_.RecordEnd(request, worker_id, now);
+  const auto check = checked_workers_.find(worker_id);
+  const bool crashed = check != checked_workers_.end() && check->second.crashed;
+  if (check == checked_workers_.end()) {
+    if (unchecked_workers_.size() >= kMaxCheckedWorkers) {
+      unchecked_workers_.clear();
+    }
+    unchecked_workers_[worker_id] = worker_address;
+  }
+  if (crashing_requests_.EndsUnder(request) > 1) {
+    OnRequestFailed(request);
+  }
+  // The caller's next try may come before the worker was checked.
+  const bool refused = RefusedFor(request) > absl::ZeroDuration();
+  if (refused && !crashed) {
+    told_early_.insert(worker_id);
+  }
+  if (refused || crashed) {
+    SendToAll(CrashNotice{worker_id, {}, {}, address_, {request}});
+  }
+}
+
+void QuarantineExchange::OnRequestFailed(RequestContent request) {
+  for (const std::string& worker_id : crashing_requests_.WorkersEndedUnder(request)) {
+    const auto unchecked = unchecked_workers_.find(worker_id);
+    if (unchecked != unchecked_workers_.end()) {
+      const std::string address = unchecked->second;
+      CheckWorker(worker_id, address, {}, {});
+    }
+  }
+}
+
+void QuarantineExchange::RecordServed(RequestContent request) {
+  crashing_requests_.RecordServed(request, parts_.loop->Now());
+}
+
+absl::Duration QuarantineExchange::RefusedFor(RequestContent request) const {
+  return crashing_requests_.RefusedFor(request, parts_.loop->Now());
+}
+
+void QuarantineExchange::OnRetraction(const CrashRetraction& retraction) {
+  crashing_requests_.RetractEnds(retraction.worker_id);
+}
+
+void QuarantineExchange::OnServed(const ServedRequests& served) {
+  for (const RequestContent request : served.requests) {
+    RecordServed(request);
+  }
+  if (!served.to_all && !served.requests.empty()) {
+    SendToAll(ServedRequests{served.requests, true});
+  }
+}
+
+void QuarantineExchange::TakeOverRequests(const CrashNotice& notice) {
+  const absl::Time now = parts_.loop->Now();
+  ServedRequests served;
+  for (const RequestContent request : notice.requests) {
+    if (crashing_requests_.WasServed(request, now)) {
+      served.requests.insert(request);
+    } else {
+      crashing_requests_.RecordEnd(request, notice.worker_id, now);
+    }
+  }
+  if (!served.requests.empty()) {
+    parts_.send(notice.reply_address, EncodeFleetMessage(served));
+  }
+}
+
+void QuarantineExchange::OnCrashConfirmed(const std::string& worker_id, const WorkerCheck& check) {
+  const PromptPartIds& parts = check.parts;
   ++parts_.metrics->worker_crashes;
-  Log("worker_crashed", service, parts, {worker_id});
-  quarantine_.RecordCrash(worker_id, service, parts, true, parts_.loop->Now());
-  CrashNotice notice{worker_id, service, {}, address_};
+  Log("worker_crashed", check.service, parts, {worker_id});
+  quarantine_.RecordCrash(worker_id, check.service, parts, true, parts_.loop->Now());
+  told_early_.erase(worker_id);
+  CrashNotice notice{worker_id, check.service, {}, address_, crashing_requests_.EndedBy(worker_id)};
   auto end = parts.begin();
   std::advance(end, std::min(parts.size(), kMaxParts));
   notice.parts.insert(parts.begin(), end);
@@ -94,6 +202,7 @@
     parts_.send(notice.reply_address, EncodeFleetMessage(NoticeOf(*known)));
   }
   quarantine_.RecordCrash(notice.worker_id, notice.service, notice.parts, false, now);
+  TakeOverRequests(notice);
   SetDueTimer();
 }
 
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -25,6 +25,10 @@
     streams_.OnReply(*reply);
   } else if (const auto* const crash = std::get_if<CrashNotice>(&*message)) {
     quarantine_.OnCrash(*crash);
+  } else if (const auto* const retraction = std::get_if<CrashRetraction>(&*message)) {
+    quarantine_.OnRetraction(*retraction);
+  } else if (const auto* const served = std::get_if<ServedRequests>(&*message)) {
+    quarantine_.OnServed(*served);
   } else if (const auto* const quarantine = std::get_if<QuarantineNotice>(&*message)) {
     quarantine_.OnQuarantine(*quarantine);
   } else if (const auto* const cleared = std::get_if<ClearedParts>(&*message)) {
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -1,5 +1,7 @@
 #include "hingespan/serving/request_relay.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -84,6 +86,20 @@
   return SlotEnd::kAbandoned;
 }
 
+// Hash of what a caller sends in each of its tries; what differs between them is left out.
+RequestContent ContentOf(const RequestHead& head, const RequestFacts& facts,
+                         const std::string& body) {
+  const std::string* const host = FindField(head.fields, "Host");
+  std::string text = absl::StrCat(head.method, "\n", host == nullptr ? "" : *host, "\n",
+                                  head.target, "\n", facts.model, "/", facts.adapter, "\n",
+                                  facts.prompt_tokens, ",", facts.max_output_tokens, "\n");
+  for (const PromptPart& part : facts.prompt_parts) {
+    absl::StrAppend(&text, part.id, ":", part.tokens, ",");
+  }
+  const std::uint64_t seed = XXH3_64bits(text.data(), text.size());
+  return XXH3_64bits_withSeed(body.data(), body.size(), seed);
+}
+
 }  // namespace
 
 RequestRelay::RequestRelay(const RelayContext* context, std::shared_ptr<ServerExchange> exchange,
@@ -106,6 +122,7 @@
   const absl::Duration time = std::min(route->timeout, facts_.deadline.value_or(kDefaultDeadline));
   deadline_ = arrived_ + std::max(absl::ZeroDuration(), time - kDeadlineMargin);
   place_ = {route->priority, deadline_, number};
+  content_ = ContentOf(exchange_->head(), facts_, exchange_->body());
   for (std::size_t index = 0; index + 1 < facts_.prompt_parts.size(); ++index) {
     shared_parts_.insert(facts_.prompt_parts[index].id);
   }
@@ -124,6 +141,10 @@
       self->ResumeReading();
     }
   });
+  if (HasEndedWorkers()) {
+    Refuse(kEndsWorkers);
+    return;
+  }
   if (RefuseIfQuarantined()) {
     return;
   }
@@ -190,6 +211,10 @@
     GiveUp(502, kUnreachable);
     return true;
   }
+  if (HasEndedWorkers()) {
+    GiveUp(502, kEndsWorkers);
+    return true;
+  }
   if (IsQuarantined()) {
     GiveUp(502, kQuarantined);
     return true;
@@ -328,6 +353,7 @@
   BeginAttempt(now);
   peer_.clear();
   worker_id_ = worker->record.id;
+  worker_address_ = worker->record.address;
   attempt_source_ = StreamSource{service_, worker->record.software_version};
   tried_workers_.insert(worker_id_);
   excluded_workers_.insert(worker_id_);
@@ -437,8 +463,21 @@
                         {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
 }
 
+bool RequestRelay::HasEndedWorkers() const {
+  return context_->quarantine->RefusedFor(content_) > absl::ZeroDuration();
+}
+
+void RequestRelay::NoteInterrupted() {
+  // A node without a path can't tell whether the worker has ended, and callers send only what may
+  // run again.
+  if (peer_.empty() && route_->MayRunAgain() && !path_->lost()) {
+    context_->quarantine->OnRequestInterrupted(content_, worker_id_, worker_address_);
+  }
+}
+
 bool RequestRelay::MayRepeat() const {
-  return CanGoOn() && context_->quarantine->MayRepeat(service_, shared_parts_);
+  return CanGoOn() && !HasEndedWorkers() &&
+         context_->quarantine->MayRepeat(service_, shared_parts_);
 }
 
 bool RequestRelay::CanGoOnElsewhere(absl::Time now) {
@@ -537,6 +576,7 @@
     return;
   }
   if (now >= StallLimit()) {
+    NoteInterrupted();
     EndAttempt(AttemptOutcome::kFailed);
     OnFailedAttempt("silent");
     return;
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/fleet/slot_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 #include "hingespan/serving/request_relay.h"
@@ -146,10 +147,12 @@
       if (peer_.empty() && !answer_started_) {
         context_->host->OnAttemptBroken(worker_id_, service_);
       }
+      NoteInterrupted();
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("broken_off");
       return;
     case ExchangeResult::kMalformed:
+      NoteInterrupted();
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("malformed");
       return;
@@ -201,6 +204,7 @@
   const absl::Time now = context_->loop->Now();
   if (forwarding_events_) {
     if (EndsInsideStream()) {
+      NoteInterrupted();
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("ends_inside_stream");
       return;
@@ -326,6 +330,8 @@
   const absl::Time expected = context_->host->ExpectedReady(model_, software_version());
   if (why == kQuarantined) {
     retry_after = quarantine_ends_in_;
+  } else if (why == kEndsWorkers) {
+    retry_after = context_->quarantine->RefusedFor(content_);
   } else if (expected != absl::InfiniteFuture()) {
     retry_after = std::max(retry_after, expected - now + kReadyMargin);
     context_->host->ExpectReturn(service_, model_, software_version(), now + retry_after);
@@ -345,6 +351,7 @@
 }
 
 void RequestRelay::FailUnknown(int status, absl::string_view why) {
+  context_->quarantine->OnRequestFailed(content_);
   context_->host->Dequeue(place_);
   HeaderFields fields;
   if (origin_.forwarded) {
@@ -355,6 +362,7 @@
 }
 
 void RequestRelay::AbortStream(absl::string_view why) {
+  context_->quarantine->OnRequestFailed(content_);
   context_->host->Dequeue(place_);
   ++context_->metrics->streams_broken;
   exchange_->Abort();
@@ -384,6 +392,9 @@
   state_ = State::kEnded;
   timer_->Cancel();
   const absl::Time now = context_->loop->Now();
+  if (status / 100 == 2) {
+    context_->quarantine->RecordServed(content_);
+  }
   ++context_->metrics->requests_by_status[status];
   context_->metrics->whole_request.Record(now - arrived_);
   const WorkerState* const worker = context_->workers->Find(worker_id_);
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -131,6 +131,29 @@
   CHECK(notice <= kPacket);
 }
 
+TEST_CASE("messages about requests that end workers are decoded as they were encoded") {
+  constexpr RequestContent kLargest = ~RequestContent{0};
+  const auto crash =
+      DecodeFleetMessage(EncodeFleetMessage(CrashNotice{"w1", "s", {"p"}, "a", {7, kLargest}}));
+  REQUIRE(crash.has_value());
+  REQUIRE(std::get_if<CrashNotice>(&*crash) != nullptr);
+  CHECK(std::get<CrashNotice>(*crash).requests == std::set<RequestContent>{7, kLargest});
+  const std::string served_bytes = EncodeFleetMessage(ServedRequests{{kLargest}, true});
+  const std::string crash_bytes =
+      EncodeFleetMessage(CrashNotice{"w1", "", {}, "127.0.0.1:7", {kLargest}});
+  MESSAGE("crash with a request: " << crash_bytes.size() << ", served: " << served_bytes.size()
+                                   << " bytes");
+  const auto served = DecodeFleetMessage(served_bytes);
+  REQUIRE(served.has_value());
+  REQUIRE(std::get_if<ServedRequests>(&*served) != nullptr);
+  CHECK(std::get<ServedRequests>(*served).requests == std::set<RequestContent>{kLargest});
+  CHECK(std::get<ServedRequests>(*served).to_all);
+  const auto retraction = DecodeFleetMessage(EncodeFleetMessage(CrashRetraction{"w1"}));
+  REQUIRE(retraction.has_value());
+  REQUIRE(std::get_if<CrashRetraction>(&*retraction) != nullptr);
+  CHECK(std::get<CrashRetraction>(*retraction).worker_id == "w1");
+}
+
 TEST_CASE("messages about slots are decoded as they were encoded") {
   SlotRequest request;
   request.worker_id = "w1";
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -100,6 +100,10 @@
   static void Receive(Node* node, const FleetMessage& message) {
     if (const auto* const crash = std::get_if<CrashNotice>(&message)) {
       node->exchange->OnCrash(*crash);
+    } else if (const auto* const retraction = std::get_if<CrashRetraction>(&message)) {
+      node->exchange->OnRetraction(*retraction);
+    } else if (const auto* const served = std::get_if<ServedRequests>(&message)) {
+      node->exchange->OnServed(*served);
     } else if (const auto* const notice = std::get_if<QuarantineNotice>(&message)) {
       node->exchange->OnQuarantine(*notice);
     } else if (const auto* const cleared = std::get_if<ClearedParts>(&message)) {
@@ -152,6 +156,24 @@
     return true;
   }
 
+  // Workers end one after the other under the request, which the node sent.
+  void Interrupt(int node, RequestContent request, int count, const std::string& address = "gone") {
+    for (int number = 0; number < count; ++number) {
+      nodes[static_cast<std::size_t>(node)]->exchange->OnRequestInterrupted(
+          request, absl::StrCat("w", next_worker++), address);
+    }
+  }
+  bool AllRefuseRequest(RequestContent request) {
+    return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+      return node->exchange->RefusedFor(request) > absl::ZeroDuration();
+    });
+  }
+  bool AllSendRequest(RequestContent request) {
+    return std::all_of(nodes.begin(), nodes.end(), [&](const auto& node) {
+      return node->exchange->RefusedFor(request) == absl::ZeroDuration();
+    });
+  }
+
   EventLoop loop;
   DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
   std::vector<std::unique_ptr<Node>> nodes;
@@ -294,6 +316,73 @@
   CHECK(fleet.nodes[0]->metrics.quarantine_datagrams == 0);
 }
 
+// Guards against a caller's next try that reaches another node which knows nothing (BUDGET).
+TEST_CASE("ends under a request at different nodes add up, and all nodes refuse it") {
+  Fleet fleet(3);
+  fleet.Interrupt(0, 7, 2);
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllSendRequest(7));
+  fleet.Interrupt(1, 7, 1);
+  fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
+  CHECK(fleet.AllSendRequest(8));
+}
+
+TEST_CASE("one end under a request is told once the request has failed") {
+  Fleet fleet(3);
+  fleet.Interrupt(0, 7, 1);
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.probes == 0);
+  fleet.nodes[0]->exchange->OnRequestFailed(7);
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.probes == 1);
+  fleet.Interrupt(1, 7, 2);
+  fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
+}
+
+// Guards against refusing requests whose connections were reset.
+TEST_CASE("interruptions by workers that still answer are no ends, also if they were told") {
+  Fleet fleet(3);
+  fleet.Interrupt(0, 7, 3, "sound");
+  CHECK(fleet.nodes[0]->exchange->RefusedFor(7) > absl::ZeroDuration());
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllSendRequest(7));
+}
+
+// Guards against refusing callers whose requests look the same.
+TEST_CASE("a node that has served such a request clears it at all nodes") {
+  Fleet fleet(3);
+  fleet.nodes[2]->exchange->RecordServed(7);
+  fleet.Interrupt(0, 7, 3);
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllSendRequest(7));
+}
+
+TEST_CASE("a node that starts learns under which requests workers have ended") {
+  Fleet fleet(3);
+  fleet.Interrupt(0, 7, 3);
+  fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
+  fleet.WaitUntilQuiet();
+  fleet.Add();
+  fleet.Connect();
+  fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
+}
+
+// Guards against a check for a request that hides what a prompt's crash says about its parts.
+TEST_CASE("a worker that is checked for a request is evidence against prompt parts, too") {
+  Fleet fleet(3);
+  for (int number = 0; number < 3; ++number) {
+    const std::string worker = absl::StrCat("w", fleet.next_worker);
+    fleet.Interrupt(0, static_cast<RequestContent>(number), 1);
+    fleet.nodes[0]->exchange->OnRequestFailed(static_cast<RequestContent>(number));
+    if (number == 2) {
+      fleet.Pause(kApart);
+    }
+    fleet.nodes[0]->exchange->OnAttemptBroken(worker, "gone", kService, {"bad"});
+    fleet.Pause(kApart);
+  }
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+}
+
 // Guards against one check and one notice for each of the requests that a crash ended.
 TEST_CASE("a crashed worker is checked and told of once") {
   Fleet fleet(2);
