Request relay: a slot that is given back unused frees its place among starting attempts

A stream whose answer had begun, and whose repeat was denied after a slot had been taken, gave the slot back as that of an attempt that has begun to answer. Its node then counted one starting attempt too many at that worker for as long as it remembered it; four of them, and an engine's slots were not lent to it any more.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -194,7 +194,7 @@
   // Tokens of the prompt and the longest answer.
   double Tokens() const { return facts_.prompt_tokens + facts_.max_output_tokens; }
   // Gives the attempt's slot back.
-  void ReturnSlot(SlotEnd end);
+  void ReturnSlot(SlotEnd end, bool answer_started);
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
   // Sets the state that a new attempt begins with.
   void BeginAttempt(absl::Time now);
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -238,7 +238,7 @@
   if (AcquireRepeat(now)) {
     Dispatch(choice.worker, demand, now);
   } else {
-    ReturnSlot(SlotEnd::kFreed);
+    ReturnSlot(SlotEnd::kFreed, false);
   }
   return true;
 }
@@ -293,10 +293,10 @@
   return {nullptr, ChoiceProblem::kAllBusy, candidates};
 }
 
-void RequestRelay::ReturnSlot(SlotEnd end) {
+void RequestRelay::ReturnSlot(SlotEnd end, bool answer_started) {
   const std::string worker = std::exchange(slot_of_, {});
   if (!worker.empty()) {
-    context_->slots->Return(worker, Tokens(), answer_started_, end);
+    context_->slots->Return(worker, Tokens(), answer_started, end);
   } else if (peer_.empty()) {
     // Sent before the workers were brittle.
     context_->slots->Return(worker_id_, 0, true, end);
@@ -594,7 +594,7 @@
   context_->workers->AttemptEnded(worker_id_, model_.model,
                                   answer_started_ ? 0 : facts_.prompt_tokens, outcome,
                                   context_->loop->Now());
-  ReturnSlot(SlotEndOf(outcome, answer_facts_.misdirected));
+  ReturnSlot(SlotEndOf(outcome, answer_facts_.misdirected), answer_started_);
   context_->host->RunningChanged(service_, model_, -1);
   context_->host->ScheduleDispatch();
 }
