Quarantine exchange: the requests of a crash's notice are bounded, so that it fits into one packet

By reading: a notice named all requests that ended with a worker, at 9 bytes each beside up to 40 parts. With 48 requests the longest one fits into a packet (fleet_messages_test).

--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -15,12 +15,20 @@
 // Rounds of questions after the start, as the first nodes that are asked may have started as well.
 constexpr int kQuestionRounds = 3;
 constexpr absl::Duration kQuestionInterval = absl::Milliseconds(500);
-// Parts of one datagram.
+// Parts and requests of one datagram.
 constexpr std::size_t kMaxParts = 40;
+constexpr std::size_t kMaxRequests = 48;
 constexpr std::size_t kMaxCheckedWorkers = 4096;
 // Crashes that a node which has started is told of.
 constexpr std::size_t kMaxCrashesInReply = 64;
 
+template <typename Set>
+Set FirstOf(const Set& set, std::size_t count) {
+  auto end = set.begin();
+  std::advance(end, std::min(set.size(), count));
+  return Set(set.begin(), end);
+}
+
 }  // namespace
 
 QuarantineExchange::QuarantineExchange(std::string node, QuarantineExchangeParts parts)
@@ -188,10 +196,8 @@
   Log("worker_crashed", check.service, parts, {worker_id});
   quarantine_.RecordCrash(worker_id, check.service, parts, true, parts_.loop->Now());
   told_early_.erase(worker_id);
-  CrashNotice notice{worker_id, check.service, {}, address_, crashing_requests_.EndedBy(worker_id)};
-  auto end = parts.begin();
-  std::advance(end, std::min(parts.size(), kMaxParts));
-  notice.parts.insert(parts.begin(), end);
+  CrashNotice notice{worker_id, check.service, FirstOf(parts, kMaxParts), address_,
+                     FirstOf(crashing_requests_.EndedBy(worker_id), kMaxRequests)};
   SendToAll(notice);
   SetDueTimer();
 }
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -154,6 +154,19 @@
   CHECK(std::get<CrashRetraction>(*retraction).worker_id == "w1");
 }
 
+TEST_CASE("the longest notice of a crash fits into one packet") {
+  // Ethernet's 1,500 bytes without the heads of IP and UDP.
+  constexpr std::size_t kPacket = 1472;
+  CrashNotice notice{"i-0123456789", "a-service-of-some-length", {}, "10.201.117.118:65535", {}};
+  for (int number = 0; number < 40; ++number) {
+    notice.parts.insert(std::to_string(10'000'000 + number));
+  }
+  for (RequestContent request = 0; request < 48; ++request) {
+    notice.requests.insert(~request);
+  }
+  CHECK(EncodeFleetMessage(notice).size() <= kPacket);
+}
+
 TEST_CASE("messages about slots are decoded as they were encoded") {
   SlotRequest request;
   request.worker_id = "w1";
