--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -436,8 +436,8 @@
     return;
   }
   stream->exchange->WriteChunk(absl::StrCat(
-      "id: ", stream->next, "\ndata: event ", stream->next,
-      options_.includes_request_id ? absl::StrCat(" of ", stream->run->id) : "",
+      options_.includes_event_ids ? absl::StrCat("id: ", stream->next, "\n") : "", "data: event ",
+      stream->next, options_.includes_request_id ? absl::StrCat(" of ", stream->run->id) : "",
       options_.includes_software_version ? absl::StrCat(" by ", options_.software_version) : "",
       std::string(stream->shape.padding, '.'), "\n\n"));
   ++stream->next;
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -89,6 +89,8 @@
   bool unframed_streams = false;
   // True if answers and events name the request they belong to.
   bool includes_request_id = false;
+  // False if events have no ids, so that a stream can't go on elsewhere.
+  bool includes_event_ids = true;
   // True if events name the version of the software that wrote them.
   bool includes_software_version = false;
   // True if the worker writes its row when it is constructed.
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -316,6 +316,24 @@
   CHECK(fleet.nodes[0]->metrics.quarantine_datagrams == 0);
 }
 
+// Guards against trials at several nodes, each of which may crash a worker (BUDGET).
+TEST_CASE("one node admits a trial, whichever nodes are asked") {
+  Fleet fleet(4);
+  constexpr int kFirstTrialMs = 30'000;
+  constexpr int kLifetimeMs = 60'000;
+  for (const auto& node : fleet.nodes) {
+    node->exchange->OnQuarantine({kService, {"bad"}, {"w"}, kFirstTrialMs - 50, kLifetimeMs, "n0"});
+  }
+  fleet.Pause(absl::Milliseconds(80));
+  int trials = 0;
+  for (const auto& node : fleet.nodes) {
+    const QuarantineVerdict verdict = node->exchange->Admit(kService, {"bad"});
+    trials += verdict.kind == Kind::kTrial ? 1 : 0;
+    CHECK(verdict.kind != Kind::kFree);
+  }
+  CHECK(trials == 1);
+}
+
 // Guards against a caller's next try that reaches another node which knows nothing (BUDGET).
 TEST_CASE("ends under a request at different nodes add up, and all nodes refuse it") {
   Fleet fleet(3);
--- /dev/null
+++ b/tests/quarantine/quarantine_guards_test.cc
@@ -0,0 +1,130 @@
+// Tests of requests that are already at a node when a quarantine is imposed at another one.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/fleet/peer_link.h"
+#include "tests/serving/gateway_world.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using emulator::PlatformWorker;
+using emulator::PlatformWorkerOptions;
+using emulator::WorkerFault;
+
+constexpr const char* kPart = "aa";
+constexpr int kDeadlineMs = 15000;
+
+// A node with a peer that tells it of a quarantine.
+struct GuardFixture : GatewayFixture {
+  GuardFixture() : peer(&loop, [](absl::string_view) {}) {
+    REQUIRE(!peer.Listen("127.0.0.1:0"));
+    node = AddNode("n1");
+    EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  }
+
+  PlatformWorker* AddModelWorkerWith(const std::string& id, int slots,
+                                     absl::Duration event_interval) {
+    PlatformWorkerOptions options;
+    options.id = id;
+    options.service = "models";
+    options.slots = slots;
+    options.models["m1"];
+    options.event_interval = event_interval;
+    return AddWorker(options);
+  }
+
+  TestRequest RequestWithPart() const {
+    TestRequest request = StreamRequest("/stream/x", "m1");
+    request.deadline_ms = kDeadlineMs;
+    request.fields.back().value = absl::StrCat(kPart, ":5,own:5");
+    return request;
+  }
+
+  // Tells the node of a quarantine whose first crash is just now.
+  void ImposeQuarantine() {
+    const auto row = nlohmann::json::parse(store.Value("hingespan", "node/n1"), nullptr, false);
+    const std::string address = row.value("address", "");
+    REQUIRE(!address.empty());
+    peer.Send(address, EncodeFleetMessage(
+                           QuarantineNotice{"models", {kPart}, {"w"}, 0, 60'000, peer.address()}));
+    REQUIRE(Wait([&] { return HasLine("quarantine_taken_over"); }));
+  }
+
+  bool HasLine(const std::string& text) const {
+    const std::vector<std::string> lines = node->LogLines();
+    return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
+      return absl::StrContains(line, absl::StrCat("\"", text, "\""));
+    });
+  }
+
+  PeerLink peer;
+  TestNode* node = nullptr;
+};
+
+// Guards against a request that stays with a worker which it is about to crash (BUDGET).
+TEST_CASE("a request that no worker has begun to answer ends when a quarantine comes") {
+  GuardFixture fixture;
+  PlatformWorker* const worker = fixture.AddModelWorkerWith("w1", 8, absl::Milliseconds(10));
+  worker->SetFault(WorkerFault::kSilent);
+  const auto call = fixture.Send(fixture.node, fixture.RequestWithPart());
+  REQUIRE(fixture.Wait([&] { return !worker->runs().empty(); }));
+  fixture.ImposeQuarantine();
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->head.status == 502);
+  CHECK(fixture.HasLine("quarantined"));
+  REQUIRE(fixture.Wait([&] { return worker->runs().front().caller_disconnected; }));
+  CHECK(worker->arrivals().size() == 1);
+}
+
+// Guards against a stream under quarantine that goes on at another worker as soon as that one has
+// room (BUDGET).
+TEST_CASE("a stream that waits for another worker when a quarantine comes is sent to none") {
+  GuardFixture fixture;
+  PlatformWorker* const second = fixture.AddModelWorkerWith("w2", 1, absl::Milliseconds(300));
+  TestRequest other = StreamRequest("/once/x", "m1");
+  other.id = "other";
+  other.deadline_ms = kDeadlineMs;
+  other.fields.back().value = "bb:5,cc:5";
+  const auto occupying = fixture.Send(fixture.node, other);
+  REQUIRE(fixture.Wait([&] { return !occupying->body.empty(); }));
+  fixture.AddModelWorkerWith("w1", 1, absl::Milliseconds(10))->SetFault(WorkerFault::kBreaksStream);
+  const auto call = fixture.Send(fixture.node, fixture.RequestWithPart());
+  REQUIRE(fixture.Wait([&] { return fixture.HasLine("attempt_failed") && !call->body.empty(); }));
+  const std::size_t arrivals = second->arrivals().size();
+  fixture.ImposeQuarantine();
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result != ExchangeResult::kComplete);
+  REQUIRE(fixture.Wait([&] { return occupying->ended; }));
+  CHECK(second->arrivals().size() == arrivals);
+}
+
+// Guards against a stream that begins anew in the middle of an answer (ORDER).
+TEST_CASE("a stream whose events have no ids does not go on elsewhere") {
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  fixture.EarnRetries(node, StreamRequest("/stream/x", "m1"));
+  for (const char* id : {"w1", "w2"}) {
+    PlatformWorkerOptions options;
+    options.id = id;
+    options.service = "models";
+    options.models["m1"];
+    options.includes_event_ids = false;
+    fixture.AddWorker(options)->SetFault(WorkerFault::kBreaksStream);
+  }
+  const auto call = fixture.Ask(node, StreamRequest("/stream/x", "m1"));
+  CHECK(call->result != ExchangeResult::kComplete);
+  CHECK(absl::StrContains(call->body, "event 3"));
+  CHECK(call->body.find("event 1\n") == call->body.rfind("event 1\n"));
+  CHECK(fixture.workers[0]->arrivals().size() + fixture.workers[1]->arrivals().size() == 1);
+}
+
+}  // namespace
+}  // namespace hingespan::gateway
