Quarantine: a stream under which workers have ended stays with a silent worker; each of its guards has a test of its own

By reading: MayRepeat asked whether workers had ended under the request, CanGoOnElsewhere only through it, and the check before each dispatch alone would have done for repeats. The question now stands where it decides something by itself: at the start, before a dispatch, and before a silent worker is left. The hash of a request's content is a function of its own (request_content).

Taken out alone in a working copy (trials), each of the four is missed by one new case, and by that alone: the start ("refused at once, whoever waits"), the dispatch ("sent to no worker", 503 and one arrival), the silent worker (stream cut), and the early notice of the third end. All pass with them in.

--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -1,7 +1,5 @@
 #include "hingespan/serving/request_relay.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +8,7 @@
 #include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/fleet/slot_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
+#include "hingespan/serving/request_content.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -86,20 +85,6 @@
   return SlotEnd::kAbandoned;
 }
 
-// Hash of what a caller sends in each of its tries; what differs between them is left out.
-RequestContent ContentOf(const RequestHead& head, const RequestFacts& facts,
-                         const std::string& body) {
-  const std::string* const host = FindField(head.fields, "Host");
-  std::string text = absl::StrCat(head.method, "\n", host == nullptr ? "" : *host, "\n",
-                                  head.target, "\n", facts.model, "/", facts.adapter, "\n",
-                                  facts.prompt_tokens, ",", facts.max_output_tokens, "\n");
-  for (const PromptPart& part : facts.prompt_parts) {
-    absl::StrAppend(&text, part.id, ":", part.tokens, ",");
-  }
-  const std::uint64_t seed = XXH3_64bits(text.data(), text.size());
-  return XXH3_64bits_withSeed(body.data(), body.size(), seed);
-}
-
 }  // namespace
 
 RequestRelay::RequestRelay(const RelayContext* context, std::shared_ptr<ServerExchange> exchange,
@@ -476,12 +461,12 @@
 }
 
 bool RequestRelay::MayRepeat() const {
-  return CanGoOn() && !HasEndedWorkers() &&
-         context_->quarantine->MayRepeat(service_, shared_parts_);
+  return CanGoOn() && context_->quarantine->MayRepeat(service_, shared_parts_);
 }
 
 bool RequestRelay::CanGoOnElsewhere(absl::Time now) {
-  return MayRepeat() && !IsQuarantined() && MayTryAnother(now) && AnotherWorkerIsFree(now);
+  return MayRepeat() && !HasEndedWorkers() && !IsQuarantined() && MayTryAnother(now) &&
+         AnotherWorkerIsFree(now);
 }
 
 bool RequestRelay::AnotherWorkerIsFree(absl::Time now) const {
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -61,6 +61,9 @@
     };
     parts.probe = [this](const std::string& address, std::function<void(bool)> callback) {
       ++probes;
+      if (hold_probes) {
+        return;
+      }
       loop.Post([this, address, callback] { callback(address == sound_worker); });
     };
     parts.on_quarantine = [node = node.get()] { ++node->taken_over; };
@@ -183,6 +186,8 @@
   std::function<bool(const Datagram&)> lose;
   std::string sound_worker = "sound";
   int probes = 0;
+  // True if no probe is answered or fails.
+  bool hold_probes = false;
   int next_worker = 0;
 };
 
@@ -345,6 +350,16 @@
   CHECK(fleet.AllSendRequest(8));
 }
 
+// Guards against a caller's next try that comes before the worker was checked (BUDGET).
+TEST_CASE("the third end under a request is told before its worker was checked") {
+  Fleet fleet(3);
+  fleet.Interrupt(0, 7, 2);
+  fleet.WaitUntilQuiet();
+  fleet.hold_probes = true;
+  fleet.Interrupt(1, 7, 1);
+  fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
+}
+
 TEST_CASE("one end under a request is told once the request has failed") {
   Fleet fleet(3);
   fleet.Interrupt(0, 7, 1);
--- a/tests/quarantine/quarantine_guards_test.cc
+++ b/tests/quarantine/quarantine_guards_test.cc
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 #include "hingespan/fleet/fleet_messages.h"
 #include "hingespan/fleet/peer_link.h"
+#include "hingespan/serving/request_content.h"
 #include "tests/serving/gateway_world.h"
 
 namespace hingespan::gateway {
@@ -49,15 +50,34 @@
   }
 
   // Tells the node of a quarantine whose first crash is just now.
-  void ImposeQuarantine() {
+  void ImposeQuarantine(const std::string& part = kPart) {
     const auto row = nlohmann::json::parse(store.Value("hingespan", "node/n1"), nullptr, false);
     const std::string address = row.value("address", "");
     REQUIRE(!address.empty());
     peer.Send(address, EncodeFleetMessage(
-                           QuarantineNotice{"models", {kPart}, {"w"}, 0, 60'000, peer.address()}));
+                           QuarantineNotice{"models", {part}, {"w"}, 0, 60'000, peer.address()}));
     REQUIRE(Wait([&] { return HasLine("quarantine_taken_over"); }));
   }
 
+  // Tells the node that so many workers have ended under the request.
+  void TellEnds(const TestRequest& request, int count) {
+    RequestHead head;
+    head.method = request.method;
+    head.target = request.target;
+    head.fields = request.fields;
+    head.fields.push_back({"Host", "h"});
+    const RequestContent content =
+        ContentOf(head, platform::RequestFields().ReadRequest(head), request.body);
+    const auto row = nlohmann::json::parse(store.Value("hingespan", "node/n1"), nullptr, false);
+    for (int number = 0; number < count; ++number) {
+      peer.Send(row.value("address", ""),
+                EncodeFleetMessage(
+                    CrashNotice{absl::StrCat("ended", number), "", {}, peer.address(), {content}}));
+    }
+    // Datagrams arrive in order here, and this one is logged.
+    ImposeQuarantine("unrelated");
+  }
+
   bool HasLine(const std::string& text) const {
     const std::vector<std::string> lines = node->LogLines();
     return std::any_of(lines.begin(), lines.end(), [&](const std::string& line) {
@@ -106,6 +126,59 @@
   CHECK(second->arrivals().size() == arrivals);
 }
 
+// Guards against a request that waits in line although it is known not to be sent (BUDGET).
+TEST_CASE("a request under which three workers have ended is refused at once, whoever waits") {
+  GuardFixture fixture;
+  fixture.AddModelWorkerWith("w1", 1, absl::Milliseconds(400));
+  TestRequest other = StreamRequest("/once/x", "m1");
+  other.deadline_ms = kDeadlineMs;
+  other.id = "runs";
+  const auto running = fixture.Send(fixture.node, other);
+  REQUIRE(fixture.Wait([&] { return !running->body.empty(); }));
+  other.id = "waits";
+  const auto waiting = fixture.Send(fixture.node, other);
+  fixture.TellEnds(fixture.RequestWithPart(), 3);
+  const auto call = fixture.Send(fixture.node, fixture.RequestWithPart());
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->head.status == 503);
+  CHECK(fixture.HasLine("ends_workers"));
+  CHECK_FALSE(running->ended);
+  CHECK_FALSE(waiting->ended);
+}
+
+// Guards against a request that is sent once its worker has room, after workers have ended under
+// it at other nodes (BUDGET).
+TEST_CASE("a request that waits when the third end is told is sent to no worker") {
+  GuardFixture fixture;
+  PlatformWorker* const worker = fixture.AddModelWorkerWith("w1", 1, absl::Milliseconds(100));
+  TestRequest other = StreamRequest("/once/x", "m1");
+  other.deadline_ms = kDeadlineMs;
+  other.id = "runs";
+  const auto running = fixture.Send(fixture.node, other);
+  REQUIRE(fixture.Wait([&] { return !running->body.empty(); }));
+  const auto call = fixture.Send(fixture.node, fixture.RequestWithPart());
+  fixture.TellEnds(fixture.RequestWithPart(), 3);
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->head.status == 503);
+  REQUIRE(fixture.Wait([&] { return running->ended; }));
+  CHECK(worker->arrivals().size() == 1);
+}
+
+// Guards against cutting a stream whose worker is silent, as it may go on nowhere else (LOST).
+TEST_CASE("a stream under which three workers have ended stays with a silent one") {
+  GuardFixture fixture;
+  PlatformWorker* const worker = fixture.AddModelWorkerWith("w1", 1, absl::Milliseconds(20));
+  const auto call = fixture.Send(fixture.node, fixture.RequestWithPart());
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  worker->FallSilent(absl::Milliseconds(3000));
+  PlatformWorker* const second = fixture.AddModelWorkerWith("w2", 4, absl::Milliseconds(20));
+  fixture.TellEnds(fixture.RequestWithPart(), 3);
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  CHECK(call->result == ExchangeResult::kComplete);
+  CHECK(call->body == Events(1, 6));
+  CHECK(second->arrivals().empty());
+}
+
 // Guards against a stream that begins anew in the middle of an answer (ORDER).
 TEST_CASE("a stream whose events have no ids does not go on elsewhere") {
   GatewayFixture fixture;
