Slot exchange: a message without a reply is given up once no lender is left

By reading: the message of a worker both of whose lenders had been marked as unresponsive meanwhile, by way of a change of the nodes, stayed pending, and was looked at and logged at each tick of 20 ms until one of the marks ended.

--- a/src/fleet/slot_exchange.cc
+++ b/src/fleet/slot_exchange.cc
@@ -462,7 +462,11 @@
     return;
   }
   const StreamNode* const lender = LenderOf(worker_id);
-  const std::string silent = lender == nullptr ? std::string() : lender->name;
+  if (lender == nullptr) {
+    borrowed->pending.reset();
+    return;
+  }
+  const std::string silent = lender->name;
   std::vector<std::string> affected;
   for (const auto& [id, each] : borrowed_) {
     const StreamNode* const other = LenderOf(id);
