Quarantine exchange: what is told of requests that end workers is bounded

A request that ended after its worker's crash was known was told to all nodes at once, so that a worker that went dark under 64 requests cost 64 notices of three rounds each; now it is told once the request has failed, or has ended a second worker. A node that starts was to be told of 64 crashes at most, but the count wrapped around and it was told of all.

--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -111,6 +111,8 @@
     std::string service;
     // Parts of the prompts that it had not begun to answer; empty while none is known.
     PromptPartIds parts;
+    // Requests that the other nodes were told of with the crash.
+    std::set<RequestContent> told;
   };
 
   void CheckWorker(const std::string& worker_id, const std::string& address,
@@ -118,7 +120,7 @@
   void OnAlive(const std::string& worker_id);
   // Takes over from a notice which requests have ended workers.
   void TakeOverRequests(const CrashNotice& notice);
-  void OnCrashConfirmed(const std::string& worker_id, const WorkerCheck& check);
+  void OnCrashConfirmed(const std::string& worker_id, WorkerCheck* check);
   void ImposeDue();
   void SetDueTimer();
   // Logs the quarantines that were narrowed or lifted here, and has later rounds of their notices
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -64,10 +64,15 @@
   for (const Quarantine& quarantine : quarantine_.quarantines()) {
     parts_.send(question.reply_address, EncodeFleetMessage(NoticeOf(quarantine)));
   }
-  std::size_t left = kMaxCrashesInReply;
+  std::size_t told = 0;
   for (const auto& [worker_id, check] : checked_workers_) {
-    CrashNotice notice{worker_id, {}, {}, address_, crashing_requests_.EndedBy(worker_id)};
-    if (check.crashed && !notice.requests.empty() && left-- > 0) {
+    if (!check.crashed) {
+      continue;
+    }
+    const CrashNotice notice{
+        worker_id, {}, {}, address_, FirstOf(crashing_requests_.EndedBy(worker_id), kMaxRequests)};
+    if (!notice.requests.empty() && told < kMaxCrashesInReply) {
+      ++told;
       parts_.send(question.reply_address, EncodeFleetMessage(notice));
     }
   }
@@ -91,7 +96,7 @@
       check.service = service;
       check.parts = parts;
       if (check.crashed) {
-        OnCrashConfirmed(worker_id, check);
+        OnCrashConfirmed(worker_id, &check);
       }
     }
     return;
@@ -107,7 +112,7 @@
     }
     WorkerCheck& check = checked_workers_[worker_id];
     check.crashed = true;
-    OnCrashConfirmed(worker_id, check);
+    OnCrashConfirmed(worker_id, &check);
   });
 }
 
@@ -123,9 +128,7 @@
                                               const std::string& worker_address) {
   const absl::Time now = parts_.loop->Now();
   crashing_requests_.RecordEnd(request, worker_id, now);
-  const auto check = checked_workers_.find(worker_id);
-  const bool crashed = check != checked_workers_.end() && check->second.crashed;
-  if (check == checked_workers_.end()) {
+  if (!checked_workers_.contains(worker_id)) {
     if (unchecked_workers_.size() >= kMaxCheckedWorkers) {
       unchecked_workers_.clear();
     }
@@ -134,12 +137,11 @@
   if (crashing_requests_.EndsUnder(request) > 1) {
     OnRequestFailed(request);
   }
-  // The caller's next try may come before the worker was checked.
-  const bool refused = RefusedFor(request) > absl::ZeroDuration();
-  if (refused && !crashed) {
+  const auto check = checked_workers_.find(worker_id);
+  const bool in_flight = check != checked_workers_.end() && !check->second.crashed;
+  if (in_flight && RefusedFor(request) > absl::ZeroDuration()) {
+    // The caller's next try may come before the worker was checked.
     told_early_.insert(worker_id);
-  }
-  if (refused || crashed) {
     SendToAll(CrashNotice{worker_id, {}, {}, address_, {request}});
   }
 }
@@ -150,6 +152,13 @@
     if (unchecked != unchecked_workers_.end()) {
       const std::string address = unchecked->second;
       CheckWorker(worker_id, address, {}, {});
+      continue;
+    }
+    // The notice of a crash names only the requests that had ended by then.
+    const auto check = checked_workers_.find(worker_id);
+    if (check != checked_workers_.end() && check->second.crashed &&
+        check->second.told.insert(request).second) {
+      SendToAll(CrashNotice{worker_id, {}, {}, address_, {request}});
     }
   }
 }
@@ -190,14 +199,15 @@
   }
 }
 
-void QuarantineExchange::OnCrashConfirmed(const std::string& worker_id, const WorkerCheck& check) {
-  const PromptPartIds& parts = check.parts;
+void QuarantineExchange::OnCrashConfirmed(const std::string& worker_id, WorkerCheck* check) {
+  const PromptPartIds& parts = check->parts;
   ++parts_.metrics->worker_crashes;
-  Log("worker_crashed", check.service, parts, {worker_id});
-  quarantine_.RecordCrash(worker_id, check.service, parts, true, parts_.loop->Now());
+  Log("worker_crashed", check->service, parts, {worker_id});
+  quarantine_.RecordCrash(worker_id, check->service, parts, true, parts_.loop->Now());
   told_early_.erase(worker_id);
-  CrashNotice notice{worker_id, check.service, FirstOf(parts, kMaxParts), address_,
+  CrashNotice notice{worker_id, check->service, FirstOf(parts, kMaxParts), address_,
                      FirstOf(crashing_requests_.EndedBy(worker_id), kMaxRequests)};
+  check->told = notice.requests;
   SendToAll(notice);
   SetDueTimer();
 }
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -453,8 +453,8 @@
 }
 
 void RequestRelay::NoteInterrupted() {
-  // A node without a path can't tell whether the worker has ended, and callers send only what may
-  // run again.
+  // A node without a path can't tell whether the worker has ended, and callers don't repeat what
+  // may run only once.
   if (peer_.empty() && route_->MayRunAgain() && !path_->lost()) {
     context_->quarantine->OnRequestInterrupted(content_, worker_id_, worker_address_);
   }
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -372,6 +372,36 @@
   fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
 }
 
+// Guards against a crash whose later requests no other node knows of, and against one notice for
+// each of them (BUDGET).
+TEST_CASE("requests that end after their worker's crash is known are told once they have failed") {
+  Fleet fleet(2);
+  fleet.nodes[0]->exchange->OnAttemptBroken("w", "gone", kService, {"part"});
+  fleet.WaitUntilQuiet();
+  const std::size_t before = fleet.sent.size();
+  for (RequestContent request = 0; request < 20; ++request) {
+    fleet.nodes[0]->exchange->OnRequestInterrupted(request, "w", "gone");
+  }
+  CHECK(fleet.sent.size() == before);
+  fleet.nodes[0]->exchange->OnRequestFailed(7);
+  fleet.nodes[0]->exchange->OnRequestFailed(7);
+  fleet.WaitUntilQuiet();
+  // Three rounds to the other node.
+  CHECK(fleet.sent.size() == before + 3);
+  CHECK(fleet.probes == 1);
+  fleet.Interrupt(1, 7, 2);
+  fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
+}
+
+TEST_CASE("a node that starts is told of a bounded number of crashes") {
+  Fleet fleet(1);
+  fleet.Interrupt(0, 7, 200);
+  fleet.WaitUntilQuiet();
+  const std::size_t before = fleet.sent.size();
+  fleet.nodes[0]->exchange->OnQuestion({"n9"});
+  CHECK(fleet.sent.size() == before + 64);
+}
+
 // Guards against refusing requests whose connections were reset.
 TEST_CASE("interruptions by workers that still answer are no ends, also if they were told") {
   Fleet fleet(3);
