Slot ledger: a lent slot waits for its confirmation longer than its borrower may be silent

What could happen: a node that had taken a slot, and then said nothing for 400 ms, had it lent to another node while its attempt ran. Streams and plain requests that take longer than that were concerned, one slot for each node and worker, until the renewal after a second; rejections then lowered what was lent.

Found by the new case "the slot of an attempt that was abandoned is lent later" (lent after 399 ms, expected 500 ms and more). Cause: a slot counted for 400 ms after it was lent unless the borrower confirmed it, which it does with its next message; without other messages that is the renewal, each second. Now it counts for 1.5 s; a borrower whose answer was lost asks again within 40 ms and gets the same slot, so nothing is held up by that.

Two more cases: a lender that has taken over counts what its predecessor lent, and the slot of an abandoned attempt.

--- a/include/hingespan/serving/slot_ledger.h
+++ b/include/hingespan/serving/slot_ledger.h
@@ -32,8 +32,9 @@
   // Time for which a new lender counts the reported load, and the pause in a worker's messages
   // after which its lender is new again.
   absl::Duration settling_time = absl::Milliseconds(1500);
-  // Time after which a lent slot that its borrower has not confirmed is lent to others.
-  absl::Duration confirm_time = absl::Milliseconds(400);
+  // Time after which a lent slot that its borrower has not confirmed is lent to others. Longer than
+  // the interval at which borrowers tell what they hold.
+  absl::Duration confirm_time = absl::Milliseconds(1500);
   absl::Duration rejection_window = absl::Seconds(1);
   // Part of the rejections that a worker survives after which nothing is lent for the rest of the
   // window.
--- a/tests/brittle/slot_exchange_test.cc
+++ b/tests/brittle/slot_exchange_test.cc
@@ -168,6 +168,34 @@
         kLimit));
   }
 
+  // Takes slots for attempts that go on, until the node has so many.
+  void TakeSlots(Node* node, int count) {
+    int taken = 0;
+    REQUIRE(loop.RunUntil(
+        [&] {
+          if (taken < count && node->exchange->Take(kWorker, 0) == SlotExchange::Outcome::kTaken) {
+            ++taken;
+            WorkerDemand demand;
+            demand.service = kService;
+            node->workers.AttemptStarted(node->workers.Find(kWorker), demand, loop.Now());
+          }
+          return taken == count;
+        },
+        kLimit));
+  }
+
+  // Waits until the node is in line for a slot, and returns whether it got one instead.
+  bool TakesInsteadOfWaiting(Node* node) {
+    SlotExchange::Outcome outcome = SlotExchange::Outcome::kAsked;
+    REQUIRE(loop.RunUntil(
+        [&] {
+          outcome = node->exchange->Take(kWorker, 0);
+          return outcome != SlotExchange::Outcome::kAsked;
+        },
+        kLimit));
+    return outcome == SlotExchange::Outcome::kTaken;
+  }
+
   void BeginBrittle() {
     nodes.front()->exchange->OnBrittleAnswer({kService, kSurvived});
     REQUIRE(loop.RunUntil(
@@ -274,6 +302,41 @@
   CHECK(fleet.served >= 60);
 }
 
+// Guards against a new lender that never learns what its predecessor has lent.
+TEST_CASE("a lender that has taken over counts what its predecessor has lent") {
+  SlotFleet fleet(6);
+  fleet.BeginBrittle();
+  SlotFleet::Node* const former = fleet.Lender();
+  SlotFleet::Node* const borrower =
+      fleet.nodes[0].get() == former ? fleet.nodes[1].get() : fleet.nodes[0].get();
+  fleet.TakeSlots(borrower, kSlots - 1);
+  while (fleet.Lender() == former) {
+    fleet.Add()->exchange->OnNotice({kService, kSurvived});
+  }
+  // Only the new lender and one more node know of it.
+  SlotFleet::Node* const asking = fleet.Add();
+  asking->exchange->OnNotice({kService, kSurvived});
+  fleet.Connect(fleet.nodes.size() - 2);
+  REQUIRE(fleet.Lender() != former);
+  fleet.TakeSlots(asking, 1);
+  // All that the predecessor knew is there once this has been passed on.
+  CHECK_FALSE(fleet.TakesInsteadOfWaiting(borrower));
+  CHECK_FALSE(fleet.TakesInsteadOfWaiting(asking));
+}
+
+// Guards against a slot that is lent while a worker goes on with an attempt that was abandoned.
+TEST_CASE("the slot of an attempt that was abandoned is lent later") {
+  SlotFleet fleet(3);
+  fleet.BeginBrittle();
+  SlotFleet::Node* const first = fleet.nodes[0].get();
+  fleet.TakeSlots(first, kSlots);
+  const absl::Time abandoned = fleet.loop.Now();
+  first->workers.AttemptEnded(kWorker, "", 0, AttemptOutcome::kCancelled, fleet.loop.Now());
+  first->exchange->Return(kWorker, 0, false, SlotEnd::kAbandoned);
+  fleet.TakeSlots(fleet.nodes[1].get(), 1);
+  CHECK(fleet.loop.Now() - abandoned >= absl::Milliseconds(500));
+}
+
 TEST_CASE("nothing is sent while no service is brittle") {
   SlotFleet fleet(3);
   CHECK_FALSE(fleet.nodes[0]->exchange->IsBrittle(kService));
