Quarantine exchange: all ends under a request that has failed are told before their workers are checked

A caller's next try can reach another node before the first one has checked the workers: only the third end was told at once, the first two once they were confirmed. Where the check takes its time (a worker that went dark: 400 ms, or a machine under load) the second node sent the request to two workers more. Now a node tells each end when the request has failed, or has ended a second worker, and takes it back if the worker answers; each is told once for each request and worker.

The case "ends under a request are told before their workers were checked" replaces the one about the third end, and asks for more: with no check answered at all, the request is refused everywhere after the third. test-quarantine, 34 cases that speak of ends, crashes and bounds: passed.

--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -72,8 +72,8 @@
   QuarantineVerdict Admit(const std::string& service, const PromptPartIds& parts);
   // Time left of the quarantine that requests with these parts are under, if there is one.
   std::optional<absl::Duration> TimeLeft(const std::string& service, const PromptPartIds& parts);
-  // Called when an attempt at the worker ended as if the worker had. The other nodes are told once
-  // the worker doesn't answer.
+  // Called when an attempt at the worker ended as if the worker had. The other nodes are told when
+  // another one does, or the request fails.
   void OnRequestInterrupted(RequestContent request, const std::string& worker_id,
                             const std::string& worker_address);
   // Called when a request fails here for good, though its caller may send it again: the workers
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -137,13 +137,6 @@
   if (crashing_requests_.EndsUnder(request) > 1) {
     OnRequestFailed(request);
   }
-  const auto check = checked_workers_.find(worker_id);
-  const bool in_flight = check != checked_workers_.end() && !check->second.crashed;
-  if (in_flight && RefusedFor(request) > absl::ZeroDuration()) {
-    // The caller's next try may come before the worker was checked.
-    told_early_.insert(worker_id);
-    SendToAll(CrashNotice{worker_id, {}, {}, address_, {request}});
-  }
 }
 
 void QuarantineExchange::OnRequestFailed(RequestContent request) {
@@ -152,14 +145,16 @@
     if (unchecked != unchecked_workers_.end()) {
       const std::string address = unchecked->second;
       CheckWorker(worker_id, address, {}, {});
-      continue;
     }
-    // The notice of a crash names only the requests that had ended by then.
     const auto check = checked_workers_.find(worker_id);
-    if (check != checked_workers_.end() && check->second.crashed &&
-        check->second.told.insert(request).second) {
-      SendToAll(CrashNotice{worker_id, {}, {}, address_, {request}});
+    if (check == checked_workers_.end() || !check->second.told.insert(request).second) {
+      continue;  // Another node has told of it, or this one.
     }
+    // The caller's next try may come before the worker was checked.
+    if (!check->second.crashed) {
+      told_early_.insert(worker_id);
+    }
+    SendToAll(CrashNotice{worker_id, {}, {}, address_, {request}});
   }
 }
 
@@ -207,7 +202,7 @@
   told_early_.erase(worker_id);
   CrashNotice notice{worker_id, check->service, FirstOf(parts, kMaxParts), address_,
                      FirstOf(crashing_requests_.EndedBy(worker_id), kMaxRequests)};
-  check->told = notice.requests;
+  check->told.insert(notice.requests.begin(), notice.requests.end());
   SendToAll(notice);
   SetDueTimer();
 }
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -351,12 +351,20 @@
 }
 
 // Guards against a caller's next try that comes before the worker was checked (BUDGET).
-TEST_CASE("the third end under a request is told before its worker was checked") {
+TEST_CASE("ends under a request are told before their workers were checked") {
   Fleet fleet(3);
-  fleet.Interrupt(0, 7, 2);
-  fleet.WaitUntilQuiet();
   fleet.hold_probes = true;
-  fleet.Interrupt(1, 7, 1);
+  SUBCASE("two at the first node") {
+    fleet.Interrupt(0, 7, 2);
+    fleet.WaitUntilQuiet();
+    fleet.Interrupt(1, 7, 1);
+  }
+  SUBCASE("two at the second node") {
+    fleet.Interrupt(0, 7, 1);
+    fleet.nodes[0]->exchange->OnRequestFailed(7);
+    fleet.WaitUntilQuiet();
+    fleet.Interrupt(1, 7, 2);
+  }
   fleet.Wait([&] { return fleet.AllRefuseRequest(7); });
 }
 
