Soak checks: tries of requests that end workers are no streams that have to go on

Such a request has to be refused after the third end, so it can't be asked to go on; prompts that crash workers are left out of this check for the same reason. It stays as strict for all other streams: the new case shows that refused ones are reported however many of these there are.

--- a/tests/soak/stream_versions.cc
+++ b/tests/soak/stream_versions.cc
@@ -77,9 +77,10 @@
   std::map<std::string, std::string> version_of;
   StreamShares shares;
   for (const auto& request : records.requests) {
-    // That a prompt which crashes workers brings no event must not excuse streams that don't go on.
+    // Prompts and requests that crash workers are not to go on, and that they bring no event must
+    // not excuse other streams that don't go on.
     if (request->kind != RequestKind::kResumableStream ||
-        request->prompt == PromptKind::kCrashing) {
+        request->prompt == PromptKind::kCrashing || !request->crashing_name.empty()) {
       continue;
     }
     if (request->resumed_id.empty()) {
--- a/tests/soak_checks/stream_versions_test.cc
+++ b/tests/soak_checks/stream_versions_test.cc
@@ -99,5 +99,28 @@
   CHECK(fixture.Broken() == Names{"streams that are taken up go on"});
 }
 
+// Guards against asking that a request which ends workers goes on, and against excusing others by
+// it.
+TEST_CASE("tries of requests that end workers don't count as streams") {
+  Fixture fixture;
+  fixture.records.presences = {{"w1", "models", "v1", At(0)}, {"w2", "models", "v1", At(0)}};
+  for (int number = 0; number < kStreams; ++number) {
+    RequestRecord* const next = AddTakenUp(&fixture, "v1");
+    next->crashing_name = "bad";
+    next->head.status = 503;
+    next->body.clear();
+  }
+  CHECK(fixture.Broken().empty());
+  for (int number = 0; number < kStreams; ++number) {
+    RequestRecord* const next = AddTakenUp(&fixture, "v1");
+    next->head.status = 503;
+    next->body.clear();
+  }
+  for (int number = 0; number < 9 * kStreams; ++number) {
+    fixture.Add(RequestKind::kResumableStream, 502, "")->crashing_name = "bad";
+  }
+  CHECK(fixture.Broken() == Names{"streams that are taken up go on"});
+}
+
 }  // namespace
 }  // namespace hingespan::soak
