Slot exchange: a second lender that reaches nobody does not lend to itself

Cause: with no datagram arriving, the first lender of a worker lends its slots to itself, and so does the second one as soon as it takes the first for gone: twice the worker's slots at once.

Change: a node that is not the first lender lends to itself only while another node borrows from it, which shows that the first lender is gone for others, too. Else it sends one attempt at a time and pauses after rejections, like any node without a lender.

--- a/include/hingespan/serving/slot_ledger.h
+++ b/include/hingespan/serving/slot_ledger.h
@@ -112,6 +112,8 @@
   // Returns the slots that are lent as time has passed.
   std::vector<LentSlot> LendDue(absl::Time now);
   bool Lends(const std::string& worker_id) const { return workers_.contains(worker_id); }
+  // Returns whether another node than this one has told of its attempts at the worker.
+  bool HasBorrowerBeside(const std::string& worker_id, const std::string& node) const;
   // Ends the lending of the worker's slots. Returns what its next lender has to know, as if the
   // nodes told it themselves.
   std::vector<SlotRequest> HandOver(const std::string& worker_id);
--- a/src/fleet/slot_exchange.cc
+++ b/src/fleet/slot_exchange.cc
@@ -117,9 +117,14 @@
     entry->second = ChooseHolders(worker_id, nodes_, "");
   }
   const absl::Time now = parts_.loop->Now();
-  for (const StreamNode& node : entry->second) {
+  const std::vector<StreamNode>& lenders = entry->second;
+  for (const StreamNode& node : lenders) {
     const auto mark = unresponsive_.find(node.name);
-    if (mark == unresponsive_.end() || mark->second <= now) {
+    const bool responsive = mark == unresponsive_.end() || mark->second <= now;
+    // A node that is cut off from all others must not lend to itself what the first lender lends.
+    const bool may_lend = node.name != node_ || node.name == lenders.front().name ||
+                          ledger_.HasBorrowerBeside(worker_id, node_);
+    if (responsive && may_lend) {
       return &node;
     }
   }
--- a/src/serving/slot_ledger.cc
+++ b/src/serving/slot_ledger.cc
@@ -57,6 +57,13 @@
   return lent;
 }
 
+bool SlotLedger::HasBorrowerBeside(const std::string& worker_id, const std::string& node) const {
+  const auto entry = workers_.find(worker_id);
+  return entry != workers_.end() &&
+         std::any_of(entry->second.leases.begin(), entry->second.leases.end(),
+                     [&](const auto& lease) { return lease.first != node; });
+}
+
 std::vector<SlotRequest> SlotLedger::HandOver(const std::string& worker_id) {
   std::vector<SlotRequest> requests;
   const auto entry = workers_.find(worker_id);
--- a/tests/brittle/slot_exchange_test.cc
+++ b/tests/brittle/slot_exchange_test.cc
@@ -32,6 +32,7 @@
   struct Node {
     std::string name;
     bool alive = true;
+    int most_running = 0;
     GatewayMetrics metrics;
     WorkerDirectory workers{"n", "z"};
     std::unique_ptr<SlotExchange> exchange;
@@ -119,6 +120,7 @@
       return;
     }
     ++sent;
+    node->most_running = std::max(node->most_running, node->workers.Find(kWorker)->running + 1);
     WorkerDemand demand;
     demand.service = kService;
     node->workers.AttemptStarted(node->workers.Find(kWorker), demand, loop.Now());
@@ -337,6 +339,19 @@
   CHECK(fleet.loop.Now() - abandoned >= absl::Milliseconds(500));
 }
 
+// Guards against two lenders that reach nobody, and lend the same slots each to itself (LIMIT).
+TEST_CASE("the second lender lends to itself only what it lends to others as well") {
+  SlotFleet fleet(2);
+  fleet.BeginBrittle();
+  fleet.lose = [] { return true; };
+  fleet.Press(absl::Seconds(4));
+  SlotFleet::Node* const first = fleet.Lender();
+  for (const auto& node : fleet.nodes) {
+    CHECK(node->most_running == (node.get() == first ? kSlots : 1));
+  }
+  CHECK(fleet.most_rejections <= kSurvived);
+}
+
 TEST_CASE("nothing is sent while no service is brittle") {
   SlotFleet fleet(3);
   CHECK_FALSE(fleet.nodes[0]->exchange->IsBrittle(kService));
