Request relay: an end under a request counts whether or not the path to the workers does

What callers saw: soak (requests, 3 gateways, 30 s) on: one arrival of a request under which three workers had ended.

Cause: traced in its logs. Request s832780430-480 ended plain-1 and, as its repeat, plain-21 at gateway-1, which between the two called its path to the service lost, since the workers that it asked had all crashed. Ends on a lost path were not counted, because a node that is cut off can't tell an end from a cut; so the other nodes learnt of one end only, and the next tries ended plain-18 and plain-16.

Change: the path doesn't matter any more. Whether the worker has ended is decided by the check that asks it, as everywhere else. What a node behind a real cut counts is at most what its few attempts are interrupted, and is cleared once the request is served elsewhere.

All 66 cases of test-quarantine and 13 of test-partition pass.

--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -453,9 +453,9 @@
 }
 
 void RequestRelay::NoteInterrupted() {
-  // A node without a path can't tell whether the worker has ended, and callers don't repeat what
-  // may run only once.
-  if (peer_.empty() && route_->MayRunAgain() && !path_->lost()) {
+  // Callers don't repeat what may run only once. A path that counts as lost excuses nothing: it
+  // also does when the workers themselves have ended.
+  if (peer_.empty() && route_->MayRunAgain()) {
     context_->quarantine->OnRequestInterrupted(content_, worker_id_, worker_address_);
   }
 }
--- a/tests/quarantine/quarantine_guards_test.cc
+++ b/tests/quarantine/quarantine_guards_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
@@ -12,6 +13,7 @@
 #include "hingespan/fleet/peer_link.h"
 #include "hingespan/serving/request_content.h"
 #include "tests/serving/gateway_world.h"
+#include "tests/soak/fault_proxy.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -179,6 +181,46 @@
   CHECK(second->arrivals().empty());
 }
 
+// Guards against ends that no other node learns of, as the node that sees them has lost its path to
+// the workers, which may have ended under the same request (BUDGET).
+TEST_CASE("an end under a request counts while the path to the workers is lost") {
+  GuardFixture fixture;
+  std::vector<std::unique_ptr<soak::FaultProxy>> links;
+  const auto add = [&](const std::string& id) {
+    PlatformWorkerOptions options;
+    options.id = id;
+    options.service = "models";
+    options.models["m1"];
+    options.events = 200;
+    options.event_interval = absl::Milliseconds(50);
+    options.writes_row_at_start = false;
+    PlatformWorker* const worker = fixture.AddWorker(options);
+    links.push_back(std::make_unique<soak::FaultProxy>(&fixture.loop, worker->address()));
+    worker->Announce(links.back()->address());
+    return links.back().get();
+  };
+  soak::FaultProxy* const link = add("w9");
+  const auto call = fixture.Send(fixture.node, fixture.RequestWithPart());
+  REQUIRE(fixture.Wait([&] { return !call->body.empty(); }));
+  // All workers that the node asks before the first one refuse connections.
+  for (const char* id : {"d1", "d2", "d3"}) {
+    add(id)->SetFault(soak::LinkFault::kRefuse);
+  }
+  std::vector<std::unique_ptr<TestCall>> others;
+  REQUIRE(fixture.Wait([&] {
+    if (others.empty() || others.back()->ended) {
+      TestRequest other = StreamRequest("/stream/x", "m1");
+      other.id = absl::StrCat("other", others.size());
+      others.push_back(fixture.Send(fixture.node, other));
+    }
+    return fixture.HasLine("path_lost");
+  }));
+  REQUIRE_FALSE(call->ended);
+  link->SetFault(soak::LinkFault::kReset);
+  REQUIRE(fixture.Wait([&] { return call->ended; }));
+  REQUIRE(fixture.Wait([&] { return fixture.HasLine("worker_crashed"); }));
+}
+
 // Guards against a stream that begins anew in the middle of an answer (ORDER).
 TEST_CASE("a stream whose events have no ids does not go on elsewhere") {
   GatewayFixture fixture;
