Slots: the lender is a class of its own, and the relay's part a file of its own

No behaviour changes. SlotExchange did two jobs, borrowing for this node's attempts and lending to all; the latter, with takeovers and what is passed on, is SlotLender now. The callback on_lent was also called when a slot was refused and is named on_answer.

--- a/include/hingespan/fleet/slot_exchange.h
+++ b/include/hingespan/fleet/slot_exchange.h
@@ -1,12 +1,10 @@
-// Borrows slots of brittle workers from the nodes that lend them, and lends those of other workers.
+// Borrows slots of brittle workers for this node's attempts.
 //
 // While a service's workers say that they are brittle, an attempt is sent to one of them only with
 // a slot of that worker. Each worker's slots are lent by one node, chosen by rendezvous hashing, or
-// by a second one while the first doesn't reply (SlotLedger). Nodes may differ for a while about
-// which nodes there are; so a node that begins to lend takes over from those that may have lent
-// before, which hand over what they know and pass on what they are still asked. A node that reaches
-// no lender sends one attempt at a time to a worker, and after a rejection pauses for so long that
-// all nodes together stay below what the worker survives, even if none of them reaches a lender.
+// by a second one while the first doesn't reply (SlotLender). A node that reaches no lender sends
+// one attempt at a time to a worker, and after a rejection pauses for so long that all nodes
+// together stay below what the worker survives, even if none of them reaches a lender.
 //
 // Nothing is sent, and no timer runs, while no service has brittle workers.
 #ifndef HINGESPAN_FLEET_SLOT_EXCHANGE_H_
@@ -24,12 +22,12 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/fleet/slot_lender.h"
 #include "hingespan/fleet/stream_holders.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/serving/brittle_services.h"
 #include "hingespan/serving/decision_log.h"
 #include "hingespan/serving/gateway_metrics.h"
-#include "hingespan/serving/slot_ledger.h"
 #include "hingespan/serving/worker_directory.h"
 
 namespace hingespan::gateway {
@@ -43,8 +41,8 @@
   std::function<void(const std::string& address, absl::string_view bytes)> send;
   // Tokens that an engine of the service has memory for; 0 if its workers are no engines.
   std::function<double(const std::string& service)> token_capacity;
-  // Called when a slot was lent to this node.
-  std::function<void()> on_lent;
+  // Called when a slot was lent to this node, or was refused for now.
+  std::function<void()> on_answer;
 };
 
 // How an attempt with a borrowed slot has ended.
@@ -77,9 +75,9 @@
   enum class Outcome {
     // The slot is taken for an attempt that is about to be sent.
     kTaken,
-    // The lender was asked and has not replied yet.
+    // The lender was asked; `on_answer` is called when it replies.
     kAsked,
-    // There is no free slot now; `on_lent` is called when there is one.
+    // There is no free slot now; `on_answer` is called when there is one.
     kQueued,
   };
   // Takes a slot of the worker for an attempt of so many tokens.
@@ -137,13 +135,8 @@
   WorkerCapacity CapacityOf(const WorkerState& worker) const;
   // Tells the lender what this node holds; asks for a slot if `wants_slot`.
   void Tell(const std::string& worker_id, Borrowed* borrowed, bool wants_slot, bool wants_reply);
-  void Apply(const SlotRequest& request);
-  // Passes the request on if another node has taken over. Returns whether it has done so.
-  bool PassOn(SlotRequest request);
-  // Takes over from the nodes that may have lent the worker's slots until now.
-  void BeginToLend(const std::string& worker_id);
-  void SendTakeovers(absl::Time now);
-  void SendLent(const std::vector<LentSlot>& lent);
+  // Counts and sends a datagram.
+  void Send(const std::string& address, const FleetMessage& message);
   // Tells all lenders of the service's workers what this node has sent there already.
   void TellAll(const std::string& service);
   void SendNotice(const BrittleService& service);
@@ -161,24 +154,8 @@
   // Nodes that did not reply, and until when they are not asked.
   std::map<std::string, absl::Time> unresponsive_;
   std::map<std::string, std::vector<StreamNode>> lenders_;
-  // The nodes before they changed last.
-  std::vector<StreamNode> former_nodes_;
-  // A takeover that is told several times, as a datagram may be lost.
-  struct Takeover {
-    std::set<std::string> addresses;
-    int rounds_left = 0;
-    absl::Time due;
-  };
-  std::map<std::string, Takeover> takeovers_;
-  // Workers whose slots another node has begun to lend: its address, and how long requests that
-  // still come here are passed on.
-  struct Successor {
-    std::string address;
-    absl::Time until;
-  };
-  std::map<std::string, Successor> successors_;
   BrittleServices brittle_;
-  SlotLedger ledger_;
+  SlotLender lender_;
   std::map<std::string, Borrowed> borrowed_;
   std::uint64_t last_number_ = 0;
   std::unique_ptr<LoopTimer> timer_;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -39,7 +39,6 @@
 
 class QuarantineExchange;
 class SlotExchange;
-enum class SlotEnd;
 struct GatewayMetrics;
 
 // Interface of the gateway to its requests.
@@ -193,8 +192,10 @@
   WorkerChoice ChooseWithSlot(WorkerDemand demand, absl::Time now);
   // Tokens of the prompt and the longest answer.
   double Tokens() const { return facts_.prompt_tokens + facts_.max_output_tokens; }
-  // Gives the attempt's slot back.
-  void ReturnSlot(SlotEnd end, bool answer_started);
+  // Gives the slot of an attempt that has ended back.
+  void ReturnSlot(AttemptOutcome outcome);
+  // Gives a slot back for which no attempt was sent.
+  void ReturnUnusedSlot();
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
   // Sets the state that a new attempt begins with.
   void BeginAttempt(absl::Time now);
--- a/src/fleet/slot_exchange.cc
+++ b/src/fleet/slot_exchange.cc
@@ -30,10 +30,6 @@
 constexpr double kDirectPart = 0.25;
 constexpr absl::Duration kMinDirectPause = absl::Seconds(1);
 constexpr absl::Duration kMaxDirectPause = absl::Seconds(60);
-// Datagrams of a takeover, and how long the former lender passes requests on.
-constexpr int kTakeoverRounds = 3;
-constexpr absl::Duration kTakeoverInterval = absl::Milliseconds(60);
-constexpr absl::Duration kPassOnTime = absl::Seconds(10);
 // Size that a fleet of unknown size is taken for.
 constexpr std::size_t kUnknownFleet = 32;
 
@@ -43,20 +39,20 @@
     : node_(std::move(node)),
       incarnation_(incarnation),
       parts_(std::move(parts)),
+      lender_(node_, {parts_.loop, parts_.metrics, parts_.workers, parts_.send,
+                      [this](const SlotReply& reply) { OnReply(reply); }}),
       timer_(parts_.loop->MakeTimer()) {}
 
 SlotExchange::~SlotExchange() = default;
 
-void SlotExchange::SetAddress(std::string address) { address_ = std::move(address); }
+void SlotExchange::SetAddress(std::string address) {
+  address_ = std::move(address);
+  lender_.SetAddress(address_);
+}
 
 void SlotExchange::SetNodes(std::vector<StreamNode> nodes) {
-  const auto same_name = [](const StreamNode& left, const StreamNode& right) {
-    return left.name == right.name;
-  };
-  if (!std::equal(nodes.begin(), nodes.end(), nodes_.begin(), nodes_.end(), same_name)) {
-    former_nodes_ = std::move(nodes_);
-  }
   nodes_ = std::move(nodes);
+  lender_.SetNodes(nodes_);
   lenders_.clear();
 }
 
@@ -89,12 +85,9 @@
 }
 
 void SlotExchange::SendNotice(const BrittleService& service) {
-  const std::string bytes =
-      EncodeFleetMessage(BrittleNotice{service.service, service.survived_rejections});
   for (const StreamNode& node : nodes_) {
     if (node.name != node_) {
-      ++parts_.metrics->slot_datagrams;
-      parts_.send(node.address, bytes);
+      Send(node.address, BrittleNotice{service.service, service.survived_rejections});
     }
   }
 }
@@ -122,8 +115,8 @@
     const auto mark = unresponsive_.find(node.name);
     const bool responsive = mark == unresponsive_.end() || mark->second <= now;
     // A node that is cut off from all others must not lend to itself what the first lender lends.
-    const bool may_lend = node.name != node_ || node.name == lenders.front().name ||
-                          ledger_.HasBorrowerBeside(worker_id, node_);
+    const bool may_lend =
+        node.name != node_ || node.name == lenders.front().name || lender_.LendsToOthers(worker_id);
     if (responsive && may_lend) {
       return &node;
     }
@@ -272,114 +265,27 @@
     borrowed->pending = Pending{request.number, now, sends + 1, wants_slot};
   }
   if (lender->name == node_) {
-    Apply(request);
-    return;
+    lender_.OnRequest(request);
+  } else {
+    Send(lender->address, request);
   }
-  ++parts_.metrics->slot_datagrams;
-  parts_.send(lender->address, EncodeFleetMessage(request));
 }
 
-void SlotExchange::OnRequest(const SlotRequest& request) {
-  Apply(request);
-  SetTimer();
-}
-
-bool SlotExchange::PassOn(SlotRequest request) {
-  const auto successor = successors_.find(request.worker_id);
-  if (successor == successors_.end()) {
-    return false;
-  }
-  if (request.passed_on || successor->second.until <= parts_.loop->Now()) {
-    successors_.erase(successor);
-    return false;
-  }
-  request.passed_on = true;
+void SlotExchange::Send(const std::string& address, const FleetMessage& message) {
   ++parts_.metrics->slot_datagrams;
-  parts_.send(successor->second.address, EncodeFleetMessage(request));
-  return true;
-}
-
-void SlotExchange::BeginToLend(const std::string& worker_id) {
-  Takeover takeover{{}, kTakeoverRounds, parts_.loop->Now()};
-  for (const std::vector<StreamNode>* const nodes : {&nodes_, &former_nodes_}) {
-    for (const StreamNode& node : ChooseHolders(worker_id, *nodes, node_)) {
-      takeover.addresses.insert(node.address);
-    }
-  }
-  takeovers_[worker_id] = std::move(takeover);
-  SendTakeovers(parts_.loop->Now());
+  parts_.send(address, EncodeFleetMessage(message));
 }
 
-void SlotExchange::SendTakeovers(absl::Time now) {
-  for (auto entry = takeovers_.begin(); entry != takeovers_.end();) {
-    Takeover& takeover = entry->second;
-    if (takeover.due > now) {
-      ++entry;
-      continue;
-    }
-    const std::string bytes = EncodeFleetMessage(SlotTakeover{entry->first, address_});
-    for (const std::string& address : takeover.addresses) {
-      ++parts_.metrics->slot_datagrams;
-      parts_.send(address, bytes);
-    }
-    takeover.due = now + kTakeoverInterval;
-    entry = --takeover.rounds_left > 0 ? std::next(entry) : takeovers_.erase(entry);
-  }
+void SlotExchange::OnRequest(const SlotRequest& request) {
+  lender_.OnRequest(request);
+  SetTimer();
 }
 
 void SlotExchange::OnTakeover(const SlotTakeover& takeover) {
-  if (takeover.address == address_) {
-    return;
-  }
-  for (const SlotRequest& request : ledger_.HandOver(takeover.worker_id)) {
-    ++parts_.metrics->slot_datagrams;
-    parts_.send(takeover.address, EncodeFleetMessage(request));
-  }
-  takeovers_.erase(takeover.worker_id);
-  successors_[takeover.worker_id] = {takeover.address, parts_.loop->Now() + kPassOnTime};
+  lender_.OnTakeover(takeover);
   SetTimer();
 }
 
-void SlotExchange::Apply(const SlotRequest& request) {
-  if (PassOn(request)) {
-    return;
-  }
-  const bool begins = !ledger_.Lends(request.worker_id);
-  const auto worker = parts_.workers->workers().find(request.worker_id);
-  const int reported = worker == parts_.workers->workers().end()
-                           ? 0
-                           : worker->second.running + worker->second.peers_running;
-  const std::vector<LentSlot> lent = ledger_.Apply(request, reported, parts_.loop->Now());
-  if (begins) {
-    BeginToLend(request.worker_id);
-  }
-  const bool answered = std::any_of(lent.begin(), lent.end(), [&](const LentSlot& slot) {
-    return slot.borrower.node == request.borrower.node;
-  });
-  if (request.wants_reply && !answered) {
-    const SlotReply reply{request.worker_id, request.number, false};
-    if (request.borrower.node == node_) {
-      OnReply(reply);
-    } else {
-      ++parts_.metrics->slot_datagrams;
-      parts_.send(request.borrower.address, EncodeFleetMessage(reply));
-    }
-  }
-  SendLent(lent);
-}
-
-void SlotExchange::SendLent(const std::vector<LentSlot>& lent) {
-  for (const LentSlot& slot : lent) {
-    const SlotReply reply{slot.worker_id, slot.number, true};
-    if (slot.borrower.node == node_) {
-      OnReply(reply);
-      continue;
-    }
-    ++parts_.metrics->slot_datagrams;
-    parts_.send(slot.borrower.address, EncodeFleetMessage(reply));
-  }
-}
-
 void SlotExchange::OnReply(const SlotReply& reply) {
   const auto entry = borrowed_.find(reply.worker_id);
   if (entry == borrowed_.end()) {
@@ -392,7 +298,7 @@
     if (current) {
       borrowed.queued = borrowed.pending->wants_slot;
       borrowed.pending.reset();
-      parts_.on_lent();
+      parts_.on_answer();
     }
     return;
   }
@@ -404,7 +310,7 @@
   borrowed.queued = false;
   borrowed.free_tokens = borrowed.wanted_tokens;
   borrowed.free_until = parts_.loop->Now() + kFreeSlotLifetime;
-  parts_.on_lent();
+  parts_.on_answer();
 }
 
 void SlotExchange::SetTimer() {
@@ -419,13 +325,11 @@
   const absl::Time now = parts_.loop->Now();
   brittle_.Expire(now);
   std::erase_if(unresponsive_, [now](const auto& entry) { return entry.second <= now; });
-  std::erase_if(successors_, [now](const auto& entry) { return entry.second.until <= now; });
-  SendTakeovers(now);
-  SendLent(ledger_.LendDue(now));
+  lender_.OnTick();
   for (auto entry = borrowed_.begin(); entry != borrowed_.end();) {
     entry = Maintain(entry->first, &entry->second, now) ? borrowed_.erase(entry) : std::next(entry);
   }
-  if (!borrowed_.empty() || !ledger_.empty() || !successors_.empty()) {
+  if (!borrowed_.empty() || !lender_.idle()) {
     SetTimer();
   }
 }
@@ -491,7 +395,7 @@
       Tell(id, &each, wants_slot, true);
     }
   }
-  parts_.on_lent();
+  parts_.on_answer();
 }
 
 }  // namespace hingespan::gateway
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -6,7 +6,6 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "hingespan/fleet/quarantine_exchange.h"
-#include "hingespan/fleet/slot_exchange.h"
 #include "hingespan/serving/gateway_metrics.h"
 #include "hingespan/serving/request_content.h"
 
@@ -46,8 +45,6 @@
 constexpr double kMaxRetryAfterFraction = 0.3;
 // Reading from the worker pauses while more bytes than this wait for a slow caller.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
-// Number of workers of which a request waits for a slot at the same time.
-constexpr int kMaxLines = 2;
 // A request that still waits this long before its node's stop limit is refused, so that another
 // node can serve it.
 constexpr absl::Duration kQueueStopMargin = absl::Seconds(1);
@@ -70,21 +67,6 @@
   return "none";
 }
 
-// Returns how the slot of an attempt with this outcome ends.
-SlotEnd SlotEndOf(AttemptOutcome outcome, bool misdirected) {
-  switch (outcome) {
-    case AttemptOutcome::kServed:
-    case AttemptOutcome::kUnreachable:
-      return SlotEnd::kFreed;
-    case AttemptOutcome::kFull:
-      return misdirected ? SlotEnd::kFreed : SlotEnd::kRejected;
-    case AttemptOutcome::kFailed:
-    case AttemptOutcome::kCancelled:
-      return SlotEnd::kAbandoned;
-  }
-  return SlotEnd::kAbandoned;
-}
-
 }  // namespace
 
 RequestRelay::RequestRelay(const RelayContext* context, std::shared_ptr<ServerExchange> exchange,
@@ -223,71 +205,11 @@
   if (AcquireRepeat(now)) {
     Dispatch(choice.worker, demand, now);
   } else {
-    ReturnSlot(SlotEnd::kFreed, false);
+    ReturnUnusedSlot();
   }
   return true;
 }
 
-WorkerChoice RequestRelay::ChooseWorker(const WorkerDemand& demand, absl::Time now) {
-  if (context_->slots->IsBrittle(service_)) {
-    return ChooseWithSlot(demand, now);
-  }
-  return context_->workers->Choose(demand, routes_->configuration(), now);
-}
-
-WorkerChoice RequestRelay::ChooseWithSlot(WorkerDemand demand, absl::Time now) {
-  using Outcome = SlotExchange::Outcome;
-  const auto choose = [&] {
-    return context_->workers->Choose(demand, routes_->configuration(), now);
-  };
-  const auto take = [&](const WorkerChoice& choice) {
-    const Outcome outcome = context_->slots->Take(choice.worker->record.id, Tokens());
-    if (outcome == Outcome::kTaken) {
-      slot_of_ = choice.worker->record.id;
-    }
-    return outcome;
-  };
-  demand.borrows_slot = true;
-  const std::set<std::string> with_slot = context_->slots->WorkersWithSlot();
-  if (!with_slot.empty()) {
-    demand.among = &with_slot;
-    const WorkerChoice choice = choose();
-    if (choice.worker != nullptr && take(choice) == Outcome::kTaken) {
-      return choice;
-    }
-    demand.among = nullptr;
-  }
-  std::set<std::string> excluded = excluded_workers_;
-  demand.excluded = &excluded;
-  WorkerChoice choice = choose();
-  const int candidates = choice.candidates;
-  for (int asked = 0; asked < kMaxLines && choice.worker != nullptr; ++asked) {
-    const Outcome outcome = take(choice);
-    if (outcome == Outcome::kTaken) {
-      return choice;
-    }
-    if (outcome == Outcome::kAsked) {
-      break;
-    }
-    excluded.insert(choice.worker->record.id);
-    choice = choose();
-  }
-  if (candidates == 0) {
-    return choice;
-  }
-  return {nullptr, ChoiceProblem::kAllBusy, candidates};
-}
-
-void RequestRelay::ReturnSlot(SlotEnd end, bool answer_started) {
-  const std::string worker = std::exchange(slot_of_, {});
-  if (!worker.empty()) {
-    context_->slots->Return(worker, Tokens(), answer_started, end);
-  } else if (peer_.empty()) {
-    // Sent before the workers were brittle.
-    context_->slots->Return(worker_id_, 0, true, end);
-  }
-}
-
 bool RequestRelay::AcquireRepeat(absl::Time now) {
   if (arrivals_ == 0) {
     return true;
@@ -448,18 +370,6 @@
                         {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
 }
 
-bool RequestRelay::HasEndedWorkers() const {
-  return context_->quarantine->RefusedFor(content_) > absl::ZeroDuration();
-}
-
-void RequestRelay::NoteInterrupted() {
-  // Callers don't repeat what may run only once. A path that counts as lost excuses nothing: it
-  // also does when the workers themselves have ended.
-  if (peer_.empty() && route_->MayRunAgain()) {
-    context_->quarantine->OnRequestInterrupted(content_, worker_id_, worker_address_);
-  }
-}
-
 bool RequestRelay::MayRepeat() const {
   return CanGoOn() && context_->quarantine->MayRepeat(service_, shared_parts_);
 }
@@ -579,7 +489,7 @@
   context_->workers->AttemptEnded(worker_id_, model_.model,
                                   answer_started_ ? 0 : facts_.prompt_tokens, outcome,
                                   context_->loop->Now());
-  ReturnSlot(SlotEndOf(outcome, answer_facts_.misdirected), answer_started_);
+  ReturnSlot(outcome);
   context_->host->RunningChanged(service_, model_, -1);
   context_->host->ScheduleDispatch();
 }
--- a/src/serving/request_relay_quarantine.cc
+++ b/src/serving/request_relay_quarantine.cc
@@ -1,4 +1,4 @@
-// Requests whose prompts may crash workers.
+// Requests that may crash workers, by their prompts or by themselves.
 #include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/serving/request_relay.h"
 
@@ -45,6 +45,18 @@
   GiveUp(502, kQuarantined);
 }
 
+bool RequestRelay::HasEndedWorkers() const {
+  return context_->quarantine->RefusedFor(content_) > absl::ZeroDuration();
+}
+
+void RequestRelay::NoteInterrupted() {
+  // Callers don't repeat what may run only once. A path that counts as lost excuses nothing: it
+  // also does when the workers themselves have ended.
+  if (peer_.empty() && route_->MayRunAgain()) {
+    context_->quarantine->OnRequestInterrupted(content_, worker_id_, worker_address_);
+  }
+}
+
 void RequestRelay::NoteAnswerGoesOn(absl::Time now, bool ended) {
   if (answer_noted_ || (!ended && now - answer_started_at_ < kAnswerSurvives)) {
     return;
--- a/tests/brittle/slot_exchange_test.cc
+++ b/tests/brittle/slot_exchange_test.cc
@@ -62,7 +62,7 @@
       Deliver(address, std::string(bytes));
     };
     parts.token_capacity = [](const std::string&) { return 0.0; };
-    parts.on_lent = [] {};
+    parts.on_answer = [] {};
     node->exchange = std::make_unique<SlotExchange>(node->name, 1, std::move(parts));
     node->exchange->SetAddress(node->name);
     nodes.push_back(std::move(node));
