--- a/tests/quarantine/crashing_prompt_test.cc
+++ b/tests/quarantine/crashing_prompt_test.cc
@@ -10,15 +10,13 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "tests/quarantine/restarting_workers.h"
 #include "tests/serving/gateway_world.h"
-#include "tests/soak/fault_proxy.h"
 
 namespace hingespan::gateway {
 namespace {
 
 using emulator::PlatformWorker;
-using soak::FaultProxy;
-using soak::LinkFault;
 
 constexpr const char* kCrashingPart = "bad";
 constexpr const char* kFirstPart = "first";
@@ -33,9 +31,9 @@
 
 // Nodes, and workers that crash on a part and are back under a new id after a while.
 struct CrashFixture : GatewayFixture {
-  CrashFixture() {
+  CrashFixture() : restarting(this, kRestartTime, &CrashFixture::WorkerOptions) {
     for (int number = 0; number < kWorkers; ++number) {
-      Start();
+      restarting.Start();
     }
     for (int number = 0; number < kNodes; ++number) {
       AddNode(absl::StrCat("n", number));
@@ -45,31 +43,15 @@
     }
   }
 
-  void Start() {
-    const std::size_t index = links.size();
+  static emulator::PlatformWorkerOptions WorkerOptions() {
     emulator::PlatformWorkerOptions options;
-    options.id = absl::StrCat("w", index);
     options.service = "models";
     options.models["m1"];
     options.slots = 20;
     options.prompt_time = absl::Milliseconds(30);
     options.event_interval = absl::Milliseconds(30);
     options.crashing_part = kCrashingPart;
-    options.on_crash = [this, index] { Crash(index); };
-    options.writes_row_at_start = false;
-    PlatformWorker* const worker = AddWorker(options);
-    links.push_back(std::make_unique<FaultProxy>(&loop, worker->address()));
-    worker->Announce(links.back()->address());
-  }
-
-  void Crash(std::size_t index) {
-    crashes.push_back(loop.Now());
-    links[index]->SetFault(LinkFault::kReset);
-    timers.push_back(loop.MakeTimer());
-    timers.back()->Set(loop.Now() + kRestartTime, [this, index] {
-      store.Remove("servers", absl::StrCat("w", index));
-      Start();
-    });
+    return options;
   }
 
   // Sends a request at the next node. No two prompts are alike.
@@ -157,9 +139,7 @@
     std::string second_part;
     std::unique_ptr<TestCall> call;
   };
-  std::vector<std::unique_ptr<FaultProxy>> links;
-  std::vector<absl::Time> crashes;
-  std::vector<std::unique_ptr<LoopTimer>> timers;
+  RestartingWorkers restarting;
   std::vector<Call> calls;
   int next_request = 0;
 };
@@ -177,15 +157,16 @@
   CrashFixture fixture;
   const absl::Time began = fixture.loop.Now();
   fixture.SendFor(3 * kContactTime);
-  REQUIRE(!fixture.crashes.empty());
-  const std::size_t counted = fixture.crashes.size();
-  MESSAGE("crashes: " << counted << ", the last " << fixture.crashes.back() - began
+  REQUIRE(!fixture.restarting.crashes().empty());
+  const std::size_t counted = fixture.restarting.crashes().size();
+  MESSAGE("crashes: " << counted << ", the last " << fixture.restarting.crashes().back() - began
                       << " after the start");
   if (counted >= kCrashesBeforeBound) {
-    const absl::Time fifth = fixture.crashes[kCrashesBeforeBound - 1];
+    const absl::Time fifth = fixture.restarting.crashes()[kCrashesBeforeBound - 1];
     CHECK(fixture.ArrivalsAfter(fifth + kContactTime) <= kMaxArrivalsAfter);
   }
-  const absl::Time last = fixture.crashes[std::min<std::size_t>(counted, kCrashesBeforeBound) - 1];
+  const absl::Time last =
+      fixture.restarting.crashes()[std::min<std::size_t>(counted, kCrashesBeforeBound) - 1];
   int sound = 0;
   int served = 0;
   for (const CrashFixture::Call& call : fixture.calls) {
@@ -231,19 +212,19 @@
     }
   };
   for (int event = 0; event < kCrashesBeforeBound; ++event) {
-    const std::size_t before = fixture.crashes.size();
+    const std::size_t before = fixture.restarting.crashes().size();
     const std::size_t arrivals = fixture.Arrivals();
     send_sound(30);
     // The workers write the first events later.
     CAPTURE(event);
     CAPTURE(fixture.Outcomes());
     REQUIRE(fixture.Wait([&] { return fixture.Arrivals() >= arrivals + 10; }));
-    const std::size_t end = fixture.links.size();
+    const std::size_t end = fixture.restarting.started();
     for (std::size_t index = end - kWorkers; index < end - kWorkers / 4; ++index) {
-      fixture.Crash(index);
+      fixture.restarting.Crash(index);
     }
-    REQUIRE(fixture.crashes.size() > before);
-    REQUIRE(fixture.Wait([&] { return fixture.links.size() >= end + kWorkers * 3 / 4; }));
+    REQUIRE(fixture.restarting.crashes().size() > before);
+    REQUIRE(fixture.Wait([&] { return fixture.restarting.started() >= end + kWorkers * 3 / 4; }));
     // Until the nodes know the workers that are back, other mechanisms refuse.
     fixture.SendSoundUntilServed();
   }
--- a/tests/quarantine/crashing_request_test.cc
+++ b/tests/quarantine/crashing_request_test.cc
@@ -9,8 +9,8 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "tests/quarantine/restarting_workers.h"
 #include "tests/serving/gateway_world.h"
-#include "tests/soak/fault_proxy.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -41,9 +41,11 @@
 
 struct CrashingRequestWorld : GatewayFixture {
   CrashingRequestWorld(std::string worker_service, int events_before_crash)
-      : service(std::move(worker_service)), events_before(events_before_crash) {
+      : service(std::move(worker_service)),
+        events_before(events_before_crash),
+        restarting(this, kRestartTime, [this] { return WorkerOptions(); }) {
     for (int number = 0; number < kWorkers; ++number) {
-      Start();
+      restarting.Start();
     }
     for (int number = 0; number < kNodes; ++number) {
       AddNode(absl::StrCat("n", number));
@@ -60,34 +62,18 @@
     Finish();
   }
 
-  void Start() {
-    const std::size_t index = links.size();
+  emulator::PlatformWorkerOptions WorkerOptions() const {
     emulator::PlatformWorkerOptions options;
-    options.id = absl::StrCat("w", index);
     options.service = service;
     options.slots = 30;
     options.event_interval = absl::Milliseconds(10);
     options.run_time = absl::Milliseconds(20);
     options.crashing_body = kCrashingBody;
     options.events_before_crash = events_before;
-    options.writes_row_at_start = false;
     if (service == "models") {
       options.models["m1"];
     }
-    options.on_crash = [this, index] { Crash(index); };
-    emulator::PlatformWorker* const worker = AddWorker(options);
-    links.push_back(std::make_unique<soak::FaultProxy>(&loop, worker->address()));
-    worker->Announce(links.back()->address());
-  }
-
-  void Crash(std::size_t index) {
-    ++crashes;
-    links[index]->SetFault(soak::LinkFault::kReset);
-    timers.push_back(loop.MakeTimer());
-    timers.back()->Set(loop.Now() + kRestartTime, [this, index] {
-      store.Remove("servers", absl::StrCat("w", index));
-      Start();
-    });
+    return options;
   }
 
   // Begins a request at the node, or at the next one.
@@ -100,11 +86,8 @@
       tries->request.fields.back().value = absl::StrCat("shared:5,own", name, ":5");
     }
     tries->request.deadline_ms = 3000;
-    tries->request.body = absl::StrCat(name, crashing ? " ends workers" : " is sound");
-    if (crashing) {
-      // Names in the body are unique, as the body identifies a request without a prompt.
-      tries->request.body = absl::StrCat(name, " ", kCrashingBody);
-    }
+    // The name makes the body unique, as it identifies a request without a prompt.
+    tries->request.body = absl::StrCat(name, " ", crashing ? kCrashingBody : "is sound");
     tries->node = next_node++ % nodes.size();
     for (std::size_t index = 0; node != nullptr && index < nodes.size(); ++index) {
       tries->node = nodes[index].get() == node ? index : tries->node;
@@ -171,10 +154,8 @@
 
   std::string service;
   int events_before;
-  int crashes = 0;
+  RestartingWorkers restarting;
   std::size_t next_node = 0;
-  std::vector<std::unique_ptr<soak::FaultProxy>> links;
-  std::vector<std::unique_ptr<LoopTimer>> timers;
   std::vector<std::unique_ptr<Tries>> requests;
 };
 
@@ -182,9 +163,10 @@
 void CheckOne(CrashingRequestWorld* world) {
   const Tries* const crashing = world->Begin("bad", true);
   world->Finish();
-  MESSAGE("arrivals " << world->Arrivals(*crashing) << ", workers that ended " << world->crashes);
+  const std::size_t ended = world->restarting.crashes().size();
+  MESSAGE("arrivals " << world->Arrivals(*crashing) << ", workers that ended " << ended);
   CHECK(world->Arrivals(*crashing) <= kMaxEnded);
-  CHECK(world->crashes <= kMaxEnded);
+  CHECK(ended <= kMaxEnded);
   CHECK_FALSE(crashing->served());
   std::vector<Tries*> sound;
   for (int number = 0; number < 40; ++number) {
