--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -58,6 +58,7 @@
       room_(options_.slots, options_.queue.value_or(0)),
       silence_timer_(loop->MakeTimer()) {
   (void)server_.Listen("127.0.0.1:0");
+  room_.SetSurvivedRejections(options_.survived_rejections);
   announced_address_ = server_.address();
   if (options_.writes_row_at_start) {
     WriteRow();
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -63,6 +63,8 @@
   // Number of requests that wait while all slots are taken; more are rejected. Absent if the worker
   // runs all requests at once, whatever its slots.
   std::optional<int> queue;
+  // Number of rejections within a second that the worker survives; absent unless it is brittle.
+  std::optional<int> survived_rejections;
   // Time that a plain request takes.
   absl::Duration run_time = absl::ZeroDuration();
   std::map<std::string, std::set<std::string>> models;
--- a/tests/brittle/brittle_worker_test.cc
+++ b/tests/brittle/brittle_worker_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "tests/brittle/brittle_world.h"
+#include "tests/partition/cut_off_node.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -13,6 +14,7 @@
 constexpr double kOverload = 1.5;
 constexpr double kMinServedAtOverload = 0.45;
 constexpr double kMinServedWithLendersGone = 0.35;
+constexpr double kMinPartOfSturdy = 0.8;
 constexpr double kModerateLoad = 0.7;
 constexpr double kMinServedAtModerateLoad = 0.9;
 
@@ -81,6 +83,39 @@
   CheckPress(&world, kOverload, kMinServedAtOverload);
 }
 
+// Guards against requests that another node passes on, as it is cut off from the workers (LIMIT).
+TEST_CASE("brittle workers stay up while a node is cut off from them and forwards its requests") {
+  BrittleWorld world({});
+  LinkedReader reader(&world.loop);
+  world.StartNode(&reader);
+  world.BeginBrittle();
+  reader.SetFault(soak::LinkFault::kRefuse);
+  const std::size_t first = world.calls.size();
+  CheckPress(&world, kOverload, kMinServedAtOverload);
+  const std::size_t cut_off = world.nodes.size() - 1;
+  int forwarded = 0;
+  for (std::size_t call = first; call < world.calls.size(); ++call) {
+    forwarded += world.calls[call].node == cut_off && world.calls[call].call->head.status == 200;
+  }
+  MESSAGE("served for the node that is cut off: " << forwarded);
+  CHECK(forwarded > 0);
+}
+
+// Guards against brittle workers that are kept idle for fear of rejections.
+TEST_CASE("brittle workers serve about as much under overload as others with the same slots") {
+  BrittleWorld brittle({});
+  brittle.BeginBrittle();
+  const std::size_t first = brittle.calls.size();
+  brittle.SendFor(kPressTime, kOverload);
+  BrittleWorld sturdy({});
+  sturdy.SendFor(kNoticeTime, kNoticeLoad);
+  const std::size_t first_sturdy = sturdy.calls.size();
+  sturdy.SendFor(kPressTime, kOverload);
+  MESSAGE("brittle: " << brittle.Outcomes(first));
+  MESSAGE("sturdy, with queues: " << sturdy.Outcomes(first_sturdy));
+  CHECK(brittle.ServedShare(first) >= kMinPartOfSturdy * sturdy.ServedShare(first_sturdy));
+}
+
 // Guards against the same rejections when workers are brittle for the second time, at all nodes at
 // once after a pause in which nobody asked for slots (LIMIT).
 TEST_CASE("brittle workers stay up when all nodes send at once after a pause") {
--- a/tests/brittle/brittle_world.cc
+++ b/tests/brittle/brittle_world.cc
@@ -18,9 +18,11 @@
 
 }  // namespace
 
-BrittleWorld::BrittleWorld(BrittleOptions world_options) : options(std::move(world_options)) {
+BrittleWorld::BrittleWorld(BrittleOptions world_options)
+    : options(std::move(world_options)),
+      restarting(this, kRestartTime, [this] { return WorkerOptions(); }) {
   for (int number = 0; number < options.workers; ++number) {
-    StartWorker();
+    restarting.Start();
   }
   for (int number = 0; number < options.gone_nodes; ++number) {
     const std::string name = absl::StrCat("gone", number);
@@ -34,43 +36,27 @@
   for (const auto& node : nodes) {
     REQUIRE(Wait([&] { return node->gateway.fleet_size() == options.nodes + options.gone_nodes; }));
   }
-  left_out.resize(nodes.size());
 }
 
-void BrittleWorld::StartWorker() {
-  const std::size_t index = links.size();
+emulator::PlatformWorkerOptions BrittleWorld::WorkerOptions() const {
   emulator::PlatformWorkerOptions worker;
-  worker.id = absl::StrCat("w", index);
   worker.service = options.service;
   worker.slots = options.slots;
   worker.queue = short_queues ? options.brittle_queue : options.queue;
   worker.run_time = options.run_time;
   worker.events = kEvents;
   worker.event_interval = options.run_time / kEvents;
-  worker.writes_row_at_start = false;
   if (options.service == "models") {
     worker.models["m1"];
   }
-  worker.on_crash = [this, index] {
-    fallen.push_back(loop.Now());
-    links[index]->SetFault(soak::LinkFault::kReset);
-    timers.push_back(loop.MakeTimer());
-    timers.back()->Set(loop.Now() + kRestartTime, [this, index] {
-      store.Remove("servers", absl::StrCat("w", index));
-      StartWorker();
-    });
-  };
-  emulator::PlatformWorker* const started = AddWorker(worker);
   if (brittle) {
-    started->SetBrittle(options.survived_rejections);
+    worker.survived_rejections = options.survived_rejections;
   }
-  links.push_back(std::make_unique<soak::FaultProxy>(&loop, started->address()));
-  started->Announce(links.back()->address());
+  return worker;
 }
 
-void BrittleWorld::StartNode() {
-  AddNode(absl::StrCat("n", nodes.size()));
-  left_out.push_back(false);
+void BrittleWorld::StartNode(const DeploymentReader* reader) {
+  AddNode(absl::StrCat("n", nodes.size()), "", reader);
 }
 
 void BrittleWorld::BeginBrittle() {
@@ -79,7 +65,7 @@
     worker->SetBrittle(options.survived_rejections);
   }
   // Workers must have rejected nothing before their queues are short.
-  SendFor(kNoticeTime, 0.3);
+  SendFor(kNoticeTime, kNoticeLoad);
   short_queues = true;
   for (const auto& worker : workers) {
     worker->SetQueue(options.brittle_queue);
@@ -103,11 +89,7 @@
   absl::Time next = loop.Now();
   REQUIRE(Wait([&] {
     for (; loop.Now() >= next && next < end; next += interval) {
-      std::size_t node = Draw() % nodes.size();
-      while (left_out[node]) {
-        node = (node + 1) % nodes.size();
-      }
-      SendRequest(node);
+      SendRequest(Draw() % nodes.size());
     }
     return loop.Now() >= end;
   }));
--- a/tests/brittle/brittle_world.h
+++ b/tests/brittle/brittle_world.h
@@ -8,14 +8,16 @@
 #include <string>
 #include <vector>
 
+#include "tests/quarantine/restarting_workers.h"
 #include "tests/serving/gateway_world.h"
-#include "tests/soak/fault_proxy.h"
 
 namespace hingespan::gateway {
 
 // For this long after workers have said that they are brittle, they reject as before; a third of
 // what the users' platform grants.
 inline constexpr absl::Duration kNoticeTime = absl::Seconds(1);
+// Load meanwhile, in parts of the capacity.
+inline constexpr double kNoticeLoad = 0.3;
 
 struct BrittleOptions {
   int nodes = 12;
@@ -35,12 +37,10 @@
 struct BrittleWorld : GatewayFixture {
   explicit BrittleWorld(BrittleOptions world_options);
 
-  // Starts a worker behind a link of its own.
-  void StartWorker();
   // Tells all nodes by their answers that the workers are brittle, then shortens the queues.
   void BeginBrittle();
-  // Starts a node that gets requests like the others.
-  void StartNode();
+  // Starts a node that gets requests like the others. `reader` replaces its reader of rows.
+  void StartNode(const DeploymentReader* reader = nullptr);
   // Requests a second that the workers can serve.
   double Capacity() const;
   // For this long, sends requests to random nodes at a rate, in parts of the capacity.
@@ -50,7 +50,7 @@
   bool AllEnded() const;
 
   // Workers that have fallen, and how many may.
-  int falls() const { return static_cast<int>(fallen.size()); }
+  int falls() const { return static_cast<int>(restarting.crashes().size()); }
   int allowed_falls() const { return 2 + options.workers / 10; }
   int Rejections() const;
   // Numbers of requests sent since `first`, by status.
@@ -60,20 +60,19 @@
   // How nodes saw the workers that rejected their attempts, from their logs.
   std::string ViewsAtRejections() const;
 
+  emulator::PlatformWorkerOptions WorkerOptions() const;
+
   BrittleOptions options;
-  std::vector<std::unique_ptr<soak::FaultProxy>> links;
-  std::vector<std::unique_ptr<LoopTimer>> timers;
-  std::vector<absl::Time> fallen;
+  RestartingWorkers restarting;
   struct Call {
     absl::Time sent;
     std::size_t node = 0;
     std::unique_ptr<TestCall> call;
   };
   std::vector<Call> calls;
-  // Nodes that get no requests, as they have not started or are gone.
-  std::vector<bool> left_out;
   bool brittle = false;
   bool short_queues = false;
+  // State of Draw.
   std::uint64_t random = 88172645463325252ULL;
   std::uint64_t Draw();
 };
