--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -146,10 +146,10 @@
   // From now on plain answers have neither a length nor chunks and end with their connection.
   void AnswerUnframed() { unframed_answers_ = true; }
   void SetDraining();
-  // From now on all answers say that the worker falls once it rejects more than so many requests
-  // within a second for want of room. Needs a queue.
+  // Lets all answers say from now on that the worker falls once it rejects more than so many
+  // requests within a second for want of room. Needs a queue.
   void SetBrittle(int survived_rejections);
-  // Not brittle any more.
+  // Ends what SetBrittle began.
   void SetSturdy();
   void SetQueue(int queue) { room_.SetQueue(queue); }
   // Sends nothing for this long, then goes on. Connections stay open and requests are accepted.
--- a/include/hingespan/fleet/slot_lender.h
+++ b/include/hingespan/fleet/slot_lender.h
@@ -83,7 +83,7 @@
   // The nodes before they changed last.
   std::vector<StreamNode> former_nodes_;
   SlotLedger ledger_;
-  // Both by worker.
+  // Takeovers that are not told often enough yet, and successors, by worker.
   std::map<std::string, Takeover> takeovers_;
   std::map<std::string, Successor> successors_;
 };
--- a/include/hingespan/serving/slot_ledger.h
+++ b/include/hingespan/serving/slot_ledger.h
@@ -61,7 +61,7 @@
 // A node's attempts at a worker, with what it has borrowed and not used yet.
 struct HeldSlots {
   int slots = 0;
-  // Those that have not begun to answer.
+  // Attempts among them that have not begun to answer.
   int starting = 0;
   // Tokens of their prompts and answers.
   double tokens = 0;
@@ -149,11 +149,11 @@
     absl::Time starting_limit_changed;
     // Time at which this node became the lender.
     absl::Time since;
-    // Attempts that were reported then, and those of them that nodes have told of since.
+    // Attempts that were reported by then, and those of them that nodes have told of since.
     int reported_load = 0;
     int told_load = 0;
     absl::Time last_message = absl::InfinitePast();
-    // By node.
+    // Leases by node.
     std::map<std::string, Lease> leases;
     std::list<Waiting> line;
     std::deque<absl::Time> rejections;
--- a/src/fleet/slot_exchange.cc
+++ b/src/fleet/slot_exchange.cc
@@ -25,8 +25,8 @@
 // Workers may go on with an attempt whose connection has closed.
 constexpr absl::Duration kAbandonedSlotTime = absl::Milliseconds(500);
 constexpr absl::Duration kForgetAfter = absl::Seconds(10);
-// Without a lender: part of the rejections that a worker survives which all nodes may cause, and
-// the least and the longest pause of one node after a rejection.
+// Part of the rejections that a worker survives which all nodes together may cause while none of
+// them reaches a lender, and the least and the longest pause of one node after a rejection then.
 constexpr double kDirectPart = 0.25;
 constexpr absl::Duration kMinDirectPause = absl::Seconds(1);
 constexpr absl::Duration kMaxDirectPause = absl::Seconds(60);
--- a/tests/brittle/brittle_world.h
+++ b/tests/brittle/brittle_world.h
@@ -13,8 +13,8 @@
 
 namespace hingespan::gateway {
 
-// For this long after workers have said that they are brittle, they reject as before; a third of
-// what the users' platform grants.
+// Time after workers have said that they are brittle at which their queues shrink; a third of what
+// the users' platform grants.
 inline constexpr absl::Duration kNoticeTime = absl::Seconds(1);
 // Load meanwhile, in parts of the capacity.
 inline constexpr double kNoticeLoad = 0.3;
@@ -43,7 +43,7 @@
   void StartNode(const DeploymentReader* reader = nullptr);
   // Requests a second that the workers can serve.
   double Capacity() const;
-  // For this long, sends requests to random nodes at a rate, in parts of the capacity.
+  // Sends requests to random nodes for a while. `load` is their rate, in parts of the capacity.
   void SendFor(absl::Duration time, double load);
   // Sends one request to the node.
   void SendRequest(std::size_t node);
--- a/tests/soak/brittle_workers.cc
+++ b/tests/soak/brittle_workers.cc
@@ -8,9 +8,10 @@
 constexpr int kAllowedFalls = 2;
 constexpr int kWorkersPerAllowedFall = 10;
 constexpr absl::Duration kRejectionWindow = absl::Seconds(1);
-// Of the requests sent by gateways in touch; callers press beyond what the workers can serve.
+// Least share of the requests sent by gateways in touch that is served, although callers press
+// beyond what the workers can serve.
 constexpr double kMinServedShare = 0.25;
-// With fewer requests their share says nothing.
+// Number of requests below which their share says nothing.
 constexpr int kMinSent = 50;
 
 using Arrivals = std::vector<emulator::PlatformWorker::Arrival>;
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -161,7 +161,7 @@
 // Time in which workers say that they are brittle.
 struct BrittleTime {
   absl::Time from = absl::InfiniteFuture();
-  // From then on they let fewer wait.
+  // Time from which they let fewer wait.
   absl::Time short_queues_from = absl::InfiniteFuture();
   absl::Time until = absl::InfiniteFuture();
   // Number of workers by service.
@@ -223,7 +223,7 @@
   // Crashes of workers by a prompt part, in order.
   std::vector<absl::Time> prompt_crashes;
   BrittleTime brittle;
-  // In order.
+  // Ends of workers under requests, in order.
   std::vector<RequestCrash> request_crashes;
   // Processes that ended unexpectedly, didn't stop in time or didn't start.
   std::vector<std::string> process_failures;
