Slot exchange: a slot is used only for the tokens that it was lent for

A node that asked for an engine's slot for a small prompt, and had a larger one to send before the reply came, took the slot to be lent for the larger one: the lender went on lending memory that was in use, until the node next told what it held, up to a second later.

Cause: the tokens of the latest request were kept as those that had been asked for. They are kept now when the lender is asked.

--- a/include/hingespan/fleet/slot_exchange.h
+++ b/include/hingespan/fleet/slot_exchange.h
@@ -113,6 +113,7 @@
     double tokens = 0;
     // Slots of attempts that were abandoned and count until then.
     std::vector<absl::Time> abandoned_until;
+    // Tokens for which the lender was last asked for a slot.
     double wanted_tokens = 0;
     absl::Time wanted_at = absl::InfinitePast();
     std::optional<Pending> pending;
@@ -128,7 +129,7 @@
 
   // Returns the node that lends the worker's slots; null if none can be reached.
   const StreamNode* LenderOf(const std::string& worker_id);
-  Outcome TakeDirectly(const std::string& worker_id, Borrowed* borrowed);
+  Outcome TakeDirectly(const std::string& worker_id, double tokens, Borrowed* borrowed);
   // Pause after a rejection without a lender.
   absl::Duration DirectPause(const std::string& worker_id) const;
   HeldSlots Held(const std::string& worker_id, const Borrowed& borrowed) const;
--- a/src/fleet/slot_exchange.cc
+++ b/src/fleet/slot_exchange.cc
@@ -150,12 +150,12 @@
   Borrowed& borrowed = borrowed_[worker_id];
   borrowed.wanted_at = now;
   borrowed.used_at = now;
-  borrowed.wanted_tokens = tokens;
   SetTimer();
   if (LenderOf(worker_id) == nullptr) {
-    return TakeDirectly(worker_id, &borrowed);
+    return TakeDirectly(worker_id, tokens, &borrowed);
   }
   if (!borrowed.free_tokens.has_value() && !borrowed.pending.has_value() && !borrowed.queued) {
+    borrowed.wanted_tokens = tokens;
     Tell(worker_id, &borrowed, true, true);
   }
   if (borrowed.free_tokens.has_value() && *borrowed.free_tokens >= tokens) {
@@ -167,7 +167,8 @@
   return borrowed.queued ? Outcome::kQueued : Outcome::kAsked;
 }
 
-SlotExchange::Outcome SlotExchange::TakeDirectly(const std::string& worker_id, Borrowed* borrowed) {
+SlotExchange::Outcome SlotExchange::TakeDirectly(const std::string& worker_id, double tokens,
+                                                 Borrowed* borrowed) {
   borrowed->pending.reset();
   borrowed->queued = false;
   if (borrowed->direct_after == absl::InfinitePast()) {
@@ -182,7 +183,7 @@
     return Outcome::kQueued;
   }
   ++borrowed->starting;
-  borrowed->tokens += borrowed->wanted_tokens;
+  borrowed->tokens += tokens;
   return Outcome::kTaken;
 }
 
--- a/tests/brittle/slot_exchange_test.cc
+++ b/tests/brittle/slot_exchange_test.cc
@@ -61,7 +61,7 @@
     parts.send = [this](const std::string& address, absl::string_view bytes) {
       Deliver(address, std::string(bytes));
     };
-    parts.token_capacity = [](const std::string&) { return 0.0; };
+    parts.token_capacity = [this](const std::string&) { return token_capacity; };
     parts.on_answer = [] {};
     node->exchange = std::make_unique<SlotExchange>(node->name, 1, std::move(parts));
     node->exchange->SetAddress(node->name);
@@ -171,11 +171,12 @@
   }
 
   // Takes slots for attempts that go on, until the node has so many.
-  void TakeSlots(Node* node, int count) {
+  void TakeSlots(Node* node, int count, double tokens = 0) {
     int taken = 0;
     REQUIRE(loop.RunUntil(
         [&] {
-          if (taken < count && node->exchange->Take(kWorker, 0) == SlotExchange::Outcome::kTaken) {
+          if (taken < count &&
+              node->exchange->Take(kWorker, tokens) == SlotExchange::Outcome::kTaken) {
             ++taken;
             WorkerDemand demand;
             demand.service = kService;
@@ -187,11 +188,11 @@
   }
 
   // Waits until the node is in line for a slot, and returns whether it got one instead.
-  bool TakesInsteadOfWaiting(Node* node) {
+  bool TakesInsteadOfWaiting(Node* node, double tokens = 0) {
     SlotExchange::Outcome outcome = SlotExchange::Outcome::kAsked;
     REQUIRE(loop.RunUntil(
         [&] {
-          outcome = node->exchange->Take(kWorker, 0);
+          outcome = node->exchange->Take(kWorker, tokens);
           return outcome != SlotExchange::Outcome::kAsked;
         },
         kLimit));
@@ -223,6 +224,8 @@
   DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
   std::vector<std::unique_ptr<Node>> nodes;
   std::function<bool()> lose;
+  // Tokens in the worker's memory; 0 if it is no engine.
+  double token_capacity = 0;
   int datagrams = 0;
   int running = 0;
   int sent = 0;
@@ -326,6 +329,23 @@
   CHECK_FALSE(fleet.TakesInsteadOfWaiting(asking));
 }
 
+// Guards against a large prompt that is sent with a slot which was lent for a small one (LIMIT).
+TEST_CASE("a slot is used only for an attempt of the tokens that it was lent for") {
+  SlotFleet fleet(4);
+  fleet.token_capacity = 1000;
+  fleet.BeginBrittle();
+  std::vector<SlotFleet::Node*> others;
+  for (const auto& node : fleet.nodes) {
+    if (node.get() != fleet.Lender()) {
+      others.push_back(node.get());
+    }
+  }
+  CHECK(others[0]->exchange->Take(kWorker, 100) == SlotExchange::Outcome::kAsked);
+  // Before the reply has come.
+  fleet.TakeSlots(others[0], 1, 800);
+  CHECK_FALSE(fleet.TakesInsteadOfWaiting(others[1], 300));
+}
+
 // Guards against a slot that is lent while a worker goes on with an attempt that was abandoned.
 TEST_CASE("the slot of an attempt that was abandoned is lent later") {
   SlotFleet fleet(3);
