--- a/review/standin/engine.h
+++ b/review/standin/engine.h
@@ -49,7 +49,7 @@
         on_arrival_(std::move(on_arrival)),
         on_crash_(std::move(on_crash)) {
     models_ = options_.models;
-    Begin(0);
+    Begin(FreePort());
     keeper_ = std::thread([this] { Keep(); });
   }
   ~Engine() {
@@ -273,6 +273,7 @@
   bool CrashNow(const std::string& worker, const std::string& request) {
     if (!down_.exchange(true)) {
       on_crash_(worker, request);
+      server_->Cut();
     }
     return false;
   }
