BUDGET: a worker that has written one event does not survive the prompt yet

Callers saw: one prompt part crashes each worker that writes the first event of an answer on it, and requests with the part are sent to worker after worker for as long as they come; streams of others at these workers break off.

Cause: "the answer has begun" stood for "the worker survives the prompt". An attempt that broke off was told to the quarantine only before its first event, and the crash was charged to the prompts of this node that no event had come for: those that only waited at the worker. The one that crashed it was never suspected. An answer without framing of its own hid the crash altogether: its connection's end was taken for the answer's, which cleared the part, or for a stream that broke off, which counts against no part.

The end of a connection that frames an answer has the worker checked like any broken attempt.

Left as it is: a quarantine that comes ends no request whose answer has begun (OnQuarantine). Cutting it wouldn't spare the worker, and silent_worker_quarantine_test holds that such a stream goes on. A peer's attempts are judged by the peer, which sees its own connections to workers.

--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -409,9 +409,8 @@
     stream->timer->Set(silent_until_, [this, stream] { NextEvent(stream); });
     return;
   }
-  const bool crashes_by_body =
-      stream->sent == options_.events_before_crash && HasCrashingBody(*stream->exchange);
-  if (crashes_by_body || (stream->sent == 0 && CrashesOn(*stream->exchange))) {
+  if (stream->sent == options_.events_before_crash &&
+      (HasCrashingBody(*stream->exchange) || CrashesOn(*stream->exchange))) {
     Crash(stream->run->id);
     return;
   }
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -77,12 +77,12 @@
   std::map<std::string, StreamShape> shapes;
   absl::Duration load_time = absl::Milliseconds(30);
   int events_before_break = 3;
-  // Id of a prompt part: the worker crashes as it begins to answer a prompt that has it, unless as
-  // its last part. Empty for none.
+  // Id of a prompt part: the worker crashes as it answers a prompt that has it, unless as its last
+  // part. Empty for none.
   std::string crashing_part;
-  // Text in the body of requests that crash the worker as it runs them; empty for none. A stream
-  // crashes it after so many events of its run.
+  // Text in the body of requests that crash the worker as it runs them; empty for none.
   std::string crashing_body;
+  // A stream crashes the worker after so many events of its run.
   int events_before_crash = 0;
   // Called when the worker crashes or falls. Whoever owns it ends its connections and removes its
   // row.
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -70,7 +70,8 @@
                           std::function<void(std::optional<StreamSource>)> done) = 0;
   // This node's path to the workers of a service; valid as long as the host.
   virtual WorkerPath* PathOf(const std::string& service) = 0;
-  // Called when an attempt's connection to the worker ended before its answer had begun.
+  // Called when an attempt's connection to the worker ended before its answer showed that the
+  // worker survives the prompt.
   virtual void OnAttemptBroken(const std::string& worker_id, const std::string& service) = 0;
   // Called when an attempt has shown something about that path.
   virtual void OnPathEvent(const std::string& service) = 0;
@@ -122,7 +123,7 @@
   // repeated, whose worker was silent and whose caller has received nothing goes elsewhere at once.
   void OnPathLost();
   // Called when a quarantine was imposed: a request under it that no worker has begun to answer
-  // ends.
+  // ends. One whose answer has begun would be cut without sparing its worker.
   void OnQuarantine();
   // Called when the node begins to stop: requests that can't end in time are answered early.
   void OnStopping() { SetTimer(context_->loop->Now()); }
@@ -139,10 +140,11 @@
   int prompt_tokens() const { return facts_.prompt_tokens; }
   // Parts of the prompt that other requests may share: all but the last.
   const PromptPartIds& shared_parts() const { return shared_parts_; }
-  // True if the request was sent to this worker, which has not begun to answer it.
-  bool AwaitsAnswerOf(const std::string& worker_id) const {
+  // True if the request was sent to this worker and its answer doesn't show yet that the worker
+  // survives the prompt.
+  bool MayCrash(const std::string& worker_id) const {
     return state_ == State::kRunning && peer_.empty() && worker_id_ == worker_id &&
-           !answer_started_;
+           !answer_survived_;
   }
   bool waiting() const { return state_ == State::kWaiting; }
   // True before the first attempt. Such requests with an equal demand wait for the same workers.
@@ -184,8 +186,12 @@
   bool HasEndedWorkers() const;
   // Records that the attempt has ended as if its worker had.
   void NoteInterrupted();
-  // Records that the worker goes on with its answer, which clears the prompt's parts.
-  void NoteAnswerGoesOn(absl::Time now, bool ended);
+  // Clears the prompt's parts if the answer has gone on for long enough after its first event.
+  void NoteAnswerGoesOn(absl::Time now);
+  // Clears the prompt's parts, as the worker has survived them.
+  void NoteAnswerSurvived();
+  // Records that the attempt's connection has ended, which may be a crash by the prompt.
+  void NoteConnectionEnded();
   // Chooses a worker that has room. If the service's workers are brittle, the choice comes with a
   // slot of the worker.
   WorkerChoice ChooseWorker(const WorkerDemand& demand, absl::Time now);
@@ -325,7 +331,8 @@
   absl::Time stall_checked_ = absl::InfinitePast();
   bool answer_started_ = false;
   absl::Time answer_started_at_;
-  bool answer_noted_ = false;
+  // True once the answer shows that the worker survives the prompt.
+  bool answer_survived_ = false;
   // True while nothing is read from the worker, as the caller is slow.
   bool reading_paused_ = false;
   AnswerHead answer_head_;
--- a/src/serving/gateway_quarantine.cc
+++ b/src/serving/gateway_quarantine.cc
@@ -14,7 +14,7 @@
   }
   PromptPartIds parts;
   for (const auto& [number, request] : open_requests_) {
-    if (request->AwaitsAnswerOf(worker_id)) {
+    if (request->MayCrash(worker_id)) {
       parts.insert(request->shared_parts().begin(), request->shared_parts().end());
     }
   }
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -246,7 +246,7 @@
   attempt_started_ = now;
   last_progress_ = now;
   answer_started_ = false;
-  answer_noted_ = false;
+  answer_survived_ = false;
   reading_paused_ = false;
   answer_head_ = {};
   forwarding_events_ = false;
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -102,7 +102,7 @@
     NoteAnswerStarted(now);
     SetTimer(now);
   }
-  NoteAnswerGoesOn(now, false);
+  NoteAnswerGoesOn(now);
   if (!stream_started_) {
     first_byte_at_ = now;
     context_->metrics->first_byte.Record(now - arrived_);
@@ -144,9 +144,7 @@
         path_->OnUnreachable(worker_id_);
         context_->host->OnPathEvent(service_);
       }
-      if (peer_.empty() && !answer_started_) {
-        context_->host->OnAttemptBroken(worker_id_, service_);
-      }
+      NoteConnectionEnded();
       NoteInterrupted();
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("broken_off");
@@ -204,13 +202,18 @@
   const absl::Time now = context_->loop->Now();
   if (forwarding_events_) {
     if (EndsInsideStream()) {
+      NoteConnectionEnded();
       NoteInterrupted();
       EndAttempt(AttemptOutcome::kFailed);
       OnFailedAttempt("ends_inside_stream");
       return;
     }
     ForwardEvents(events_.TakeRest());
-    NoteAnswerGoesOn(now, true);
+    if (answer_head_.ends_with_connection) {
+      NoteConnectionEnded();  // A crash ends such an answer as well.
+    } else {
+      NoteAnswerSurvived();
+    }
     EndAttempt(AttemptOutcome::kServed);
     if (!stream_started_) {
       StartStream();
--- a/src/serving/request_relay_quarantine.cc
+++ b/src/serving/request_relay_quarantine.cc
@@ -57,12 +57,23 @@
   }
 }
 
-void RequestRelay::NoteAnswerGoesOn(absl::Time now, bool ended) {
-  if (answer_noted_ || (!ended && now - answer_started_at_ < kAnswerSurvives)) {
-    return;
+void RequestRelay::NoteAnswerGoesOn(absl::Time now) {
+  if (now - answer_started_at_ >= kAnswerSurvives) {
+    NoteAnswerSurvived();
+  }
+}
+
+void RequestRelay::NoteAnswerSurvived() {
+  if (!answer_survived_) {
+    answer_survived_ = true;
+    context_->quarantine->RecordAnswered(service_, shared_parts_);
+  }
+}
+
+void RequestRelay::NoteConnectionEnded() {
+  if (peer_.empty() && !answer_survived_) {
+    context_->host->OnAttemptBroken(worker_id_, service_);
   }
-  answer_noted_ = true;
-  context_->quarantine->RecordAnswered(service_, shared_parts_);
 }
 
 }  // namespace hingespan::gateway
--- a/tests/quarantine/crashing_prompt_test.cc
+++ b/tests/quarantine/crashing_prompt_test.cc
@@ -27,11 +27,23 @@
 constexpr int kCrashesBeforeBound = 5;
 constexpr int kMaxArrivalsAfter = 3;
 constexpr absl::Duration kRestartTime = absl::Milliseconds(700);
+// Interval at which no request with the crashing part waits at a worker that another one crashes.
+constexpr int kRareInterval = 13;
 constexpr absl::Duration kRequestInterval = absl::Milliseconds(40);
 
 // Nodes, and workers that crash on a part and are back under a new id after a while.
 struct CrashFixture : GatewayFixture {
-  CrashFixture() : restarting(this, kRestartTime, &CrashFixture::WorkerOptions) {
+  // A prompt with the crashing part crashes a worker after so many events.
+  explicit CrashFixture(int events_before_crash = 0, bool unframed_streams = false)
+      : restarting(this, kRestartTime, [=] {
+          emulator::PlatformWorkerOptions options = WorkerOptions();
+          options.events_before_crash = events_before_crash;
+          options.unframed_streams = unframed_streams;
+          return options;
+        }) {
+    if (unframed_streams) {
+      restarting.SetCrashFault(soak::LinkFault::kClose);
+    }
     for (int number = 0; number < kWorkers; ++number) {
       restarting.Start();
     }
@@ -76,7 +88,8 @@
     REQUIRE(Wait([&] {
       if (loop.Now() >= next) {
         next += kRequestInterval;
-        SendPrompt(next_request % 3 == 0 ? kCrashingPart : absl::StrCat("sound", next_request % 7));
+        SendPrompt(next_request % crashing_interval == 0 ? kCrashingPart
+                                                         : absl::StrCat("sound", next_request % 7));
       }
       return loop.Now() >= end;
     }));
@@ -140,6 +153,8 @@
     std::unique_ptr<TestCall> call;
   };
   RestartingWorkers restarting;
+  // One in so many requests has the crashing part.
+  int crashing_interval = 3;
   std::vector<Call> calls;
   int next_request = 0;
 };
@@ -151,10 +166,10 @@
   });
 }
 
-// Guards against requests with one part that crash worker after worker (BUDGET), and against
-// refusing the sound requests that share their first part (LOST).
-TEST_CASE("few requests with a crashing part reach workers and sound ones are served") {
-  CrashFixture fixture;
+// Sends requests with the crashing part among sound ones, and checks how many of both reach
+// workers.
+void CheckCrashingPart(CrashFixture* world) {
+  CrashFixture& fixture = *world;
   const absl::Time began = fixture.loop.Now();
   fixture.SendFor(3 * kContactTime);
   REQUIRE(!fixture.restarting.crashes().empty());
@@ -179,6 +194,32 @@
   CHECK(2 * served >= sound);
 }
 
+// Guards against requests with one part that crash worker after worker (BUDGET), and against
+// refusing the sound requests that share their first part (LOST).
+TEST_CASE("few requests with a crashing part reach workers and sound ones are served") {
+  CrashFixture fixture;
+  CheckCrashingPart(&fixture);
+}
+
+// Guards against taking a worker that has written one event for one that survives the prompt
+// (BUDGET, LOST).
+TEST_CASE("few requests with a part that crashes workers after the first event reach workers") {
+  CrashFixture fixture(1);
+  fixture.crashing_interval = kRareInterval;
+  CheckCrashingPart(&fixture);
+}
+
+// Guards against taking the end of a crashed worker's connection for the end of an answer that has
+// no other mark of its end (BUDGET, LOST).
+TEST_CASE("few requests with a part that crashes workers amid an unframed answer reach workers") {
+  for (const int events_before_crash : {0, 1}) {
+    CAPTURE(events_before_crash);
+    CrashFixture fixture(events_before_crash, true);
+    fixture.crashing_interval = kRareInterval;
+    CheckCrashingPart(&fixture);
+  }
+}
+
 // Guards against a restarted node that sends requests with a crashing part again (BUDGET).
 TEST_CASE("a node that starts after the quarantine sends no requests with a crashing part") {
   CrashFixture fixture;
--- a/tests/quarantine/restarting_workers.cc
+++ b/tests/quarantine/restarting_workers.cc
@@ -29,7 +29,7 @@
 
 void RestartingWorkers::Crash(std::size_t index) {
   crashes_.push_back(fixture_->loop.Now());
-  links_[index]->SetFault(soak::LinkFault::kReset);
+  links_[index]->SetFault(crash_fault_);
   timers_.push_back(fixture_->loop.MakeTimer());
   timers_.back()->Set(fixture_->loop.Now() + restart_time_, [this, index] {
     fixture_->store.Remove("servers", IdOf(index));
--- a/tests/quarantine/restarting_workers.h
+++ b/tests/quarantine/restarting_workers.h
@@ -20,6 +20,8 @@
   emulator::PlatformWorker* Start();
   // Ends the worker's connections; a new one starts once its restart time has passed.
   void Crash(std::size_t index);
+  // Sets how a crash ends the worker's connections: by a reset unless this is called.
+  void SetCrashFault(soak::LinkFault fault) { crash_fault_ = fault; }
   // Times of the crashes, in order.
   const std::vector<absl::Time>& crashes() const { return crashes_; }
   // Number of workers that were started.
@@ -28,6 +30,7 @@
  private:
   GatewayFixture* fixture_;
   absl::Duration restart_time_;
+  soak::LinkFault crash_fault_ = soak::LinkFault::kReset;
   std::function<emulator::PlatformWorkerOptions()> options_;
   std::vector<std::unique_ptr<soak::FaultProxy>> links_;
   std::vector<std::unique_ptr<LoopTimer>> timers_;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -85,15 +85,18 @@
   }
 
   void Reset() {
-    if (closed_) {
-      return;
-    }
-    closed_ = true;
     Error ignored;
     for (tcp::socket* const socket : {&client_, &server_}) {
       socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
-      socket->close(ignored);
     }
+    Close();
+  }
+
+  void Close() {
+    closed_ = true;
+    Error ignored;
+    client_.close(ignored);
+    server_.close(ignored);
   }
 
   bool closed() const { return closed_; }
@@ -254,7 +257,7 @@
   void HandleConnection(tcp::socket socket) {
     connections.remove_if([](const auto& connection) { return connection->closed(); });
     const auto connection = std::make_shared<Connection>(std::move(socket), &state);
-    if (state.fault == LinkFault::kReset) {
+    if (state.fault == LinkFault::kReset || state.fault == LinkFault::kClose) {
       connection->Reset();
       return;
     }
@@ -293,6 +296,8 @@
   for (const auto& connection : implementation_->connections) {
     if (fault == LinkFault::kReset) {
       connection->Reset();
+    } else if (fault == LinkFault::kClose) {
+      connection->Close();
     } else if (!connection->closed()) {
       connection->Pump();
     }
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -16,6 +16,8 @@
   kDelay,
   // Open connections are reset, and new ones as soon as they are accepted.
   kReset,
+  // Open connections are closed in order, as those of a process that ends; new ones are reset.
+  kClose,
   // Bytes towards the target are held back.
   kCutTowardsTarget,
   // Bytes from the target are held back.
