LOST: the lease holder removes the rows of nodes that are lost

Callers saw: nodes were killed and did not come back.

Cause: membership had no liveness. A node's row in the fleet table says that the node is there; the node alone removed it, in an orderly stop. The row of a killed node stayed for good, and every user of the list of nodes went on with it: records of streams were sent to nodes long gone, the trials of a quarantine left to them, shares of the retry budget kept for them.

Change: the lease holder probes nodes from which it hears nothing (3 s, more in large fleets) and removes the row of one that answers none of five probes, on condition of the row's version (NodeLiveness). A report counts as heard. A node that lives finds its row missing at its next read and puts it back; it is then given twice the time, so that a node which only the holder can't reach loses its row ever more rarely. Rows of an earlier release, which answers no probes, are left alone.

Cost: nothing for nodes that report; for an idle one a probe of 16 and a reply of 13 bytes in 3 s at 9 nodes, in 17 s at 360.

--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -16,6 +16,7 @@
 #include "hingespan/fleet/fleet_messages.h"
 #include "hingespan/fleet/fleet_placer.h"
 #include "hingespan/fleet/lease_manager.h"
+#include "hingespan/fleet/node_liveness.h"
 #include "hingespan/fleet/shared_reading.h"
 #include "hingespan/fleet/version_registry.h"
 #include "hingespan/http/event_loop.h"
@@ -39,6 +40,7 @@
   std::string copies_address;
   std::string forward_address;
   LeaseSettings lease;
+  NodeLivenessSettings liveness;
   FleetPlacerSettings placer;
   // Table in the shared store that holds the rows of nodes and of the lease.
   std::string table = "hingespan";
@@ -102,6 +104,8 @@
   void SetWorkersReachable(bool reachable) { lease_.SetSuspended(!reachable); }
   void OnReport(const DemandReport& report);
   void OnUpdate(const PlacementUpdate& update);
+  void OnProbe(const NodeProbe& probe);
+  void OnProbeReply(const NodeProbeReply& reply);
   // Returns the time at which a replica is expected to be ready, at a worker of this software
   // version unless it is empty; InfiniteFuture if unknown.
   absl::Time ExpectedReady(const ModelKey& model, const std::string& software_version) const;
@@ -115,6 +119,7 @@
   void ReadTable();
   void OnTable(const StoreRows& rows, absl::Time read_started);
   void WriteLease();
+  void ReadNodes(const StoreRows& rows, absl::Time read_started);
   // Takes over the fleet's record of software versions from the table's rows.
   void ReadVersions(const StoreRows& rows);
   // Brings the record up to date. Called only while holding the lease.
@@ -124,6 +129,10 @@
   void WithdrawNode();
   // Announces the node again if its row is missing or is a late write of an earlier process.
   void CheckOwnRow(const StoreRows& rows);
+  // Probes the nodes that are silent, and removes the rows of lost ones. Called only while holding
+  // the lease.
+  void CheckNodes();
+  void RemoveRow(const NodeRow& lost);
   void NoteLeaseChange(bool held_before);
   void ScheduleReport(absl::Duration within);
   void SendReport();
@@ -141,6 +150,7 @@
   FleetCoordinatorParts parts_;
   std::shared_ptr<const Configuration> configuration_;
   LeaseManager lease_;
+  NodeLiveness liveness_;
   FleetPlacer placer_;
   // Estimate in the lease row, as last read.
   WeightStoreEstimate inherited_estimate_;
--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -197,10 +197,20 @@
   int survived_rejections = 0;
 };
 
+// Asks a node whether it lives.
+struct NodeProbe {
+  std::string reply_address;
+};
+
+struct NodeProbeReply {
+  std::string node;
+};
+
 using FleetMessage =
     std::variant<DemandReport, PlacementUpdate, StreamNotice, StreamQuestion, StreamReply,
                  CrashNotice, QuarantineNotice, ClearedParts, QuarantineQuestion, SlotRequest,
-                 SlotReply, SlotTakeover, CrashRetraction, ServedRequests, BrittleNotice>;
+                 SlotReply, SlotTakeover, CrashRetraction, ServedRequests, BrittleNotice, NodeProbe,
+                 NodeProbeReply>;
 
 // Encodes the message as CBOR.
 std::string EncodeFleetMessage(const FleetMessage& message);
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -58,6 +58,8 @@
   std::string forward_address;
   // Address at which it receives datagrams, "ip:port".
   std::string datagram_address;
+  // Identifies its process.
+  std::uint64_t incarnation = 0;
 };
 
 // Not thread-safe; runs on the thread of its event loop.
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -67,6 +67,9 @@
   std::uint64_t orders_without_answer = 0;
   std::uint64_t lease_acquisitions = 0;
   std::uint64_t lease_losses = 0;
+  // Probes of other nodes, and nodes whose rows were removed as they answered none.
+  std::uint64_t node_probes = 0;
+  std::uint64_t nodes_lost = 0;
   std::uint64_t log_lines_left_out = 0;
   LatencyHistogram queue_wait;
   LatencyHistogram first_byte;
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -4,7 +4,6 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 namespace hingespan::gateway {
@@ -12,10 +11,7 @@
 
 using Json = nlohmann::json;
 constexpr char kLeaseKey[] = "lease/placement";
-constexpr absl::string_view kNodePrefix = "node/";
 constexpr absl::Duration kPauseTick = absl::Milliseconds(400);
-// Delay before the removal of the node's row is retried if its outcome is unknown.
-constexpr absl::Duration kRemovalRetryDelay = absl::Milliseconds(500);
 // Reports that are kept until an update includes them. Beyond, the newest one is taken for it.
 constexpr std::size_t kMaxOwnReports = 32;
 
@@ -44,17 +40,13 @@
   }
 }
 
-std::uint64_t IncarnationOf(const std::string& node_row) {
-  const Json json = Json::parse(node_row, nullptr, false);
-  return json.is_object() ? json.value("incarnation", std::uint64_t{0}) : 0;
-}
-
 }  // namespace
 
 FleetCoordinator::FleetCoordinator(FleetCoordinatorSettings settings, FleetCoordinatorParts parts)
     : settings_(std::move(settings)),
       parts_(std::move(parts)),
       lease_(settings_.lease),
+      liveness_(settings_.liveness),
       placer_(settings_.placer),
       store_timer_(parts_.loop->MakeTimer()),
       report_timer_(parts_.loop->MakeTimer()),
@@ -103,6 +95,7 @@
   if (lease_.holding() && !lease_.needs_read() && announced_) {
     WriteLease();
     WriteVersions();
+    CheckNodes();
     const bool due = store_ticks_ % settings_.renewals_between_reads == 0;
     if (!due && !parts_.reads_for_others()) {
       return;
@@ -123,60 +116,6 @@
   return settings_.relaxed_store_interval * (0.75 + 0.5 * part);
 }
 
-void FleetCoordinator::AnnounceNode() {
-  announced_ = true;
-  own_row_version_ = 0;
-  const std::string value =
-      Json{{"address", settings_.address},         {"copies", settings_.copies_address},
-           {"forward", settings_.forward_address}, {"zone", settings_.zone},
-           {"link_mbps", settings_.link_mbps},     {"incarnation", settings_.incarnation}}
-          .dump();
-  parts_.store->Commit({}, {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), value}},
-                       [this](Result<std::uint64_t> result) {
-                         if (!result.ok()) {
-                           announced_ = false;
-                           return;
-                         }
-                         own_row_version_ = *result;
-                         if (stopped_) {
-                           WithdrawNode();
-                         }
-                       });
-}
-
-void FleetCoordinator::WithdrawNode() {
-  if (own_row_version_ == 0) {
-    return;
-  }
-  const std::string key = absl::StrCat(kNodePrefix, settings_.node);
-  // The row version is a condition, as a removal without an answer may take effect after the next
-  // process has announced itself.
-  parts_.store->Commit(
-      {{settings_.table, key, own_row_version_}}, {{settings_.table, key, std::nullopt}},
-      [this](Result<std::uint64_t> result) {
-        if (!result.ok() && result.error() != make_error_code(Error::kConflict)) {
-          withdraw_timer_->Set(parts_.loop->Now() + kRemovalRetryDelay, [this] { WithdrawNode(); });
-        }
-      });
-}
-
-void FleetCoordinator::CheckOwnRow(const StoreRows& rows) {
-  const std::string key = absl::StrCat(kNodePrefix, settings_.node);
-  // A copy of the table may be older than this node's row.
-  if (own_row_version_ == 0 || rows.version < own_row_version_) {
-    return;
-  }
-  const auto own = std::find_if(rows.rows.begin(), rows.rows.end(),
-                                [&](const StoreRow& row) { return row.key == key; });
-  if (own != rows.rows.end() && IncarnationOf(own->value) == settings_.incarnation) {
-    own_row_version_ = std::max(own_row_version_, own->version);
-    return;
-  }
-  if (!stopped_ && announced_) {
-    AnnounceNode();
-  }
-}
-
 void FleetCoordinator::ReadTable() {
   if (read_in_flight_) {
     return;
@@ -203,31 +142,13 @@
   ReadVersions(rows);
   std::optional<LeaseRecord> lease;
   std::uint64_t lease_version = 0;
-  std::map<std::string, std::string> peers;
-  std::vector<FleetNode> nodes;
   for (const StoreRow& row : rows.rows) {
     if (row.key == kLeaseKey) {
       lease = DecodeLease(row.value);
       lease_version = row.version;
-      continue;
-    }
-    if (!absl::StartsWith(row.key, kNodePrefix)) {
-      continue;
-    }
-    const Json json = Json::parse(row.value, nullptr, false);
-    if (json.is_object() && json.contains("address")) {
-      const std::string name = row.key.substr(kNodePrefix.size());
-      peers[name] = json["address"].get<std::string>();
-      nodes.push_back({name, json.value("zone", ""), json.value("copies", ""),
-                       json.value("link_mbps", 0.0), json.value("forward", ""), peers[name]});
     }
   }
-  peers_ = std::move(peers);
-  parts_.on_nodes(nodes, read_started);
-  const bool wider = std::any_of(nodes.begin(), nodes.end(), [this](const FleetNode& node) {
-    return node.link_mbps > settings_.link_mbps;
-  });
-  lease_.SetExtraWait(wider ? settings_.narrow_link_wait : absl::ZeroDuration());
+  ReadNodes(rows, read_started);
   const bool held_before = lease_.holding();
   const std::string holder_before =
       lease_.record().has_value() ? lease_.record()->holder : std::string();
@@ -278,6 +199,7 @@
   if (lease_.holding()) {
     ++parts_.metrics->lease_acquisitions;
     placer_.Begin(inherited_estimate_, now);
+    liveness_.Begin(now);
     parts_.log->Write(LogLevel::kInfo, "lease_acquired",
                       {{"token", absl::StrCat(lease_.token())},
                        {"loads_at_once", absl::StrCat(placer_.weight_store().estimate().limit)}});
@@ -349,6 +271,7 @@
 }
 
 void FleetCoordinator::OnReport(const DemandReport& report) {
+  liveness_.OnHeard(report.node, parts_.loop->Now());
   placer_.OnReport(report, parts_.loop->Now());
   if (lease_.holding()) {
     SchedulePlacement(parts_.loop->Now());
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -27,6 +27,8 @@
 constexpr int kSlotTakeover = 13;
 constexpr int kCrashRetraction = 14;
 constexpr int kServedRequests = 15;
+constexpr int kNodeProbe = 16;
+constexpr int kNodeProbeReply = 17;
 
 Json Encode(const WorkerLoad& load) {
   Json list = Json::array({load.worker_id, load.running, load.unread_tokens});
@@ -280,6 +282,10 @@
   return Json::array({kBrittleNotice, notice.service, notice.survived_rejections});
 }
 
+Json Encode(const NodeProbe& probe) { return Json::array({kNodeProbe, probe.reply_address}); }
+
+Json Encode(const NodeProbeReply& reply) { return Json::array({kNodeProbeReply, reply.node}); }
+
 }  // namespace
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
@@ -326,6 +332,10 @@
         return ServedRequests{json.at(1).get<std::set<RequestContent>>(), json.at(2).get<bool>()};
       case kBrittleNotice:
         return BrittleNotice{json.at(1).get<std::string>(), json.at(2).get<int>()};
+      case kNodeProbe:
+        return NodeProbe{json.at(1).get<std::string>()};
+      case kNodeProbeReply:
+        return NodeProbeReply{json.at(1).get<std::string>()};
       default:
         return std::nullopt;
     }
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -188,6 +188,10 @@
         metrics.lease_acquisitions);
   count("hingespan_lease_losses_total", "Times this node lost the placement lease",
         metrics.lease_losses);
+  count("hingespan_node_probes_total", "Probes of nodes that this node has not heard from",
+        metrics.node_probes);
+  count("hingespan_nodes_lost_total", "Nodes whose rows this node removed as they are lost",
+        metrics.nodes_lost);
   count("hingespan_log_lines_left_out_total", "Log lines left out by rate or a slow reader",
         metrics.log_lines_left_out);
   families.push_back(Histogram("hingespan_queue_wait_seconds",
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -42,6 +42,10 @@
     slots_.OnReply(*slot);
   } else if (const auto* const takeover = std::get_if<SlotTakeover>(&*message)) {
     slots_.OnTakeover(*takeover);
+  } else if (const auto* const probe = std::get_if<NodeProbe>(&*message)) {
+    fleet_->OnProbe(*probe);
+  } else if (const auto* const alive = std::get_if<NodeProbeReply>(&*message)) {
+    fleet_->OnProbeReply(*alive);
   } else if (const auto* const brittle = std::get_if<BrittleNotice>(&*message)) {
     slots_.OnNotice(*brittle);
   }
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -83,6 +84,29 @@
   std::uint64_t version_ = 0;
 };
 
+// A node's way to the store, which is cut when the node is killed.
+class NodeStore : public SharedStore {
+ public:
+  explicit NodeStore(MemoryStore* store) : store_(store) {}
+  void Read(const std::string& table, RowsCallback callback) override {
+    if (!cut) {
+      store_->Read(table, std::move(callback));
+    }
+  }
+  void Watch(const std::string&, std::uint64_t, absl::Duration, RowsCallback) override {}
+  void Commit(std::vector<RowCondition> conditions, std::vector<RowWrite> writes,
+              CommitCallback callback) override {
+    if (!cut) {
+      store_->Commit(std::move(conditions), std::move(writes), std::move(callback));
+    }
+  }
+
+  bool cut = false;
+
+ private:
+  MemoryStore* store_;
+};
+
 class NoControl : public WorkerControl {
  public:
   void SendOrder(const WorkerOrder&, std::function<void(OrderOutcome)>) override {}
@@ -105,6 +129,10 @@
     REQUIRE(message.has_value());
     if (const auto* const report = std::get_if<DemandReport>(&*message)) {
       coordinator->OnReport(*report);
+    } else if (const auto* const probe = std::get_if<NodeProbe>(&*message)) {
+      coordinator->OnProbe(*probe);
+    } else if (const auto* const reply = std::get_if<NodeProbeReply>(&*message)) {
+      coordinator->OnProbeReply(*reply);
     } else {
       coordinator->OnUpdate(std::get<PlacementUpdate>(*message));
     }
@@ -112,11 +140,14 @@
   int peers_running() { return workers.Find("w")->peers_running; }
 
   int running = 0;
+  // Nodes that have a row, as this one last read.
+  std::set<std::string> known_nodes;
   WorkerDirectory workers;
   VersionRegistry versions;
   DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
   GatewayMetrics metrics;
   NoControl control;
+  NodeStore store;
   std::unique_ptr<FleetCoordinator> coordinator;
 };
 
@@ -128,6 +159,12 @@
     return nodes[name].get();
   }
   bool Wait(const std::function<bool()>& done) { return loop.RunUntil(done, kLimit); }
+  // Cuts the node off from all others and from the store, as if its process had been killed.
+  void Kill(const std::string& name) {
+    nodes[name]->store.cut = true;
+    ended.push_back(std::move(nodes[name]));
+    nodes.erase(name);
+  }
 
   std::uint64_t incarnation = 0;
   EventLoop loop;
@@ -141,7 +178,7 @@
 };
 
 Node::Node(Fleet* fleet, const std::string& name, std::uint64_t incarnation)
-    : workers(name, "zone") {
+    : workers(name, "zone"), store(&fleet->store) {
   WorkerRecord record;
   record.id = "w";
   record.service = "s";
@@ -154,9 +191,11 @@
   settings.lease.node = name;
   settings.lease.address = name;
   settings.store_interval = absl::Milliseconds(50);
+  settings.liveness.probe_after = absl::Milliseconds(200);
+  settings.liveness.probe_interval = absl::Milliseconds(50);
   FleetCoordinatorParts parts;
   parts.loop = &fleet->loop;
-  parts.store = &fleet->store;
+  parts.store = &store;
   parts.control = &control;
   parts.workers = &workers;
   parts.versions = &versions;
@@ -170,7 +209,9 @@
       return;
     }
     fleet->loop.Post([fleet, address, datagram = std::string(bytes)] {
-      fleet->nodes.at(address)->Receive(datagram);
+      if (fleet->nodes.contains(address)) {
+        fleet->nodes.at(address)->Receive(datagram);
+      }
     });
   };
   parts.fill_report = [this](DemandReport* report) {
@@ -179,7 +220,12 @@
     }
   };
   parts.on_update = [] {};
-  parts.on_nodes = [](const std::vector<FleetNode>&, absl::Time) {};
+  parts.on_nodes = [this](const std::vector<FleetNode>& nodes, absl::Time) {
+    known_nodes.clear();
+    for (const FleetNode& node : nodes) {
+      known_nodes.insert(node.name);
+    }
+  };
   coordinator = std::make_unique<FleetCoordinator>(std::move(settings), std::move(parts));
   coordinator->SetConfiguration(std::make_shared<const Configuration>());
 }
@@ -211,7 +257,8 @@
   CHECK(other->peers_running() == 0);
   const auto carries_loads = [](const std::string& datagram) {
     const std::optional<FleetMessage> message = DecodeFleetMessage(datagram);
-    return std::get<PlacementUpdate>(*message).loads.has_value();
+    const auto* const update = std::get_if<PlacementUpdate>(&*message);
+    return update != nullptr && update->loads.has_value();
   };
   fleet.held_address = "n2";
   REQUIRE(
@@ -270,6 +317,45 @@
   CHECK(fleet.Wait([&] { return fleet.store.Has("node/n1"); }));
 }
 
+// Guards against a node that was killed staying in the fleet for good: records, slots and trials
+// were left to it, and shares of the retry budget kept for it (LOST).
+TEST_CASE("the row of a node that was killed is removed for all nodes") {
+  Fleet fleet;
+  Node* const holder = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return holder->coordinator->holds_lease(); }));
+  Node* const other = fleet.Add("n2");
+  fleet.Add("n3");
+  REQUIRE(fleet.Wait([&] { return other->known_nodes.size() == 3; }));
+  fleet.Kill("n3");
+  const std::set<std::string> left = {"n1", "n2"};
+  CHECK(fleet.Wait([&] { return holder->known_nodes == left && other->known_nodes == left; }));
+  CHECK(holder->metrics.nodes_lost == 1);
+}
+
+// Guards against lost nodes that stay because the lost holder alone would have removed them.
+TEST_CASE("a node that takes the lease over removes the row of the holder that was killed") {
+  Fleet fleet;
+  Node* const holder = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return holder->coordinator->holds_lease(); }));
+  Node* const other = fleet.Add("n2");
+  REQUIRE(fleet.Wait([&] { return other->known_nodes.size() == 2; }));
+  fleet.Kill("n1");
+  CHECK(fleet.Wait([&] { return other->known_nodes == std::set<std::string>{"n2"}; }));
+}
+
+// Guards against a node that lives being shut out because the holder can't reach it.
+TEST_CASE("a node that the holder can't reach puts its row back") {
+  Fleet fleet;
+  Node* const holder = fleet.Add("n1");
+  REQUIRE(fleet.Wait([&] { return holder->coordinator->holds_lease(); }));
+  Node* const other = fleet.Add("n2");
+  REQUIRE(fleet.Wait([&] { return other->known_nodes.size() == 2; }));
+  fleet.held_address = "n2";
+  REQUIRE(fleet.Wait([&] { return holder->metrics.nodes_lost == 1; }));
+  REQUIRE(fleet.Wait([&] { return !fleet.store.Has("node/n2"); }));
+  CHECK(fleet.Wait([&] { return fleet.store.Has("node/n2"); }));
+}
+
 // Guards against a stopped node staying in the fleet forever because the only removal of its row
 // failed.
 TEST_CASE("a node that stops removes its row although the first call fails") {
--- a/tests/fleet/fleet_messages_test.cc
+++ b/tests/fleet/fleet_messages_test.cc
@@ -167,6 +167,16 @@
   CHECK(EncodeFleetMessage(notice).size() <= kPacket);
 }
 
+TEST_CASE("messages about the liveness of nodes are decoded as they were encoded") {
+  const std::string probe = EncodeFleetMessage(NodeProbe{"10.0.0.1:7000"});
+  REQUIRE(DecodeFleetMessage(probe).has_value());
+  CHECK(std::get<NodeProbe>(*DecodeFleetMessage(probe)).reply_address == "10.0.0.1:7000");
+  const std::string reply = EncodeFleetMessage(NodeProbeReply{"frontend-3"});
+  REQUIRE(DecodeFleetMessage(reply).has_value());
+  CHECK(std::get<NodeProbeReply>(*DecodeFleetMessage(reply)).node == "frontend-3");
+  MESSAGE("probe: " << probe.size() << ", reply: " << reply.size() << " bytes");
+}
+
 TEST_CASE("messages about slots are decoded as they were encoded") {
   SlotRequest request;
   request.worker_id = "w1";
