LOST: a stream's record goes to other nodes when its holders are lost or start again

Callers saw: streams that broke off with their node could not be taken up, as both holders of their record had been lost, or had restarted, one after the other before it.

Cause: the record was sent once, when the stream began. Nothing followed when a holder was lost later or came back empty.

Evidence: the new cases of stream_directory_test with the former SetNodes: after the two holders are lost no node has the record (0 of 2); after both have started again neither has it. With the fix both pass.

Change: the node that began the stream compares the holders before and after each change of the nodes, their processes included (incarnation), and sends the record to those that are new. While the nodes stay the same nothing is sent. A record whose own node is gone stays where it is.

--- a/include/hingespan/fleet/stream_directory.h
+++ b/include/hingespan/fleet/stream_directory.h
@@ -53,7 +53,9 @@
 
   // Sets this node's own address for datagrams.
   void SetAddress(std::string address) { address_ = std::move(address); }
-  void SetNodes(std::vector<StreamNode> nodes) { nodes_ = std::move(nodes); }
+  // Sets the nodes of the fleet. Records of streams that began here are sent to holders that are
+  // new or have started again.
+  void SetNodes(std::vector<StreamNode> nodes);
   // Sets the services whose workers have several software versions, as far as is known. Records of
   // streams that have begun before are sent to their holders now.
   void SetMixedServices(std::set<std::string> services);
@@ -89,7 +91,9 @@
     std::set<std::string> versions;
   };
 
-  void SendNotice(const std::string& stream_id, const StreamRegistry::Record& record);
+  // Sends the record to its holders, except `but`.
+  void SendNotice(const std::string& stream_id, const StreamRegistry::Record& record,
+                  const std::vector<StreamNode>& but = {});
   // Asks those that have not replied, or ends the search.
   void NextRound(std::uint64_t number);
   // Returns what follows from the replies so far if none had a record.
--- a/include/hingespan/fleet/stream_holders.h
+++ b/include/hingespan/fleet/stream_holders.h
@@ -2,6 +2,7 @@
 #ifndef HINGESPAN_FLEET_STREAM_HOLDERS_H_
 #define HINGESPAN_FLEET_STREAM_HOLDERS_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,10 @@
   std::string zone;
   // Address for datagrams, "ip:port".
   std::string address;
+  // Identifies the node's process.
+  std::uint64_t incarnation = 0;
+
+  friend bool operator==(const StreamNode&, const StreamNode&) = default;
 };
 
 // The choices are functions of the stream's id and the nodes (rendezvous hashing), so that every
--- a/src/fleet/stream_directory.cc
+++ b/src/fleet/stream_directory.cc
@@ -18,6 +18,19 @@
 
 StreamDirectory::~StreamDirectory() = default;
 
+void StreamDirectory::SetNodes(std::vector<StreamNode> nodes) {
+  if (nodes == nodes_) {
+    return;
+  }
+  const std::vector<StreamNode> before = std::exchange(nodes_, std::move(nodes));
+  registry_.ForEachOwn(parts_.loop->Now(),
+                       [&](const std::string& stream_id, const StreamRegistry::Record& record) {
+                         if (mixed_services_.contains(record.source.service)) {
+                           SendNotice(stream_id, record, ChooseHolders(stream_id, before, node_));
+                         }
+                       });
+}
+
 void StreamDirectory::SetMixedServices(std::set<std::string> services) {
   const std::set<std::string> before = std::exchange(mixed_services_, std::move(services));
   registry_.ForEachOwn(parts_.loop->Now(),
@@ -39,12 +52,15 @@
   }
 }
 
-void StreamDirectory::SendNotice(const std::string& stream_id,
-                                 const StreamRegistry::Record& record) {
+void StreamDirectory::SendNotice(const std::string& stream_id, const StreamRegistry::Record& record,
+                                 const std::vector<StreamNode>& but) {
   const absl::Duration left = record.expires - parts_.loop->Now();
   const std::string bytes = EncodeFleetMessage(
       StreamNotice{stream_id, record.source, static_cast<int>(absl::ToInt64Milliseconds(left))});
   for (const StreamNode& holder : ChooseHolders(stream_id, nodes_, node_)) {
+    if (std::find(but.begin(), but.end(), holder) != but.end()) {
+      continue;
+    }
     ++parts_.metrics->stream_notices;
     parts_.send(holder.address, bytes);
   }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -205,7 +205,7 @@
     for (const FleetNode& node : nodes) {
       names.push_back(node.name);
       peers.push_back({node.name, node.zone, node.forward_address});
-      stream_nodes.push_back({node.name, node.zone, node.datagram_address});
+      stream_nodes.push_back({node.name, node.zone, node.datagram_address, node.incarnation});
     }
     peer_directory_.SetPeers(peers);
     quarantine_.SetNodes(stream_nodes);
--- a/tests/fleet/stream_directory_test.cc
+++ b/tests/fleet/stream_directory_test.cc
@@ -68,6 +68,29 @@
     }
   }
 
+  // Has the nodes that are left know that those in `lost` are gone.
+  void Lose(const std::set<std::string>& lost) {
+    down.insert(lost.begin(), lost.end());
+    std::erase_if(known, [&](const StreamNode& node) { return lost.contains(node.name); });
+    for (const auto& [name, node] : nodes) {
+      if (!down.contains(name)) {
+        node->SetNodes(known);
+      }
+    }
+    Settle();
+  }
+
+  // Names of the nodes other than n0 that have the record.
+  std::set<std::string> Holders(const std::string& stream) const {
+    std::set<std::string> holders;
+    for (const auto& [name, node] : nodes) {
+      if (name != "n0" && !down.contains(name) && node->FindHere(stream).has_value()) {
+        holders.insert(name);
+      }
+    }
+    return holders;
+  }
+
   // Asks at a node, and waits for the result.
   std::optional<StreamSource> Ask(const std::string& name, const std::string& stream,
                                   bool is_current = false) {
@@ -110,6 +133,47 @@
   }
 }
 
+// Guards against streams that can't go on because one holder after another is lost (LOST).
+TEST_CASE("a record goes to other nodes when its holders are lost") {
+  Fleet fleet(8);
+  fleet.nodes["n0"]->SetMixedServices({"s"});
+  fleet.nodes["n0"]->Add("stream", kSource, absl::Seconds(30));
+  fleet.Settle();
+  for (int round = 0; round < 3; ++round) {
+    const std::set<std::string> holders = fleet.Holders("stream");
+    REQUIRE(holders.size() == 2);
+    fleet.Lose(holders);
+  }
+  CHECK(fleet.metrics.stream_notices == 7);
+  fleet.Lose({"n0"});
+  REQUIRE(fleet.known.size() == 1);
+  CHECK(fleet.nodes[fleet.known.front().name]->FindHere("stream") == kSource);
+}
+
+// Guards against streams that can't go on because their holders have restarted (LOST).
+TEST_CASE("a record goes to its holders again when they have started again") {
+  Fleet fleet(6);
+  fleet.nodes["n0"]->SetMixedServices({"s"});
+  fleet.nodes["n0"]->Add("stream", kSource, absl::Seconds(30));
+  fleet.Settle();
+  const std::set<std::string> holders = fleet.Holders("stream");
+  REQUIRE(holders.size() == 2);
+  for (StreamNode& node : fleet.known) {
+    node.incarnation += holders.contains(node.name) ? 1 : 0;
+  }
+  for (const std::string& name : holders) {
+    fleet.Start(name);
+  }
+  REQUIRE(fleet.Holders("stream").empty());
+  fleet.nodes["n0"]->SetNodes(fleet.known);
+  fleet.Settle();
+  CHECK(fleet.Holders("stream") == holders);
+  // Nothing is sent while the nodes stay the same.
+  fleet.nodes["n0"]->SetNodes(fleet.known);
+  fleet.Settle();
+  CHECK(fleet.metrics.stream_notices == 4);
+}
+
 // Guards against an answer that a lost datagram, or a node that doesn't answer, delays forever.
 TEST_CASE("a search ends though nodes don't answer") {
   Fleet fleet(6);
