LOST: the sources of streams are archived in the store while versions are mixed

Callers saw: all nodes are killed at once while two software versions serve, or have just served; streams that are taken up again afterwards are refused. ORDER is kept.

Cause: where a stream began was known to processes only, its own node and two holders. When all are killed, no record is left, and a stream of unknown version is refused.

With the look into the archive left out, the new cases of stream_versions_test (503 in place of events 4 to 6, at the node of the same name and at another one) and of stream_directory_test fail.

Change: each node keeps the records of its streams in a row of its own, hingespan-streams/NODE, which it writes at most once a second (and 20 ms for each node) while versions are mixed and streams begin. A node that finds no record at the others reads the rows, at most once a second. A process takes over its predecessor's row under the same name; writes are on condition of the row's version. Rows go when their streams have expired. No event waits for a write, so streams that began after the last one are lost as before.

--- a/include/hingespan/fleet/stream_directory.h
+++ b/include/hingespan/fleet/stream_directory.h
@@ -1,10 +1,11 @@
 // Finds the workers at which a stream that a caller takes up again has begun.
 //
 // The node that passes on a stream's first event keeps a record of its source. Unless the service
-// is known to have workers of one software version only, it also sends the record to the holders,
-// so that it outlives the node. A node without the record asks the nodes that may hold it. If none
-// has it, but half of them answer and know no other version than this node's only one, the stream
-// goes on at that one: records of streams of another version would have been sent to the holders.
+// is known to have workers of one software version only, it also sends the record to the holders
+// and archives it, so that it outlives the node, and all nodes. A node without the record asks the
+// nodes that may hold it. If none has it, but half of them answer and know no other version than
+// this node's only one, the stream goes on at that one: records of streams of another version would
+// have been sent to the holders.
 #ifndef HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 #define HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 
@@ -33,6 +34,14 @@
   GatewayMetrics* metrics = nullptr;
   // Sends a datagram to a node's address.
   std::function<void(const std::string& address, absl::string_view bytes)> send;
+  // Archives the record of a stream that is kept for `lifetime`.
+  std::function<void(const std::string& stream_id, const StreamSource& source,
+                     absl::Duration lifetime)>
+      archive;
+  // Looks for a record in the archive; may call `done` within the call.
+  std::function<void(const std::string& stream_id,
+                     std::function<void(std::optional<StreamSource>)> done)>
+      find_archived;
   // Returns the only software version of a service that this node knows of; std::nullopt if there
   // are others, or if it may not know all.
   std::function<std::optional<std::string>(const std::string& service)> only_version;
@@ -91,6 +100,8 @@
     std::set<std::string> versions;
   };
 
+  // Has the record outlive this node.
+  void Spread(const std::string& stream_id, const StreamRegistry::Record& record);
   // Sends the record to its holders, except `but`.
   void SendNotice(const std::string& stream_id, const StreamRegistry::Record& record,
                   const std::vector<StreamNode>& but = {});
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -17,6 +17,7 @@
 #include "hingespan/fleet/quarantine_exchange.h"
 #include "hingespan/fleet/shared_reading.h"
 #include "hingespan/fleet/slot_exchange.h"
+#include "hingespan/fleet/stream_archive.h"
 #include "hingespan/fleet/stream_directory.h"
 #include "hingespan/fleet/version_registry.h"
 #include "hingespan/http/event_loop.h"
@@ -161,6 +162,7 @@
   HttpServer metrics_;
   PeerLink peers_;
   VersionRegistry versions_;
+  StreamArchive archive_;
   StreamDirectory streams_;
   QuarantineExchange quarantine_;
   SlotExchange slots_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -46,6 +46,8 @@
   // Datagrams about streams: records sent to holders, and questions for records.
   std::uint64_t stream_notices = 0;
   std::uint64_t stream_questions = 0;
+  // Writes of streams' sources to the shared store.
+  std::uint64_t stream_archive_writes = 0;
   // Workers that ended before they had begun to answer prompts of this node, quarantines that this
   // node has imposed, and datagrams about both.
   std::uint64_t worker_crashes = 0;
--- /dev/null
+++ b/src/fleet/stream_archive.cc
@@ -0,0 +1,236 @@
+#include "hingespan/fleet/stream_archive.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace hingespan::gateway {
+namespace {
+
+using Json = nlohmann::json;
+
+// Time after the last expiry in a row until which its node may still come back, and by which the
+// wall clocks of two machines may differ.
+constexpr absl::Duration kStaleAfter = absl::Minutes(1);
+
+}  // namespace
+
+StreamArchive::StreamArchive(StreamArchiveSettings settings, StreamArchiveParts parts)
+    : settings_(std::move(settings)), parts_(parts), write_timer_(parts_.loop->MakeTimer()) {}
+
+StreamArchive::~StreamArchive() = default;
+
+// A row names each source once: [[[service, version], ...], [[stream, source, expiry in s], ...]].
+std::string StreamArchive::Encode(const Entries& entries) {
+  Json sources = Json::array();
+  Json streams = Json::array();
+  for (const auto& [stream_id, entry] : entries) {
+    const Json source = Json::array({entry.source.service, entry.source.software_version});
+    auto known = std::find(sources.begin(), sources.end(), source);
+    if (known == sources.end()) {
+      sources.push_back(source);
+      known = std::prev(sources.end());
+    }
+    streams.push_back(Json::array(
+        {stream_id, std::distance(sources.begin(), known), absl::ToUnixSeconds(entry.expires)}));
+  }
+  return Json::array({std::move(sources), std::move(streams)}).dump();
+}
+
+std::optional<StreamArchive::Entries> StreamArchive::Decode(const std::string& value) {
+  const Json json = Json::parse(value, nullptr, false);
+  if (!json.is_array()) {
+    return std::nullopt;
+  }
+  Entries entries;
+  try {
+    for (const Json& stream : json.at(1)) {
+      const Json& source = json.at(0).at(stream.at(1).get<std::size_t>());
+      entries[stream.at(0).get<std::string>()] = {
+          {source.at(0).get<std::string>(), source.at(1).get<std::string>()},
+          absl::FromUnixSeconds(stream.at(2).get<std::int64_t>())};
+    }
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+  return entries;
+}
+
+void StreamArchive::Add(const std::string& stream_id, const StreamSource& source,
+                        absl::Duration lifetime) {
+  own_[stream_id] = {source, parts_.clock->WallTime() + lifetime};
+  changed_ = true;
+  ScheduleWrite();
+}
+
+void StreamArchive::ScheduleWrite() {
+  if (write_in_flight_ || read_in_flight_) {
+    return;
+  }
+  const absl::Time now = parts_.loop->Now();
+  const absl::Duration interval = settings_.write_interval + settings_.write_interval_per_node *
+                                                                 static_cast<double>(fleet_size_);
+  absl::Time due = std::max(now, last_write_ + interval);
+  if (!changed_) {
+    // Nothing but the removal of what expires is left to write.
+    absl::Time last_expiry = parts_.clock->WallTime();
+    for (const auto& [stream_id, entry] : own_) {
+      last_expiry = std::max(last_expiry, entry.expires);
+    }
+    due = std::max(due, now + (last_expiry - parts_.clock->WallTime()));
+  }
+  write_timer_->Set(due, [this] { Write(); });
+}
+
+std::string StreamArchive::TakeRowValue() {
+  const absl::Time now = parts_.clock->WallTime();
+  std::erase_if(own_, [now](const auto& stream) { return stream.second.expires <= now; });
+  std::string value = Encode(own_);
+  while (value.size() > settings_.row_bytes) {
+    std::vector<absl::Time> expiries;
+    for (const auto& [stream_id, entry] : own_) {
+      expiries.push_back(entry.expires);
+    }
+    const auto middle = expiries.begin() + static_cast<std::ptrdiff_t>(expiries.size() / 4);
+    std::nth_element(expiries.begin(), middle, expiries.end());
+    const std::size_t before = own_.size();
+    std::erase_if(own_, [&](const auto& stream) { return stream.second.expires <= *middle; });
+    parts_.log->Write(LogLevel::kWarning, "stream_archive_full",
+                      {{"left_out", absl::StrCat(before - own_.size())}});
+    value = Encode(own_);
+  }
+  return value;
+}
+
+void StreamArchive::Write() {
+  if (!row_version_.has_value()) {
+    Read();
+    return;
+  }
+  const std::string value = TakeRowValue();
+  const bool removes = own_.empty();
+  changed_ = false;
+  if (removes && *row_version_ == 0) {
+    return;
+  }
+  write_in_flight_ = true;
+  last_write_ = parts_.loop->Now();
+  ++parts_.metrics->stream_archive_writes;
+  // The version is a condition, as a write of an earlier process may take effect late.
+  parts_.store->Commit(
+      {{settings_.table, settings_.node, *row_version_}},
+      {{settings_.table, settings_.node, removes ? std::nullopt : std::make_optional(value)}},
+      [this, removes](Result<std::uint64_t> result) { OnWritten(result, removes); });
+}
+
+void StreamArchive::OnWritten(const Result<std::uint64_t>& result, bool removed) {
+  write_in_flight_ = false;
+  if (result.ok()) {
+    row_version_ = removed ? 0 : *result;
+  } else {
+    parts_.log->Write(LogLevel::kInfo, "stream_archive_write_failed",
+                      {{"error", result.error().message()}});
+    // The row is read before the next write, as the outcome may be unknown.
+    row_version_.reset();
+    changed_ = true;
+  }
+  if (changed_ || !own_.empty()) {
+    ScheduleWrite();
+  }
+}
+
+void StreamArchive::Find(const std::string& stream_id, Callback done) {
+  const auto own = own_.find(stream_id);
+  if (own != own_.end()) {
+    done(own->second.source);
+    return;
+  }
+  searches_.push_back({stream_id, std::move(done)});
+  if (parts_.loop->Now() - last_read_ <= settings_.read_interval) {
+    EndSearches();
+    return;
+  }
+  Read();
+}
+
+void StreamArchive::Read() {
+  if (read_in_flight_) {
+    return;
+  }
+  read_in_flight_ = true;
+  parts_.store->Read(settings_.table, [this](Result<StoreRows> result) {
+    read_in_flight_ = false;
+    if (result.ok()) {
+      OnRows(*result);
+    } else {
+      last_write_ = parts_.loop->Now();
+      parts_.log->Write(LogLevel::kInfo, "stream_archive_read_failed",
+                        {{"error", result.error().message()}});
+    }
+    EndSearches();
+    if (changed_) {
+      ScheduleWrite();
+    }
+  });
+}
+
+void StreamArchive::OnRows(const StoreRows& rows) {
+  last_read_ = parts_.loop->Now();
+  read_.clear();
+  const absl::Time stale = parts_.clock->WallTime() - kStaleAfter;
+  std::optional<std::uint64_t> version = 0;
+  for (const StoreRow& row : rows.rows) {
+    std::optional<Entries> entries = Decode(row.value);
+    if (!entries.has_value()) {
+      parts_.log->Write(LogLevel::kWarning, "stream_archive_row_malformed", {{"node", row.key}});
+      entries.emplace();
+    }
+    for (const auto& [stream_id, entry] : *entries) {
+      read_[stream_id] = entry.source;
+    }
+    if (row.key == settings_.node) {
+      version = row.version;
+      TakeOver(row, std::move(*entries));
+    } else if (std::all_of(entries->begin(), entries->end(),
+                           [stale](const auto& stream) { return stream.second.expires < stale; })) {
+      RemoveStale(row);
+    }
+  }
+  if (!row_version_.has_value() && !write_in_flight_) {
+    row_version_ = version;
+  }
+}
+
+void StreamArchive::TakeOver(const StoreRow& row, Entries entries) {
+  if (row_version_.has_value() || write_in_flight_) {
+    return;  // This process has written the row.
+  }
+  parts_.log->Write(
+      LogLevel::kInfo, "stream_archive_taken_over",
+      {{"streams", absl::StrCat(entries.size())}, {"row_version", absl::StrCat(row.version)}});
+  own_.merge(entries);
+  changed_ = true;
+}
+
+void StreamArchive::RemoveStale(const StoreRow& row) {
+  parts_.store->Commit({{settings_.table, row.key, row.version}},
+                       {{settings_.table, row.key, std::nullopt}},
+                       [this, key = row.key](const Result<std::uint64_t>& result) {
+                         if (!result.ok()) {
+                           parts_.log->Write(LogLevel::kInfo, "stream_archive_removal_failed",
+                                             {{"node", key}, {"error", result.error().message()}});
+                         }
+                       });
+}
+
+void StreamArchive::EndSearches() {
+  for (const Search& search : std::exchange(searches_, {})) {
+    const auto found = read_.find(search.stream_id);
+    search.done(found == read_.end() ? std::nullopt : std::make_optional(found->second));
+  }
+}
+
+}  // namespace hingespan::gateway
--- a/src/fleet/stream_directory.cc
+++ b/src/fleet/stream_directory.cc
@@ -37,7 +37,7 @@
                        [&](const std::string& stream_id, const StreamRegistry::Record& record) {
                          const std::string& service = record.source.service;
                          if (mixed_services_.contains(service) && !before.contains(service)) {
-                           SendNotice(stream_id, record);
+                           Spread(stream_id, record);
                          }
                        });
 }
@@ -48,10 +48,15 @@
   const StreamRegistry::Record record{source, now + lifetime, true};
   registry_.Add(stream_id, record, now);
   if (mixed_services_.contains(source.service)) {
-    SendNotice(stream_id, record);
+    Spread(stream_id, record);
   }
 }
 
+void StreamDirectory::Spread(const std::string& stream_id, const StreamRegistry::Record& record) {
+  SendNotice(stream_id, record);
+  parts_.archive(stream_id, record.source, record.expires - parts_.loop->Now());
+}
+
 void StreamDirectory::SendNotice(const std::string& stream_id, const StreamRegistry::Record& record,
                                  const std::vector<StreamNode>& but) {
   const absl::Duration left = record.expires - parts_.loop->Now();
@@ -126,9 +131,13 @@
 
 void StreamDirectory::End(std::uint64_t number, std::optional<StreamSource> source) {
   const auto entry = searches_.find(number);
-  const Callback done = std::move(entry->second.done);
+  const Search search = std::move(entry->second);
   searches_.erase(entry);
-  done(std::move(source));
+  if (source.has_value() || search.stream_id.empty()) {
+    search.done(std::move(source));
+    return;
+  }
+  parts_.find_archived(search.stream_id, search.done);
 }
 
 void StreamDirectory::OnNotice(const StreamNotice& notice) {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -60,6 +60,14 @@
   return reading;
 }
 
+StreamArchiveSettings ArchiveSettings(const GatewaySettings& settings) {
+  StreamArchiveSettings archive;
+  archive.node = settings.node;
+  // The store counts a value's bytes in base64, which is a third longer.
+  archive.row_bytes = static_cast<std::size_t>(settings.store_row_bytes) * 3 / 4;
+  return archive;
+}
+
 HeaderFields RetryAfter(std::string seconds) { return {{"Retry-After", std::move(seconds)}}; }
 
 }  // namespace
@@ -83,18 +91,27 @@
           parts_.loop,
           [this](const std::shared_ptr<ServerExchange>& exchange) { OnMetricsRequest(exchange); }),
       peers_(parts_.loop, [this](absl::string_view bytes) { OnDatagram(bytes); }),
-      streams_(settings_.node, {parts_.loop, parts_.metrics,
-                                [this](const std::string& address, absl::string_view bytes) {
-                                  peers_.Send(address, bytes);
-                                },
-                                [this](const std::string& service) {
-                                  ObserveVersions();
-                                  return versions_.OnlyVersion(service, parts_.loop->Now());
-                                },
-                                [this](const std::string& service) {
-                                  ObserveVersions();
-                                  return versions_.KnownVersions(service, parts_.loop->Now());
-                                }}),
+      archive_(ArchiveSettings(settings_),
+               {parts_.loop, &SystemClock(), parts_.store, parts_.log, parts_.metrics}),
+      streams_(settings_.node,
+               {parts_.loop, parts_.metrics,
+                [this](const std::string& address, absl::string_view bytes) {
+                  peers_.Send(address, bytes);
+                },
+                [this](const std::string& id, const StreamSource& source, absl::Duration lifetime) {
+                  archive_.Add(id, source, lifetime);
+                },
+                [this](const std::string& id, StreamArchive::Callback done) {
+                  archive_.Find(id, std::move(done));
+                },
+                [this](const std::string& service) {
+                  ObserveVersions();
+                  return versions_.OnlyVersion(service, parts_.loop->Now());
+                },
+                [this](const std::string& service) {
+                  ObserveVersions();
+                  return versions_.KnownVersions(service, parts_.loop->Now());
+                }}),
       quarantine_(settings_.node,
                   {parts_.loop, parts_.log, parts_.metrics,
                    [this](const std::string& address, absl::string_view bytes) {
@@ -207,6 +224,7 @@
       peers.push_back({node.name, node.zone, node.forward_address});
       stream_nodes.push_back({node.name, node.zone, node.datagram_address, node.incarnation});
     }
+    archive_.SetFleetSize(nodes.size());
     peer_directory_.SetPeers(peers);
     quarantine_.SetNodes(stream_nodes);
     slots_.SetNodes(stream_nodes);
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -171,6 +171,8 @@
         metrics.stream_notices);
   count("hingespan_stream_questions_total", "Questions to other nodes for records of streams",
         metrics.stream_questions);
+  count("hingespan_stream_archive_writes_total", "Writes of records of streams to the shared store",
+        metrics.stream_archive_writes);
   count("hingespan_callers_gone_total", "Callers that left before their answer",
         metrics.callers_gone);
   count("hingespan_forwards_total", "Attempts forwarded to another node", metrics.forwards);
--- a/tests/fleet/stream_directory_test.cc
+++ b/tests/fleet/stream_directory_test.cc
@@ -37,6 +37,14 @@
     StreamDirectoryParts parts;
     parts.loop = &loop;
     parts.metrics = &metrics;
+    parts.archive = [this](const std::string& id, const StreamSource& source, absl::Duration) {
+      archived[id] = source;
+    };
+    parts.find_archived = [this](const std::string& id, const StreamDirectory::Callback& done) {
+      const auto found = archived.find(id);
+      done(found == archived.end() || !reads_archive ? std::nullopt
+                                                     : std::make_optional(found->second));
+    };
     parts.only_version = [this, name](const std::string&) {
       const std::set<std::string>& all = versions[name];
       return all.size() == 1 ? std::optional(*all.begin()) : std::nullopt;
@@ -115,6 +123,9 @@
   GatewayMetrics metrics;
   std::vector<StreamNode> known;
   std::set<std::string> down;
+  std::map<std::string, StreamSource> archived;
+  // False for the cases about what the nodes themselves know.
+  bool reads_archive = false;
   // The versions that a node knows of.
   std::map<std::string, std::set<std::string>> versions;
   std::map<std::string, std::unique_ptr<StreamDirectory>> nodes;
@@ -133,6 +144,24 @@
   }
 }
 
+// Guards against streams that can't go on because all nodes were killed at once (LOST).
+TEST_CASE("a record that no node has any more is found in the archive") {
+  Fleet fleet(6);
+  fleet.reads_archive = true;
+  fleet.nodes["n0"]->SetMixedServices({"s"});
+  fleet.nodes["n0"]->Add("stream", kSource, absl::Seconds(30));
+  fleet.nodes["n0"]->Add("other", {"other", "v2"}, absl::Seconds(30));
+  fleet.Settle();
+  for (const StreamNode& node : fleet.known) {
+    fleet.Start(node.name);
+  }
+  for (const StreamNode& node : fleet.known) {
+    CHECK(fleet.Ask(node.name, "stream") == kSource);
+    CHECK(!fleet.Ask(node.name, "unknown").has_value());
+  }
+  CHECK(!fleet.archived.contains("other"));
+}
+
 // Guards against streams that can't go on because one holder after another is lost (LOST).
 TEST_CASE("a record goes to other nodes when its holders are lost") {
   Fleet fleet(8);
--- a/tests/serving/stream_versions_test.cc
+++ b/tests/serving/stream_versions_test.cc
@@ -124,6 +124,33 @@
   CHECK(same->runs().size() == 1);
 }
 
+// Guards against streams that can't go on (LOST), or go on at another version (ORDER), because all
+// nodes were killed at once: what a node wrote to the store is all that is left.
+TEST_CASE(
+    "a stream that its caller takes up goes on at its own version after all nodes were killed") {
+  GatewayFixture before;
+  AddVersion(&before, "w1", "v1");
+  TestNode* const killed = before.AddNode("n1");
+  const auto call = BeginStream(&before, killed);
+  AddVersion(&before, "w2", "v2");
+  const auto row = [&] { return before.store.Value("hingespan-streams", "n1"); };
+  REQUIRE(before.Wait([&] { return row().find(kFirstId) != std::string::npos; }));
+
+  GatewayFixture after;
+  const PlatformWorker* const same = AddVersion(&after, "w1", "v1");
+  const PlatformWorker* const other = AddVersion(&after, "w2", "v2");
+  after.store.Put("hingespan-streams", "n1", row());
+  std::string name;
+  SUBCASE("at the node of the same name") { name = "n1"; }
+  SUBCASE("at another node") { name = "n2"; }
+  TestNode* const node = after.AddNode(name);
+  const auto next = after.Ask(node, TakeUpRequest("second"));
+  CHECK(next->head.status == 200);
+  CHECK(next->body == Events(4, 6));
+  CHECK(other->runs().empty());
+  CHECK(same->runs().size() == 1);
+}
+
 // Guards against joining versions, and against holding the caller, once the last worker of a
 // stream's version is gone.
 TEST_CASE("a stream whose version has no worker left is refused at once") {
