tests: an answer whose head is cut short is never passed on as whole

Other operators reported a worker that stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. Here it can't happen by what was tried: AnswerParser reports a head before its blank line as incomplete, so the exchange ends as broken, and no head is passed on before it is complete.

--- a/tests/http/message_parser_test.cc
+++ b/tests/http/message_parser_test.cc
@@ -63,6 +63,24 @@
   CHECK(!parser.complete());
 }
 
+// Guards against a head that its server has cut short being taken for a whole answer.
+TEST_CASE("an answer whose head is cut short is not complete, wherever it is cut") {
+  for (const char* const framing :
+       {"Content-Length: 5\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    const std::string head =
+        std::string("HTTP/1.1 200 OK\r\nServer: w\r\n") + framing + "Last: field\r\n\r\n";
+    for (std::size_t length = 0; length < head.size(); ++length) {
+      CAPTURE(framing);
+      CAPTURE(length);
+      AnswerParser parser([](absl::string_view) {});
+      parser.Feed(head.substr(0, length));
+      parser.FeedEnd();
+      CHECK(!parser.head_complete());
+      CHECK(!parser.complete());
+    }
+  }
+}
+
 TEST_CASE("invalid requests are reported with the matching fault") {
   const MessageLimits limits{200, 10};
   const auto fault_of = [&](const std::string& text) {
