--- a/tests/quarantine/crashing_prompt_test.cc
+++ b/tests/quarantine/crashing_prompt_test.cc
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -81,21 +82,28 @@
     calls.push_back({loop.Now(), second_part, Send(node.get(), request)});
   }
 
-  // For this long, sends requests with the crashing part and sound ones in turn.
-  void SendFor(absl::Duration time) {
+  // For this long, sends requests whose second parts `next_part` returns.
+  void SendFor(absl::Duration time, const std::function<std::string()>& next_part) {
     const absl::Time end = loop.Now() + time;
     absl::Time next = loop.Now();
     REQUIRE(Wait([&] {
       if (loop.Now() >= next) {
         next += kRequestInterval;
-        SendPrompt(next_request % crashing_interval == 0 ? kCrashingPart
-                                                         : absl::StrCat("sound", next_request % 7));
+        SendPrompt(next_part());
       }
       return loop.Now() >= end;
     }));
     REQUIRE(Wait([&] { return AllEnded(); }));
   }
 
+  // For this long, sends requests with the crashing part and sound ones in turn.
+  void SendFor(absl::Duration time) {
+    SendFor(time, [this] {
+      return next_request % crashing_interval == 0 ? std::string(kCrashingPart)
+                                                   : absl::StrCat("sound", next_request % 7);
+    });
+  }
+
   bool AllEnded() const {
     return std::all_of(calls.begin(), calls.end(),
                        [](const Call& call) { return call.call->ended; });
@@ -220,6 +228,25 @@
   }
 }
 
+// Guards against taking the crashes by requests that come together for those of a rack that loses
+// power, which count once (BUDGET).
+TEST_CASE("few requests with a crashing part reach workers although several come at once") {
+  CrashFixture fixture;
+  constexpr int kBatch = 6;
+  for (int batch = 0; batch < 4; ++batch) {
+    for (int number = 0; number < kBatch; ++number) {
+      fixture.SendPrompt(kCrashingPart);
+    }
+    fixture.SendFor(kContactTime + absl::Seconds(1),
+                    [&] { return absl::StrCat("sound", fixture.next_request % 7); });
+  }
+  const std::size_t counted = fixture.restarting.crashes().size();
+  MESSAGE("crashes: " << counted);
+  REQUIRE(counted >= kCrashesBeforeBound);
+  const absl::Time fifth = fixture.restarting.crashes()[kCrashesBeforeBound - 1];
+  CHECK(fixture.ArrivalsAfter(fifth + kContactTime) <= kMaxArrivalsAfter);
+}
+
 // Guards against a restarted node that sends requests with a crashing part again (BUDGET).
 TEST_CASE("a node that starts after the quarantine sends no requests with a crashing part") {
   CrashFixture fixture;
