BUDGET: simultaneous crashes count each, and their quarantine is tried early

Callers saw: several requests with a part that crashes workers come together, again and again, and each batch takes as many workers down.

Cause: PromptQuarantine counted crashes within 25 ms as one, as a rack that loses power has many. By the crashes alone the two can't be told apart.

Change: each crash counts. If there were fewer moments than crashes needed, the quarantine is provisional: one request is admitted as a trial at the age of 1, 2, 4, 8 and 16 s, by the one node that admits trials. An answer lifts the quarantine at all nodes; a crash later than the first trial confirms it, at each node that learns of it, and trials are as rare as ever. Retry-After is the time to the next trial, not the quarantine's end. The notice of a quarantine says whether it is provisional; nodes of an earlier release say and read nothing.

What it costs: a sound part that three workers (five if it was answered before) had when they crashed together, and that no other worker answers within 250 ms, is refused until the first trial is answered.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -160,6 +160,8 @@
   // Milliseconds for which the quarantine lasts.
   int lifetime_ms = 0;
   std::string reply_address;
+  // True while the crashes may have had a common cause outside the prompts.
+  bool provisional = false;
 };
 
 // Tells the sender of a quarantine, or all nodes, that prompts with these parts were answered
--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -47,7 +47,7 @@
 struct QuarantineVerdict {
   enum class Kind { kFree, kTrial, kRefused };
   Kind kind = Kind::kFree;
-  // Time until the quarantine ends, if the request is refused.
+  // Time after which the request may be sent again, if it is refused.
   absl::Duration retry_after;
 };
 
@@ -70,8 +70,9 @@
   void RecordAnswered(const std::string& service, const PromptPartIds& parts);
   // Decides about a new request with these parts.
   QuarantineVerdict Admit(const std::string& service, const PromptPartIds& parts);
-  // Time left of the quarantine that requests with these parts are under, if there is one.
-  std::optional<absl::Duration> TimeLeft(const std::string& service, const PromptPartIds& parts);
+  // Time after which a request with these parts may be sent again; absent if no quarantine has
+  // them.
+  std::optional<absl::Duration> RetryAfter(const std::string& service, const PromptPartIds& parts);
   // Called when an attempt at the worker ended as if the worker had. The other nodes are told when
   // another one does, or the request fails.
   void OnRequestInterrupted(RequestContent request, const std::string& worker_id,
--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -8,6 +8,10 @@
 // quarantine, so that what remains is the part that crashes workers. Crashes that a quarantine
 // explains count against no other part. From time to time, at ever longer intervals, one node
 // admits one request as a trial.
+//
+// Workers that crash at the same time may have run requests that came together, or may be in a rack
+// that has lost power. A quarantine that follows from such crashes is provisional: its trials begin
+// early, until another worker crashes on its parts.
 #ifndef HINGESPAN_SERVING_PROMPT_QUARANTINE_H_
 #define HINGESPAN_SERVING_PROMPT_QUARANTINE_H_
 
@@ -34,8 +38,7 @@
   int more_if_answered = 2;
   // Number of crashes after which a request with the part is not sent to another worker.
   int crashes_before_no_repeat = 2;
-  // Crashes within this time of each other have a common cause outside the prompts, e.g. a rack
-  // that loses power, and count once.
+  // Crashes within this time of each other may have a common cause outside the prompts.
   absl::Duration same_event = absl::Milliseconds(25);
   // Time between the last crash needed and the quarantine, for answers that clear its parts.
   absl::Duration settling_time = absl::Milliseconds(250);
@@ -47,6 +50,9 @@
   absl::Duration quarantine_lifetime = absl::Seconds(60);
   absl::Duration first_trial = absl::Seconds(30);
   double trial_backoff = 3;
+  // Age of a provisional quarantine at its first trial; doubled for each further one, until that of
+  // the first trial of others.
+  absl::Duration first_provisional_trial = absl::Seconds(1);
   std::size_t max_answered_parts = 8192;
   std::size_t max_suspected_parts = 4096;
   std::size_t max_quarantines = 256;
@@ -63,6 +69,8 @@
   // Time of the next trial. It follows from the age alone, so that all nodes have the same, those
   // that restarted included.
   absl::Time next_trial = absl::InfiniteFuture();
+  // True while the crashes may have had a common cause outside the prompts.
+  bool provisional = false;
 };
 
 // A quarantine that answers have narrowed.
@@ -99,6 +107,8 @@
   Quarantine* Find(const std::string& service, const PromptPartIds& parts, absl::Time now);
   // Returns whether a trial is due now, and if so counts it. Only one node may admit it.
   bool TakeTrial(Quarantine* quarantine, absl::Time now);
+  // Time after which a request that is refused may be sent again.
+  absl::Duration RetryAfter(const Quarantine& quarantine, absl::Time now) const;
   // Extends the quarantine as requests with its parts still come. Returns whether the other nodes
   // should be told.
   bool Renew(Quarantine* quarantine, absl::Time now);
@@ -117,10 +127,12 @@
     bool own = false;
   };
 
+  // Number of crashes after which the part is quarantined.
+  std::size_t CrashesNeeded(const PartKey& key) const;
   // Time at which a quarantine is due; InfiniteFuture if there is too little evidence.
   absl::Time DueAt(const PartKey& key, const Evidence& evidence) const;
-  // Times of the crashes, those of one event only once.
-  std::vector<absl::Time> Events(const Evidence& evidence) const;
+  // Number of crashes, those of one event counted once.
+  std::size_t CountEvents(const std::vector<absl::Time>& crashes) const;
   // Part with the most evidence of those for which a quarantine is due, one that was never answered
   // before any other; null if there is none.
   const PartKey* StrongestDue(absl::Time now) const;
@@ -129,8 +141,10 @@
   PromptPartIds PartsOfCrashes(const std::string& service, const std::set<std::string>& workers,
                                bool with_answered) const;
   absl::Time AnsweredAt(const PartKey& key) const;
-  bool IsExplained(const std::string& worker, const std::string& service,
-                   const PromptPartIds& parts) const;
+  // Returns whether a quarantine explains the crash. A provisional one is confirmed if the crash is
+  // later than its first trial.
+  bool TakeExplained(const std::string& worker, const std::string& service,
+                     const PromptPartIds& parts, absl::Time now);
   // Removes these crashes from the evidence against all parts.
   void Explain(const std::set<std::string>& workers);
   absl::Time NextTrial(const Quarantine& quarantine, absl::Time now) const;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -309,7 +309,7 @@
   bool may_have_run_ = false;
   // True if the request was admitted to find out whether its prompt still crashes workers.
   bool is_trial_ = false;
-  absl::Duration quarantine_ends_in_;
+  absl::Duration quarantine_retry_after_;
   // Set once the caller has events, of this request or of an earlier one.
   std::optional<StreamSource> source_;
   ChoiceProblem last_problem_ = ChoiceProblem::kNone;
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -207,16 +207,20 @@
 
 Json Encode(const QuarantineNotice& notice) {
   return Json::array({kQuarantineNotice, notice.service, Json(notice.parts), Json(notice.workers),
-                      notice.since_ms, notice.lifetime_ms, notice.reply_address});
+                      notice.since_ms, notice.lifetime_ms, notice.reply_address,
+                      notice.provisional});
 }
 
 QuarantineNotice DecodeQuarantine(const Json& json) {
+  // Nodes of an earlier release don't say whether it is provisional.
+  constexpr std::size_t kProvisionalEntry = 7;
   return {json.at(1).get<std::string>(),
           json.at(2).get<std::set<std::string>>(),
           json.at(3).get<std::set<std::string>>(),
           json.at(4).get<int>(),
           json.at(5).get<int>(),
-          json.at(6).get<std::string>()};
+          json.at(6).get<std::string>(),
+          json.size() > kProvisionalEntry && json.at(kProvisionalEntry).get<bool>()};
 }
 
 Json Encode(const ClearedParts& cleared) {
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -246,6 +246,7 @@
   notice.since_ms = static_cast<int>(absl::ToInt64Milliseconds(now - quarantine.since));
   notice.lifetime_ms = static_cast<int>(absl::ToInt64Milliseconds(quarantine.expires - now));
   notice.reply_address = address_;
+  notice.provisional = quarantine.provisional;
   return notice;
 }
 
@@ -260,6 +261,7 @@
   quarantine.workers = notice.workers;
   quarantine.since = now - absl::Milliseconds(std::max(notice.since_ms, 0));
   quarantine.expires = now + absl::Milliseconds(notice.lifetime_ms);
+  quarantine.provisional = notice.provisional;
   const bool known = quarantine_.Find(notice.service, notice.parts, now) != nullptr;
   const PromptPartIds answered = quarantine_.Apply(quarantine, now);
   if (!answered.empty()) {
@@ -337,14 +339,15 @@
   if (quarantine_.Renew(quarantine, now)) {
     SendToAll(NoticeOf(*quarantine));
   }
-  return {QuarantineVerdict::Kind::kRefused, quarantine->expires - now};
+  return {QuarantineVerdict::Kind::kRefused, quarantine_.RetryAfter(*quarantine, now)};
 }
 
-std::optional<absl::Duration> QuarantineExchange::TimeLeft(const std::string& service,
-                                                           const PromptPartIds& parts) {
+std::optional<absl::Duration> QuarantineExchange::RetryAfter(const std::string& service,
+                                                             const PromptPartIds& parts) {
   const absl::Time now = parts_.loop->Now();
   const Quarantine* const quarantine = quarantine_.Find(service, parts, now);
-  return quarantine == nullptr ? std::nullopt : std::make_optional(quarantine->expires - now);
+  return quarantine == nullptr ? std::nullopt
+                               : std::make_optional(quarantine_.RetryAfter(*quarantine, now));
 }
 
 bool QuarantineExchange::MayRepeat(const std::string& service, const PromptPartIds& parts) const {
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 
 namespace hingespan::gateway {
 namespace {
@@ -10,6 +11,16 @@
   return std::includes(parts.begin(), parts.end(), wanted.begin(), wanted.end());
 }
 
+// Times of the crashes, in their order.
+std::vector<absl::Time> TimesOf(const std::map<std::string, absl::Time>& crashes) {
+  std::vector<absl::Time> times;
+  for (const auto& [worker, at] : crashes) {
+    times.push_back(at);
+  }
+  std::sort(times.begin(), times.end());
+  return times;
+}
+
 }  // namespace
 
 std::vector<NarrowedQuarantine> PromptQuarantine::RecordAnswered(const std::string& service,
@@ -37,7 +48,7 @@
 void PromptQuarantine::RecordCrash(const std::string& worker, const std::string& service,
                                    const PromptPartIds& parts, bool own, absl::Time now) {
   Expire(now);
-  if (IsExplained(worker, service, parts)) {
+  if (TakeExplained(worker, service, parts, now)) {
     return;
   }
   for (const std::string& part : parts) {
@@ -71,40 +82,48 @@
   }
 }
 
-bool PromptQuarantine::IsExplained(const std::string& worker, const std::string& service,
-                                   const PromptPartIds& parts) const {
-  return std::any_of(quarantines_.begin(), quarantines_.end(), [&](const Quarantine& each) {
-    return each.service == service && (each.workers.contains(worker) || HasAll(parts, each.parts));
-  });
+bool PromptQuarantine::TakeExplained(const std::string& worker, const std::string& service,
+                                     const PromptPartIds& parts, absl::Time now) {
+  bool explained = false;
+  for (Quarantine& each : quarantines_) {
+    if (each.service != service) {
+      continue;
+    }
+    if (each.workers.contains(worker)) {
+      return true;
+    }
+    if (HasAll(parts, each.parts)) {
+      explained = true;
+      if (each.provisional && now - each.since >= settings_.first_provisional_trial) {
+        each.provisional = false;
+        each.next_trial = NextTrial(each, now);
+      }
+    }
+  }
+  return explained;
 }
 
-std::vector<absl::Time> PromptQuarantine::Events(const Evidence& evidence) const {
-  std::vector<absl::Time> times;
-  for (const auto& [worker, at] : evidence.crashes) {
-    times.push_back(at);
-  }
-  std::sort(times.begin(), times.end());
-  std::vector<absl::Time> events;
+std::size_t PromptQuarantine::CountEvents(const std::vector<absl::Time>& crashes) const {
+  std::size_t events = 0;
   absl::Time last = absl::InfinitePast();
-  for (const absl::Time at : times) {
-    if (at - last > settings_.same_event) {
-      events.push_back(at);
-    }
+  for (const absl::Time at : crashes) {
+    events += at - last > settings_.same_event ? 1 : 0;
     last = at;
   }
   return events;
 }
 
+std::size_t PromptQuarantine::CrashesNeeded(const PartKey& key) const {
+  return static_cast<std::size_t>(settings_.crashes +
+                                  (answered_.contains(key) ? settings_.more_if_answered : 0));
+}
+
 absl::Time PromptQuarantine::DueAt(const PartKey& key, const Evidence& evidence) const {
-  const int crashes =
-      settings_.crashes + (answered_.contains(key) ? settings_.more_if_answered : 0);
-  const auto needed = static_cast<std::size_t>(crashes);
+  const std::size_t needed = CrashesNeeded(key);
   if (!evidence.own || evidence.crashes.size() < needed) {
     return absl::InfiniteFuture();
   }
-  const std::vector<absl::Time> events = Events(evidence);
-  return events.size() < needed ? absl::InfiniteFuture()
-                                : events[needed - 1] + settings_.settling_time;
+  return TimesOf(evidence.crashes)[needed - 1] + settings_.settling_time;
 }
 
 absl::Time PromptQuarantine::NextDue() const {
@@ -132,7 +151,9 @@
     }
     quarantine.parts =
         PartsOfCrashes(quarantine.service, quarantine.workers, answered_.contains(*key));
-    quarantine.since = Events(evidence_.at(*key)).front();
+    const std::vector<absl::Time> crashes = TimesOf(evidence_.at(*key).crashes);
+    quarantine.since = crashes.front();
+    quarantine.provisional = CountEvents(crashes) < CrashesNeeded(*key);
     quarantine.expires = now + settings_.quarantine_lifetime;
     quarantine.next_trial = NextTrial(quarantine, now);
     Explain(quarantine.workers);
@@ -206,6 +227,10 @@
   for (Quarantine& each : quarantines_) {
     if (each.service == kept.service && HasAll(kept.parts, each.parts)) {
       each.expires = std::max(each.expires, kept.expires);
+      if (each.provisional && !kept.provisional) {
+        each.provisional = false;
+        each.next_trial = NextTrial(each, now);
+      }
       Explain(kept.workers);
       each.workers.merge(kept.workers);
       return answered;
@@ -241,7 +266,21 @@
   return true;
 }
 
+absl::Duration PromptQuarantine::RetryAfter(const Quarantine& quarantine, absl::Time now) const {
+  return quarantine.provisional
+             ? std::max(quarantine.next_trial - now, settings_.first_provisional_trial)
+             : quarantine.expires - now;
+}
+
 absl::Time PromptQuarantine::NextTrial(const Quarantine& quarantine, absl::Time now) const {
+  if (quarantine.provisional) {
+    for (absl::Duration age = settings_.first_provisional_trial; age < settings_.first_trial;
+         age *= 2) {
+      if (quarantine.since + age > now) {
+        return quarantine.since + age;
+      }
+    }
+  }
   absl::Duration interval = settings_.first_trial;
   absl::Time next = quarantine.since + interval;
   while (next <= now) {
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -332,7 +332,7 @@
   absl::Duration retry_after = kDefaultRetryAfter;
   const absl::Time expected = context_->host->ExpectedReady(model_, software_version());
   if (why == kQuarantined) {
-    retry_after = quarantine_ends_in_;
+    retry_after = quarantine_retry_after_;
   } else if (why == kEndsWorkers) {
     retry_after = context_->quarantine->RefusedFor(content_);
   } else if (expected != absl::InfiniteFuture()) {
--- a/src/serving/request_relay_quarantine.cc
+++ b/src/serving/request_relay_quarantine.cc
@@ -20,7 +20,7 @@
   if (verdict.kind != QuarantineVerdict::Kind::kRefused) {
     return false;
   }
-  quarantine_ends_in_ = verdict.retry_after;
+  quarantine_retry_after_ = verdict.retry_after;
   Refuse(kQuarantined);
   return true;
 }
@@ -29,9 +29,9 @@
   if (is_trial_ || shared_parts_.empty()) {
     return false;
   }
-  const auto time_left = context_->quarantine->TimeLeft(service_, shared_parts_);
-  quarantine_ends_in_ = time_left.value_or(absl::ZeroDuration());
-  return time_left.has_value();
+  const auto retry_after = context_->quarantine->RetryAfter(service_, shared_parts_);
+  quarantine_retry_after_ = retry_after.value_or(absl::ZeroDuration());
+  return retry_after.has_value();
 }
 
 void RequestRelay::OnQuarantine() {
--- a/tests/quarantine/crashing_prompt_test.cc
+++ b/tests/quarantine/crashing_prompt_test.cc
@@ -304,5 +304,26 @@
   }
 }
 
+// Guards against refusing sound requests for as long as others after all workers have lost power at
+// the same time (LOST).
+TEST_CASE("all workers that crash at once lead to no lasting refusal of sound requests") {
+  CrashFixture fixture;
+  for (int number = 0; number < 4 * kWorkers; ++number) {
+    fixture.SendPrompt("sound0");
+  }
+  REQUIRE(fixture.Wait([&] { return fixture.Arrivals() >= 3 * kWorkers; }));
+  for (std::size_t index = 0; index < kWorkers; ++index) {
+    fixture.restarting.Crash(index);
+  }
+  const auto any_logs = [&](const std::string& event) {
+    return std::any_of(fixture.nodes.begin(), fixture.nodes.end(),
+                       [&](const auto& node) { return HasLine(*node, event); });
+  };
+  REQUIRE(fixture.Wait([&] { return any_logs("quarantine_imposed"); }));
+  fixture.SendSoundUntilServed();
+  CHECK(any_logs("quarantine_trial"));
+  CHECK(any_logs("quarantine_lifted"));
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
