TWICE, REFUSED: a connection that carried a rejection without an id is not reused

Cause: a worker's rejection carries no id. A faulty worker that sends a second copy of it when the next request comes on the same connection gives what looks like that request's rejection. Answers with an id are told apart, rejections without one can't be.

Change: an attempt whose answer is a rejection without an id has its connection closed when the answer is complete (ClientExchange::CloseWhenComplete). What it costs: a new connection for the next request after such a rejection.

--- a/include/hingespan/http/http_client.h
+++ b/include/hingespan/http/http_client.h
@@ -45,6 +45,8 @@
   virtual void Cancel() = 0;
   // Cancels with a TCP reset, which discards bytes still held up by a slow or broken link.
   virtual void Discard() = 0;
+  // Closes the connection once the answer is complete, instead of reusing it.
+  virtual void CloseWhenComplete() = 0;
   // Pause and resume reading from the connection, for receivers that can't keep up.
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -94,6 +94,7 @@
     Close();
   }
 
+  void CloseWhenComplete() { closes_when_complete_ = true; }
   void Pause() { paused_ = true; }
   void Resume() {
     if (!paused_) {
@@ -218,7 +219,7 @@
   // The answer is complete; the connection is reused if both sides allow it.
   void Complete(bool surplus) {
     const AnswerHead& head = parser_->head();
-    reusable_ = head.keep_alive && !surplus && written_;
+    reusable_ = head.keep_alive && !surplus && written_ && !closes_when_complete_;
     ReadKeepAlive(head);
     End(ExchangeResult::kComplete);
   }
@@ -278,6 +279,7 @@
   bool received_any_ = false;
   bool head_delivered_ = false;
   bool reusable_ = false;
+  bool closes_when_complete_ = false;
   bool closed_ = false;
 };
 
@@ -300,6 +302,11 @@
     }
     Cancel();
   }
+  void CloseWhenComplete() override {
+    if (connection_ != nullptr) {
+      connection_->CloseWhenComplete();
+    }
+  }
   void PauseReading() override {
     if (connection_ != nullptr) {
       connection_->Pause();
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -58,6 +58,10 @@
   if (!same_id && !refusal_without_id) {
     return false;  // This is the answer to another request.
   }
+  if (refusal_without_id && upstream_ != nullptr) {
+    // A second copy of it could not be told from the next request's answer.
+    upstream_->CloseWhenComplete();
+  }
   const bool success = head.status / 100 == 2;
   if (success && (!answer_facts_.is_signed || answer_facts_.is_encoded)) {
     return false;
--- a/tests/http/http_client_test.cc
+++ b/tests/http/http_client_test.cc
@@ -66,6 +66,17 @@
   CHECK(fixture.server.connections() == 1);
 }
 
+TEST_CASE("a connection that is to be closed when its answer is complete is not reused") {
+  Fixture fixture;
+  Receiver receiver;
+  fixture.Ask(&receiver, "/", "abc");
+  fixture.exchanges.front()->CloseWhenComplete();
+  REQUIRE(fixture.Wait([&] { return receiver.ended; }));
+  CHECK(receiver.result == ExchangeResult::kComplete);
+  CHECK(receiver.body == "abc");
+  CHECK(fixture.client.connections(fixture.server.address()) == 0);
+}
+
 TEST_CASE("an answer that the receiver rejects closes its connection") {
   Fixture fixture;
   Receiver receiver;
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -101,7 +101,7 @@
 }
 
 void GatewayFixture::PutConfiguration(int version, int timeout_ms, double load_seconds,
-                                      int target_ms, int stream_attempts) {
+                                      int target_ms, int stream_attempts, int plain_attempts) {
   const auto route = [&](const char* prefix, const char* kind, const char* service, int attempts,
                          bool resumable) {
     return RouteJson(prefix, kind, service, timeout_ms, attempts, resumable, target_ms);
@@ -115,7 +115,7 @@
       {"models", Json::array({ModelJson("m1", load_seconds), ModelJson("m2", load_seconds)})}};
   const Json configuration{
       {"version", version},
-      {"routes", Json::array({route("/plain/", "non_idempotent", "plain", 1, false),
+      {"routes", Json::array({route("/plain/", "non_idempotent", "plain", plain_attempts, false),
                               route("/safe/", "idempotent", "plain", 2, false),
                               route("/stream/", "streaming", "models", stream_attempts, true),
                               route("/once/", "streaming", "models", 1, false)})},
--- a/tests/serving/gateway_world.h
+++ b/tests/serving/gateway_world.h
@@ -95,9 +95,10 @@
   // Routes "/plain/" (not repeatable), "/safe/" (repeatable), "/stream/" (resumable stream) and
   // "/once/" (stream that is not resumable) of host "h".
   // `load_seconds` is the configured load time of a model. The default target latency leaves time
-  // for an unload and a load of that length. `stream_attempts` holds for "/stream/".
+  // for an unload and a load of that length. `stream_attempts` holds for "/stream/",
+  // `plain_attempts` for "/plain/".
   void PutConfiguration(int version, int timeout_ms = 5000, double load_seconds = 0.03,
-                        int target_ms = 800, int stream_attempts = 2);
+                        int target_ms = 800, int stream_attempts = 2, int plain_attempts = 1);
 
   std::unique_ptr<TestCall> Send(TestNode* node, const TestRequest& request);
   // Sends a request and waits until its answer ends.
