GONE: attempts that are given up are reset, not closed

Callers saw: a machine is cut off from the workers for 2.5 s while its connections hang.

Cause: an attempt that ends before its answer had its connection closed in order, so the kernel, or the network, still delivers what was not acknowledged. Calls to the store and orders are reset for this reason; attempts were not.

Evidence: "requests that were given up do not reach workers when a partition ends" (test-partition): callers that leave, the deadline, and another node that has taken the requests over.

Change: RequestRelay::EndAttempt discards the exchange, if there still is one. This holds at each end of an attempt: a caller that has left, the deadline, a silent worker, a lost path, a quarantine.

--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -480,7 +480,11 @@
 }
 
 void RequestRelay::EndAttempt(AttemptOutcome outcome) {
-  upstream_.reset();
+  if (upstream_ != nullptr) {
+    // A request that is given up must not arrive later, when a link delivers what it has held up.
+    upstream_->Discard();
+    upstream_.reset();
+  }
   if (!peer_.empty()) {
     EndForward(outcome, context_->loop->Now());
     return;
--- a/tests/partition/cut_off_node.h
+++ b/tests/partition/cut_off_node.h
@@ -46,6 +46,16 @@
       link->SetFault(fault);
     }
   }
+  // Number of connections whose links have bytes that are not sent yet.
+  std::size_t HoldingConnections() const {
+    std::size_t count = 0;
+    for (const auto& [service, links] : links_) {
+      for (const auto& [address, link] : links) {
+        count += link->HoldingConnections();
+      }
+    }
+    return count;
+  }
 
  private:
   EventLoop* loop_;
--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -301,6 +301,64 @@
   }));
 }
 
+// Guards against requests that are given up and still reach workers later, as a link delivers what
+// it held up (GONE).
+TEST_CASE("requests that were given up do not reach workers when a partition ends") {
+  PartitionFixture fixture;
+  std::vector<std::unique_ptr<TestCall>> calls;
+  // Few enough to run at the workers at once.
+  constexpr std::size_t kGivenUp = 6;
+  const auto send = [&](const std::string& id, int deadline_ms) {
+    calls.clear();
+    for (std::size_t number = 0; number < kGivenUp; ++number) {
+      TestRequest request;
+      request.id = absl::StrCat(id, number);
+      request.deadline_ms = deadline_ms;
+      calls.push_back(fixture.Send(fixture.cut, request));
+    }
+  };
+  const auto all_ended = [&] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->ended; });
+  };
+  constexpr int kLong = 20'000;
+  constexpr int kShort = 300;
+  TestNode* sending = fixture.cut;
+  LinkedReader* links = &fixture.links;
+  bool callers_leave = true;
+  SUBCASE("as their callers leave") {}
+  SUBCASE("at their deadline") { callers_leave = false; }
+  SUBCASE("by another node that has taken them over") {
+    sending = fixture.sound;
+    links = &fixture.sound_links;
+    fixture.links.SetFault(LinkFault::kRefuse);
+    fixture.AwaitLost();
+  }
+  // Leaves idle connections to the workers.
+  send("first", kLong);
+  REQUIRE(fixture.Wait(all_ended));
+  links->SetFault(LinkFault::kSilent);
+  send("late", callers_leave ? kLong : kShort);
+  REQUIRE(fixture.Wait([&] { return links->HoldingConnections() == kGivenUp; }));
+  if (callers_leave) {
+    const std::uint64_t gone = sending->metrics.callers_gone;
+    for (const auto& call : calls) {
+      call->exchange->Cancel();
+    }
+    REQUIRE(fixture.Wait([&] { return sending->metrics.callers_gone - gone == kGivenUp; }));
+  } else {
+    REQUIRE(fixture.Wait(all_ended));
+  }
+  CHECK(fixture.Wait([&] { return links->HoldingConnections() == 0; }));
+  links->SetFault(LinkFault::kNone);
+  send("after", kLong);
+  REQUIRE(fixture.Wait(all_ended));
+  for (const auto& worker : fixture.workers) {
+    for (const auto& arrival : worker->arrivals()) {
+      CHECK(!absl::StartsWith(arrival.id, "late"));
+    }
+  }
+}
+
 // Guards against a refusal by the other node that would promise more than is known.
 TEST_CASE("a forwarded request that may have run is answered 502, never 503") {
   PartitionFixture fixture;
--- a/tests/soak/fault_proxy.cc
+++ b/tests/soak/fault_proxy.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/fault_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -100,6 +101,9 @@
   }
 
   bool closed() const { return closed_; }
+  bool HoldsBytes() const {
+    return !closed_ && to_server_.pending_bytes + to_client_.pending_bytes > 0;
+  }
 
  private:
   bool IsBlocked(const Direction& direction) const {
@@ -290,6 +294,12 @@
   return absl::StrCat("127.0.0.1:", implementation_->own.port());
 }
 
+std::size_t FaultProxy::HoldingConnections() const {
+  return static_cast<std::size_t>(
+      std::count_if(implementation_->connections.begin(), implementation_->connections.end(),
+                    [](const auto& connection) { return connection->HoldsBytes(); }));
+}
+
 void FaultProxy::SetFault(LinkFault fault, absl::Duration delay) {
   implementation_->state = {fault, delay};
   implementation_->SetListening(fault != LinkFault::kRefuse);
--- a/tests/soak/fault_proxy.h
+++ b/tests/soak/fault_proxy.h
@@ -2,6 +2,7 @@
 #ifndef TESTS_SOAK_FAULT_PROXY_H_
 #define TESTS_SOAK_FAULT_PROXY_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -37,6 +38,8 @@
 
   std::string address() const;
   void SetFault(LinkFault fault, absl::Duration delay = absl::ZeroDuration());
+  // Number of open connections that have bytes which are not sent yet.
+  std::size_t HoldingConnections() const;
 
  private:
   struct Implementation;
