Fault: memory of answers without end is released when their attempt fails, and bounded in sum

Cause: up to 4 MiB of an answer were kept after its attempt had failed, while the request waited for another worker for up to 0.47 of its deadline. Each answer was bounded, their sum was not.

Change: an attempt that fails drops what it kept. MemoryBudget bounds all kept answers together to 48 MiB: one answer may have half of what is free, 8 MiB at most, but always 16 KiB, so that answers without end leave room for others (memory_budget_test). What counts is the memory, not the content, and it is reserved before a buffer grows. The part of an event that is held back counts as well. New gauge: hingespan_kept_answer_bytes.

--- a/include/hingespan/serving/event_splitter.h
+++ b/include/hingespan/serving/event_splitter.h
@@ -21,11 +21,13 @@
   // Returns and clears the bytes that were held back, which are line ends after a whole stream.
   std::string TakeRest();
   // Discards the bytes that were held back, for a stream that is resumed at another worker.
-  void DropRest() { pending_.clear(); }
+  void DropRest() { std::string().swap(pending_); }
   // True if the bytes held back begin an event, so that a stream that ends here was broken off.
   bool InsideEvent() const { return pending_.find_first_not_of("\r\n") != std::string::npos; }
   // True if the bytes held back are more than an event may have.
   bool EventTooLarge() const { return pending_.size() > kMaxEventBytes; }
+  // Memory of the bytes held back.
+  std::size_t held_bytes() const { return pending_.capacity(); }
   // Id of the last complete event; empty if there is none yet.
   const std::string& last_event_id() const { return last_event_id_; }
   bool any_event() const { return any_event_; }
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -64,6 +64,8 @@
   bool ready() const;
   // Number of nodes that may hold a share of the retry budget; 0 if not known yet.
   int fleet_size();
+  // Bytes of workers' answers that are not passed on yet.
+  std::size_t kept_answer_bytes() const { return answer_memory_.used(); }
   std::string request_address() const { return requests_.address(); }
   std::string status_address() const { return status_.address(); }
   // Empty if no address is configured.
@@ -149,6 +151,7 @@
   GatewaySettings settings_;
   GatewayParts parts_;
   RelayContext context_;
+  MemoryBudget answer_memory_;
   WorkerDirectory workers_;
   // By service; entries are never removed.
   std::map<std::string, ServicePath> paths_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -78,6 +78,8 @@
   LatencyHistogram whole_request;
   // The following values are set when the metrics are rendered.
   std::uint64_t waiting_now = 0;
+  // Bytes of answers that are not passed on yet.
+  std::uint64_t kept_answer_bytes = 0;
   std::uint64_t configuration_version = 0;
   ServerActivity connections;
   bool holds_lease = false;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -25,6 +25,7 @@
 #include "hingespan/serving/decision_log.h"
 #include "hingespan/serving/event_splitter.h"
 #include "hingespan/serving/forwarding.h"
+#include "hingespan/serving/memory_budget.h"
 #include "hingespan/serving/peer_directory.h"
 #include "hingespan/serving/prompt_quarantine.h"
 #include "hingespan/serving/request_dialect.h"
@@ -93,6 +94,8 @@
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
   RelayHost* host = nullptr;
+  // Memory of answers that are not passed on yet.
+  MemoryBudget* answer_memory = nullptr;
   // True if callers whose answers would be late are asked to retry later.
   bool return_when_late = true;
 };
@@ -259,6 +262,11 @@
   // first event if nothing but the end of the connection marks its end.
   bool EndsInsideStream() const;
   void OnFailedAttempt(absl::string_view how);
+  // Reserves the memory of what is kept of the answer, for so many bytes more. Returns whether it
+  // may be kept.
+  bool ReserveAnswer(std::size_t more);
+  // Releases what is kept of the answer.
+  void DropAnswer();
   void ForwardEvents(const std::string& events);
   // Sends the head of a stream to the caller.
   void StartStream();
@@ -340,6 +348,8 @@
   bool forwarding_events_ = false;
   std::string answer_body_;
   EventSplitter events_;
+  // For `answer_body_` and what `events_` holds back.
+  MemoryReservation answer_memory_;
   // True once the head of a stream was sent to the caller.
   bool stream_started_ = false;
   absl::Time first_byte_at_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -142,6 +142,7 @@
   context_.log = parts_.log;
   context_.metrics = parts_.metrics;
   context_.host = this;
+  context_.answer_memory = &answer_memory_;
   context_.return_when_late = settings_.serving.return_when_late;
 }
 
@@ -341,6 +342,7 @@
 void Gateway::OnMetricsRequest(const std::shared_ptr<ServerExchange>& exchange) {
   if (exchange->head().target == settings_.metrics_path) {
     parts_.metrics->waiting_now = queue_.size();
+    parts_.metrics->kept_answer_bytes = answer_memory_.used();
     parts_.metrics->holds_lease = fleet_->holds_lease();
     parts_.metrics->connections = Activity();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -207,6 +207,9 @@
                                metrics.whole_request));
   families.push_back(
       Gauge("hingespan_requests_waiting", "Requests waiting for a worker", metrics.waiting_now));
+  families.push_back(Gauge("hingespan_kept_answer_bytes",
+                           "Bytes of workers' answers that are not passed on yet",
+                           metrics.kept_answer_bytes));
   families.push_back(ConnectionGauges(metrics.connections));
   families.push_back(Gauge("hingespan_unsent_bytes",
                            "Bytes of answers that have not left this process",
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -85,7 +85,8 @@
       arrived_(exchange_->received()),
       timer_(context->loop->MakeTimer()),
       tried_workers_(origin_.tried_workers),
-      excluded_workers_(origin_.tried_workers) {
+      excluded_workers_(origin_.tried_workers),
+      answer_memory_(context->answer_memory) {
   const absl::Duration time = std::min(route->timeout, facts_.deadline.value_or(kDefaultDeadline));
   deadline_ = arrived_ + std::max(absl::ZeroDuration(), time - kDeadlineMargin);
   place_ = {route->priority, deadline_, number};
@@ -250,8 +251,7 @@
   reading_paused_ = false;
   answer_head_ = {};
   forwarding_events_ = false;
-  answer_body_.clear();
-  events_.DropRest();
+  DropAnswer();
   verdict_.reset();
   attempt_source_.reset();
 }
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -17,8 +17,6 @@
 constexpr absl::Duration kReadyMargin = absl::Milliseconds(150);
 // Reading from the worker pauses while more bytes than this wait for a slow caller.
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
-// Size of an answer that is kept until it is whole; streams are passed on as they come.
-constexpr std::size_t kMaxWholeAnswerBytes = 4 * 1024 * 1024;
 // Time for which a replica counts as absent after its worker reported that it doesn't hold it.
 constexpr absl::Duration kDeniedReplicaLifetime = absl::Milliseconds(700);
 
@@ -84,19 +82,34 @@
   if (peer_.empty()) {
     path_->OnBytes(now);
   }
-  if (!forwarding_events_) {
-    answer_body_.append(piece.data(), piece.size());
-  } else {
+  const bool fits = forwarding_events_ ? ReserveAnswer(0) : ReserveAnswer(piece.size());
+  if (fits && forwarding_events_) {
     ForwardEvents(events_.Feed(piece));
+  } else if (fits) {
+    answer_body_.append(piece.data(), piece.size());
   }
-  if (state_ == State::kRunning &&
-      (answer_body_.size() > kMaxWholeAnswerBytes || events_.EventTooLarge())) {
+  if (state_ == State::kRunning && (!fits || events_.EventTooLarge())) {
     const std::shared_ptr<RequestRelay> self = shared_from_this();
     EndAttempt(AttemptOutcome::kFailed);
     OnFailedAttempt("without_end");
   }
 }
 
+bool RequestRelay::ReserveAnswer(std::size_t more) {
+  std::size_t capacity = answer_body_.capacity();
+  if (answer_body_.size() + more > capacity) {
+    capacity = std::max(2 * capacity, answer_body_.size() + more);
+  }
+  return answer_memory_.Resize(capacity + events_.held_bytes());
+}
+
+void RequestRelay::DropAnswer() {
+  // An assignment would keep the memory.
+  std::string().swap(answer_body_);
+  events_.DropRest();
+  ReserveAnswer(0);
+}
+
 void RequestRelay::ForwardEvents(const std::string& events) {
   if (events.empty()) {
     return;
@@ -293,6 +306,7 @@
 void RequestRelay::OnFailedAttempt(absl::string_view how) {
   const absl::Time now = context_->loop->Now();
   last_failure_ = std::string(how);
+  DropAnswer();  // The request may wait for another worker for long.
   const bool not_executed =
       answer_facts_.not_executed && (how == "worker_full" || how == "misdirected");
   answer_facts_ = {};
--- a/tests/serving/endless_worker_test.cc
+++ b/tests/serving/endless_worker_test.cc
@@ -1,9 +1,12 @@
 // Tests of workers whose answers have no end.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <vector>
 
+#include "absl/strings/match.h"
 #include "tests/http/endless_server.h"
 #include "tests/serving/gateway_world.h"
 
@@ -39,6 +42,34 @@
   CHECK(!server.exhausted());
 }
 
+// Guards against a node whose memory is filled by requests that wait for another worker (Fault).
+TEST_CASE("what is kept of an answer without an end is released when its attempt fails") {
+  std::string head = kHead;
+  SUBCASE("a success") {}
+  SUBCASE("a failure") { head.replace(head.find("200 OK"), 6, "500 Bad"); }
+  GatewayFixture fixture;
+  TestNode* const node = fixture.AddNode("n1");
+  TestRequest request;
+  request.target = "/safe/x";
+  fixture.EarnRetries(node, request);
+  EndlessServer server(head, kChunk);
+  Announce(&fixture, server, "plain");
+  request.deadline_ms = 30000;
+  const auto call = fixture.Send(node, request);
+  constexpr std::size_t kLarge = 1024 * 1024;
+  constexpr std::size_t kSmall = 1024;
+  REQUIRE(fixture.Wait([&] { return node->gateway.kept_answer_bytes() >= kLarge; }));
+  REQUIRE(fixture.Wait([&] {
+    const std::vector<std::string> lines = node->LogLines();
+    return std::any_of(lines.begin(), lines.end(), [](const std::string& line) {
+      return absl::StrContains(line, "without_end");
+    });
+  }));
+  CHECK(!call->ended);
+  CHECK(node->gateway.kept_answer_bytes() < kSmall);
+  CHECK(!server.exhausted());
+}
+
 TEST_CASE("an event without an end breaks its stream off") {
   EndlessServer server(std::string(kHead) + "15\r\nid: 1\ndata: event 1\n\n\r\n", kChunk);
   GatewayFixture fixture;
