tests: slots of brittle workers and forwarded requests, while rows of lost nodes are there

The account of lost nodes said by reading that lending goes on, as a second lender is asked. If both lenders of a worker are lost, nobody lends, and the nodes that are left send it next to nothing.

--- a/tests/partition/partition_test.cc
+++ b/tests/partition/partition_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -130,6 +131,26 @@
   CHECK(std::adjacent_find(ids.begin(), ids.end()) == ids.end());
 }
 
+// Guards against requests that are forwarded to nodes lost long before, whose rows are still in the
+// fleet table, until they fail.
+TEST_CASE("a node cut off from all workers finds the node that is left among lost ones") {
+  PartitionFixture fixture;
+  constexpr int kLostNodes = 7;
+  // The discard port: nobody answers there.
+  constexpr const char* kLostAddress = "127.0.0.1:9";
+  for (int number = 0; number < kLostNodes; ++number) {
+    const nlohmann::json row{{"address", kLostAddress},
+                             {"zone", "zone-a"},
+                             {"forward", kLostAddress},
+                             {"incarnation", 1}};
+    fixture.store.Put("hingespan", absl::StrCat("node/lost-", number), row.dump());
+  }
+  REQUIRE(fixture.Wait([&] { return fixture.cut->gateway.fleet_size() == 2 + kLostNodes; }));
+  fixture.links.SetFault(LinkFault::kRefuse);
+  fixture.AwaitLost();
+  CHECK(fixture.CountServed() == 2 * kRequests);
+}
+
 // Guards against a lost path that shows only once the workers of all services are gone.
 TEST_CASE("a node cut off from the workers of one service forwards requests for that service") {
   PartitionFixture fixture;
--- a/tests/serving/lost_node_test.cc
+++ b/tests/serving/lost_node_test.cc
@@ -1,6 +1,7 @@
 // Tests of nodes that are left while the rows of lost ones are still in the fleet table.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -8,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "hingespan/fleet/fleet_messages.h"
 #include "hingespan/fleet/peer_link.h"
@@ -68,6 +70,28 @@
     AddWorker(options);
   }
 
+  // The lost nodes, and n1 and n2.
+  static std::vector<StreamNode> AllNodes() {
+    std::vector<StreamNode> all = {{"n1", "zone-a", "a"}, {"n2", "zone-a", "a"}};
+    for (int number = 0; number < kLostNodes; ++number) {
+      all.push_back({NameOf(number), absl::StrCat("zone-", number % 4), "a"});
+    }
+    return all;
+  }
+
+  // Id of a worker whose two lenders of slots are lost nodes.
+  static std::string WorkerOfLostLenders() {
+    for (int number = 0;; ++number) {
+      const std::string id = absl::StrCat("w", number);
+      const std::vector<StreamNode> lenders = ChooseHolders(id, AllNodes(), "");
+      if (std::all_of(lenders.begin(), lenders.end(), [](const StreamNode& node) {
+            return absl::StartsWith(node.name, "lost-");
+          })) {
+        return id;
+      }
+    }
+  }
+
   // Returns whether the node has the record of the stream.
   bool Holds(const std::string& node, const std::string& stream_id) {
     reply.reset();
@@ -110,11 +134,9 @@
   LostNodesFixture fixture;
   fixture.AddVersion("w1", "v1");
   TestNode* const node = fixture.AddNode("n1");
-  std::vector<StreamNode> all = {{"n1", "zone-a", "a"}};
-  for (int number = 0; number < kLostNodes; ++number) {
-    all.push_back({LostNodesFixture::NameOf(number), absl::StrCat("zone-", number % 4), "a"});
-  }
-  REQUIRE(ChooseHolders(absl::StrCat("models ", kPart), all, "").front().name != "n1");
+  REQUIRE(absl::StartsWith(
+      ChooseHolders(absl::StrCat("models ", kPart), LostNodesFixture::AllNodes(), "").front().name,
+      "lost-"));
   constexpr int kSinceMs = 17'000;
   constexpr int kLifetimeMs = 60'000;
   fixture.peer.Send(fixture.AddressOf("n1"),
@@ -127,4 +149,29 @@
   CHECK(fixture.Wait([&] { return fixture.Ask(node, request)->head.status == 200; }));
 }
 
+// Guards against slots of a brittle worker that nobody lends, as both its lenders are lost: the
+// nodes that are left would send it next to nothing.
+TEST_CASE("a node that is left lends the slots of brittle workers") {
+  LostNodesFixture fixture;
+  fixture.AddVersion(LostNodesFixture::WorkerOfLostLenders(), "v1");
+  constexpr int kSurvivedRejections = 3;
+  fixture.workers.back()->SetBrittle(kSurvivedRejections);
+  TestNode* const first = fixture.AddNode("n1");
+  TestNode* const second = fixture.AddNode("n2");
+  CHECK(fixture.Wait([&] { return fixture.LostRowsAreGone(); }));
+  CHECK(fixture.Wait(
+      [&] { return first->gateway.fleet_size() == 2 && second->gateway.fleet_size() == 2; }));
+  for (int number = 0; number < 20; ++number) {
+    TestRequest request = StreamRequest("/stream/x", "m1");
+    request.id = absl::StrCat("stream-", number);
+    CHECK(fixture.Ask(number % 2 == 0 ? first : second, request)->head.status == 200);
+  }
+  CHECK(first->metrics.slot_datagrams + second->metrics.slot_datagrams > 0);
+  for (const TestNode* const node : {first, second}) {
+    for (const std::string& line : node->LogLines()) {
+      CHECK(!absl::StrContains(line, "lender_unresponsive"));
+    }
+  }
+}
+
 }  // namespace hingespan::gateway
