tests: forwarded requests with a part that crashes workers

The account of the prompt part that crashes workers after the first event said by reading that attempts at a peer are covered, as the peer sees its own connection to the worker. Links to workers that start later have the fault of the others.

--- a/tests/partition/cut_off_node.h
+++ b/tests/partition/cut_off_node.h
@@ -29,14 +29,16 @@
       std::unique_ptr<soak::FaultProxy>& link = links_[record->service][record->address];
       if (link == nullptr) {
         link = std::make_unique<soak::FaultProxy>(loop_, record->address);
+        link->SetFault(fault_);
       }
       record->address = link->address();
     }
     return record;
   }
 
-  // Applies to the links to all workers that have a row by now.
+  // Applies to the links to all workers, those that start later included.
   void SetFault(soak::LinkFault fault) {
+    fault_ = fault;
     for (const auto& [service, links] : links_) {
       SetFault(fault, service);
     }
@@ -60,6 +62,8 @@
  private:
   EventLoop* loop_;
   platform::DeploymentRows rows_;
+  // Of the links to new workers.
+  soak::LinkFault fault_ = soak::LinkFault::kNone;
   // Links by service, then by the worker's own address.
   mutable std::map<std::string, std::map<std::string, std::unique_ptr<soak::FaultProxy>>> links_;
 };
--- a/tests/quarantine/crashing_prompt_test.cc
+++ b/tests/quarantine/crashing_prompt_test.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "tests/partition/cut_off_node.h"
 #include "tests/quarantine/restarting_workers.h"
 #include "tests/serving/gateway_world.h"
 
@@ -67,7 +68,7 @@
     return options;
   }
 
-  // Sends a request at the next node. No two prompts are alike.
+  // Sends a request at the next node, or at the only one that gets any. No two prompts are alike.
   void SendPrompt(const std::string& second_part) {
     const int number = next_request++;
     TestRequest request;
@@ -78,8 +79,9 @@
         {"Model", "m1"},
         {"Token-Count", "10,6"},
         {"Prompt-Prefix", absl::StrCat(kFirstPart, ":5,", second_part, ":5,own", number, ":3")}};
-    auto& node = nodes[static_cast<std::size_t>(number) % nodes.size()];
-    calls.push_back({loop.Now(), second_part, Send(node.get(), request)});
+    TestNode* const next = nodes[static_cast<std::size_t>(number) % nodes.size()].get();
+    calls.push_back(
+        {loop.Now(), second_part, Send(only_node != nullptr ? only_node : next, request)});
   }
 
   // For this long, sends requests whose second parts `next_part` returns.
@@ -163,6 +165,8 @@
   RestartingWorkers restarting;
   // One in so many requests has the crashing part.
   int crashing_interval = 3;
+  // Gets all requests unless it is null.
+  TestNode* only_node = nullptr;
   std::vector<Call> calls;
   int next_request = 0;
 };
@@ -217,6 +221,21 @@
   CheckCrashingPart(&fixture);
 }
 
+// Guards against crashes that no node charges to a prompt, as the node that sent it has forwarded
+// it (BUDGET, LOST).
+TEST_CASE("few forwarded requests with a part that crashes workers reach workers") {
+  for (const int events_before_crash : {0, 1}) {
+    CAPTURE(events_before_crash);
+    CrashFixture fixture(events_before_crash);
+    fixture.crashing_interval = kRareInterval;
+    LinkedReader links(&fixture.loop);
+    links.SetFault(soak::LinkFault::kRefuse);
+    fixture.only_node = fixture.AddNode("cut", "", &links);
+    CheckCrashingPart(&fixture);
+    CHECK(fixture.only_node->metrics.forwards > 0);
+  }
+}
+
 // Guards against taking the end of a crashed worker's connection for the end of an answer that has
 // no other mark of its end (BUDGET, LOST).
 TEST_CASE("few requests with a part that crashes workers amid an unframed answer reach workers") {
