--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -50,8 +50,8 @@
   absl::Duration quarantine_lifetime = absl::Seconds(60);
   absl::Duration first_trial = absl::Seconds(30);
   double trial_backoff = 3;
-  // Age of a provisional quarantine at its first trial; doubled for each further one, until that of
-  // the first trial of others.
+  // Age of a provisional quarantine at its first trial. Each further one comes at twice the age, up
+  // to `first_trial`.
   absl::Duration first_provisional_trial = absl::Seconds(1);
   std::size_t max_answered_parts = 8192;
   std::size_t max_suspected_parts = 4096;
@@ -145,6 +145,7 @@
   // later than its first trial.
   bool TakeExplained(const std::string& worker, const std::string& service,
                      const PromptPartIds& parts, absl::Time now);
+  void Confirm(Quarantine* quarantine, absl::Time now) const;
   // Removes these crashes from the evidence against all parts.
   void Explain(const std::set<std::string>& workers);
   absl::Time NextTrial(const Quarantine& quarantine, absl::Time now) const;
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -95,14 +95,18 @@
     if (HasAll(parts, each.parts)) {
       explained = true;
       if (each.provisional && now - each.since >= settings_.first_provisional_trial) {
-        each.provisional = false;
-        each.next_trial = NextTrial(each, now);
+        Confirm(&each, now);
       }
     }
   }
   return explained;
 }
 
+void PromptQuarantine::Confirm(Quarantine* quarantine, absl::Time now) const {
+  quarantine->provisional = false;
+  quarantine->next_trial = NextTrial(*quarantine, now);
+}
+
 std::size_t PromptQuarantine::CountEvents(const std::vector<absl::Time>& crashes) const {
   std::size_t events = 0;
   absl::Time last = absl::InfinitePast();
@@ -228,8 +232,7 @@
     if (each.service == kept.service && HasAll(kept.parts, each.parts)) {
       each.expires = std::max(each.expires, kept.expires);
       if (each.provisional && !kept.provisional) {
-        each.provisional = false;
-        each.next_trial = NextTrial(each, now);
+        Confirm(&each, now);
       }
       Explain(kept.workers);
       each.workers.merge(kept.workers);
