--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -14,6 +14,7 @@
 // Times of the crashes, in their order.
 std::vector<absl::Time> TimesOf(const std::map<std::string, absl::Time>& crashes) {
   std::vector<absl::Time> times;
+  times.reserve(crashes.size());
   for (const auto& [worker, at] : crashes) {
     times.push_back(at);
   }
@@ -118,8 +119,8 @@
 }
 
 std::size_t PromptQuarantine::CrashesNeeded(const PartKey& key) const {
-  return static_cast<std::size_t>(settings_.crashes +
-                                  (answered_.contains(key) ? settings_.more_if_answered : 0));
+  const int needed = settings_.crashes + (answered_.contains(key) ? settings_.more_if_answered : 0);
+  return static_cast<std::size_t>(needed);
 }
 
 absl::Time PromptQuarantine::DueAt(const PartKey& key, const Evidence& evidence) const {
