tests: crowds of clients that don't behave

A gateway process that is told of a machine of 64 MB stands before an emulated store and a worker; the crowd's clients read nothing and stay connected. Checked: the process lives, its resident memory and the unread bytes of its sockets, accepted or not, stay below 64 MB, its descriptors below a bound, and an ordinary request is served afterwards. Waits end when all that a client sends was read or the client was turned away; no times, no shares of served requests.

--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -20,6 +20,10 @@
 
 constexpr int kNotStarted = 127;
 
+std::string OptionalSetting(const char* name, const std::optional<int>& value) {
+  return value.has_value() ? absl::StrCat(name, " = ", *value, "\n") : std::string();
+}
+
 }  // namespace
 
 GatewayProcess::GatewayProcess(GatewayProcessOptions options) : options_(std::move(options)) {}
@@ -41,7 +45,10 @@
   request_address_.clear();
   const std::string settings = absl::StrCat(options_.folder, "/", options_.name, ".toml");
   std::ofstream(settings) << "[node]\nname = \"" << options_.name << "\"\nzone = \""
-                          << options_.zone << "\"\n[listen]\nrequests = \"127.0.0.1:0\"\n"
+                          << options_.zone << "\"\n"
+                          << OptionalSetting("memory_mb", options_.memory_mb) << "[listen]\n"
+                          << OptionalSetting("max_connections", options_.max_connections)
+                          << "requests = \"127.0.0.1:0\"\n"
                           << "status = \"127.0.0.1:0\"\npeers = \"127.0.0.1:0\"\n"
                           << "forwarded = \"127.0.0.1:0\"\n[store]\n"
                           << "address = \"" << options_.store_address << "\"\n[stop]\n"
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 
 #include "absl/time/time.h"
@@ -21,6 +22,9 @@
   int stop_seconds = 6;
   bool workers_check_tokens = true;
   RepeatLimits repeats;
+  // Callers' connections, and the machine's memory; the program's defaults if absent.
+  std::optional<int> max_connections;
+  std::optional<int> memory_mb;
 };
 
 // Not thread-safe. The destructor kills the process.
@@ -42,6 +46,8 @@
 
   const std::string& name() const { return options_.name; }
   bool running() const { return pid_ > 0; }
+  // -1 while no process runs.
+  pid_t pid() const { return pid_; }
   // True if the process runs and is known to listen.
   bool serving() const { return running() && !request_address_.empty(); }
   int incarnation() const { return incarnation_; }
