Fault: heads are kept as their text until they are used, and bodies of announced length without spare capacity

Cause: each field was kept as two strings of 32 bytes as it came, so a field of 5 bytes took 64 and the spare capacity of their list. A body's capacity doubled beyond the length that its head announces.

Change: fields are kept as one text and expanded by the first call of RequestParser::head, for a request that is passed on. Trailers are left out of it. The last growth of a body of announced length is exact.

--- a/include/hingespan/http/message_head.h
+++ b/include/hingespan/http/message_head.h
@@ -2,6 +2,7 @@
 #ifndef HINGESPAN_HTTP_MESSAGE_HEAD_H_
 #define HINGESPAN_HTTP_MESSAGE_HEAD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,9 @@
   bool accepts_chunks = true;
 };
 
+// Bytes that a head takes in memory, with spare capacity.
+std::size_t HeldBytes(const RequestHead& head);
+
 struct AnswerHead {
   int status = 0;
   std::string reason;
--- a/include/hingespan/http/message_parser.h
+++ b/include/hingespan/http/message_parser.h
@@ -34,6 +34,10 @@
   ParseFault fault() const;
   bool head_complete() const;
   bool complete() const;
+  // Bytes that the request holds, with spare capacity.
+  std::size_t held_bytes() const;
+  // Fields are expanded by the first call; until then the parser holds them as they came, which
+  // takes far less memory if they are short.
   RequestHead& head();
   std::string& body();
 
--- a/src/http/message_head.cc
+++ b/src/http/message_head.cc
@@ -25,6 +25,15 @@
   return nullptr;
 }
 
+std::size_t HeldBytes(const RequestHead& head) {
+  std::size_t bytes = head.target.capacity() + head.fields.capacity() * sizeof(HeaderField);
+  for (const HeaderField& field : head.fields) {
+    // A short string's capacity lies within the string itself.
+    bytes += field.name.capacity() + field.value.capacity();
+  }
+  return bytes;
+}
+
 bool IsConnectionField(absl::string_view name, absl::string_view connection_value) {
   for (const absl::string_view known : kConnectionFields) {
     if (absl::EqualsIgnoreCase(name, known)) {
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -28,6 +28,11 @@
   return ParseFault::kMalformed;
 }
 
+// Separators of the header fields that are not expanded yet; neither occurs in a field's name, nor
+// the second one in its value.
+constexpr char kNameEnd = ':';
+constexpr char kFieldEnd = '\n';
+
 // Base of both parsers: feeds Beast's parser and collects header fields.
 template <bool kIsRequest>
 class CommonParser : public http::basic_parser<kIsRequest> {
@@ -56,6 +61,9 @@
       }
     }
     pending_.erase(0, taken);
+    if (pending_.empty()) {
+      std::string().swap(pending_);
+    }
     if (!this->is_done()) {
       if (this->is_header_done() && pending_.size() > kMaxFramingBytes) {
         fault_ = ParseFault::kMalformed;
@@ -63,7 +71,7 @@
       return bytes.size();
     }
     const std::size_t surplus = pending_.size();
-    pending_.clear();
+    std::string().swap(pending_);
     return bytes.size() - surplus;
   }
 
@@ -71,7 +79,12 @@
 
  protected:
   void on_field_impl(http::field, BeastView name, BeastView value, BeastError&) override {
-    fields_.push_back({ToString(name), ToString(value)});
+    if (this->is_header_done()) {
+      return;  // A trailer of a chunked body.
+    }
+    field_text_.append(name.data(), name.size()).push_back(kNameEnd);
+    field_text_.append(value.data(), value.size()).push_back(kFieldEnd);
+    ++field_count_;
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>&, BeastError&) override {}
   void on_chunk_header_impl(std::uint64_t, BeastView, BeastError&) override {}
@@ -87,7 +100,26 @@
 
   virtual void OnBodyBytes(absl::string_view body) = 0;
 
-  HeaderFields fields_;
+  // Returns the fields collected so far and drops their text.
+  HeaderFields TakeFields() {
+    HeaderFields fields;
+    fields.reserve(field_count_);
+    absl::string_view rest = field_text_;
+    for (; field_count_ > 0; --field_count_) {
+      const std::size_t name_end = rest.find(kNameEnd);
+      const std::size_t field_end = rest.find(kFieldEnd, name_end);
+      fields.push_back({std::string(rest.substr(0, name_end)),
+                        std::string(rest.substr(name_end + 1, field_end - name_end - 1))});
+      rest.remove_prefix(field_end + 1);
+    }
+    std::string().swap(field_text_);
+    return fields;
+  }
+
+  std::size_t framing_bytes() const { return pending_.capacity() + field_text_.capacity(); }
+
+  std::string field_text_;
+  std::size_t field_count_ = 0;
   std::string pending_;
   ParseFault fault_ = ParseFault::kNone;
 };
@@ -102,23 +134,49 @@
     this->body_limit(limits.body_bytes);
   }
 
-  RequestHead head;
+  RequestHead& head() {
+    if (this->is_header_done() && field_count_ > 0) {
+      head_.fields = TakeFields();
+    }
+    return head_;
+  }
+
+  std::size_t held_bytes() const { return framing_bytes() + HeldBytes(head_) + body.capacity(); }
+
   std::string body;
 
  protected:
   void on_request_impl(http::verb, BeastView method, BeastView target, int version,
                        BeastError&) override {
     constexpr int kHttp11 = 11;
-    head.accepts_chunks = version >= kHttp11;
-    head.method = ToString(method);
-    head.target = ToString(target);
+    head_.accepts_chunks = version >= kHttp11;
+    head_.method = ToString(method);
+    head_.target = ToString(target);
   }
   void on_response_impl(int, BeastView, int, BeastError&) override {}
-  void on_header_impl(BeastError&) override {
-    head.fields = std::move(fields_);
-    head.keep_alive = this->keep_alive();
+  void on_header_impl(BeastError&) override { head_.keep_alive = this->keep_alive(); }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length, BeastError&) override {
+    if (length) {
+      announced_bytes_ = static_cast<std::size_t>(*length);
+    }
   }
-  void OnBodyBytes(absl::string_view piece) override { body.append(piece.data(), piece.size()); }
+  void OnBodyBytes(absl::string_view piece) override {
+    const std::size_t needed = body.size() + piece.size();
+    if (needed > body.capacity() && needed <= announced_bytes_ &&
+        announced_bytes_ < 2 * body.capacity()) {
+      // The last growth is exact; std::string::reserve would double the capacity.
+      std::string grown;
+      grown.reserve(announced_bytes_);
+      grown.append(body);
+      body.swap(grown);
+    }
+    body.append(piece.data(), piece.size());
+  }
+
+ private:
+  // Length that the head announces; 0 if it announces none.
+  std::size_t announced_bytes_ = 0;
+  RequestHead head_;
 };
 
 RequestParser::RequestParser(const MessageLimits& limits)
@@ -128,7 +186,8 @@
 ParseFault RequestParser::fault() const { return implementation_->fault(); }
 bool RequestParser::head_complete() const { return implementation_->is_header_done(); }
 bool RequestParser::complete() const { return implementation_->is_done(); }
-RequestHead& RequestParser::head() { return implementation_->head; }
+std::size_t RequestParser::held_bytes() const { return implementation_->held_bytes(); }
+RequestHead& RequestParser::head() { return implementation_->head(); }
 std::string& RequestParser::body() { return implementation_->body; }
 
 class AnswerParser::Implementation : public CommonParser<false> {
@@ -160,7 +219,7 @@
     head.reason = ToString(reason);
   }
   void on_header_impl(BeastError&) override {
-    head.fields = std::move(fields_);
+    head.fields = TakeFields();
     head.keep_alive = this->keep_alive();
     if (const auto length = this->content_length()) {
       head.body_length = *length;
--- a/tests/http/message_parser_test.cc
+++ b/tests/http/message_parser_test.cc
@@ -98,6 +98,52 @@
   CHECK(fault_of("nonsense\r\n\r\n") == ParseFault::kMalformed);
 }
 
+// Guards against heads of many short fields that take many times their bytes (Fault).
+TEST_CASE("an unfinished head takes little more memory than its bytes") {
+  constexpr std::size_t kHeadBytes = 15 * 1024;
+  RequestParser parser(MessageLimits{});
+  std::string text = "GET / HTTP/1.1\r\n";
+  while (text.size() < kHeadBytes) {
+    text += "a:b\r\n";
+  }
+  FeedInPieces(&parser, text, 1000);
+  CHECK(!parser.head_complete());
+  CHECK(parser.held_bytes() < 3 * kHeadBytes);
+  parser.Feed("\r\n");
+  REQUIRE(parser.complete());
+  CHECK(parser.head().fields.size() == (text.size() - 16) / 5);
+  CHECK(parser.held_bytes() > parser.head().fields.size() * sizeof(HeaderField));
+}
+
+TEST_CASE("a body of announced length takes no spare memory at its end") {
+  constexpr std::size_t kBodyBytes = 300 * 1024;
+  RequestParser parser(MessageLimits{});
+  const std::string body(kBodyBytes, 'b');
+  FeedInPieces(
+      &parser,
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n" + body, 8000);
+  REQUIRE(parser.complete());
+  CHECK(parser.body() == body);
+  CHECK(parser.held_bytes() < kBodyBytes + 1024);
+}
+
+TEST_CASE("fields keep their names and values, and trailers are not among them") {
+  RequestParser parser(MessageLimits{});
+  parser.Feed(
+      "POST / HTTP/1.1\r\nHost: h:80\r\nEmpty:\r\nLong: a b:c\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nModel: smuggled\r\n\r\n");
+  REQUIRE(parser.complete());
+  const HeaderFields& fields = parser.head().fields;
+  REQUIRE(fields.size() == 4);
+  CHECK(fields[0].name == "Host");
+  CHECK(fields[0].value == "h:80");
+  CHECK(fields[1].name == "Empty");
+  CHECK(fields[1].value.empty());
+  CHECK(fields[2].value == "a b:c");
+  CHECK(FindField(fields, "Model") == nullptr);
+  CHECK(parser.body() == "x");
+}
+
 TEST_CASE("a request is parsed the same however its bytes are split") {
   CHECK(rc::check("requests cut anywhere", [] {
     const auto body = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
