Fault: workers' prompt parts are kept by hash

Cause, by reading: a node remembers for each worker up to some 2,000 prompt parts by model and id, and callers choose ids as long as a head may be: 16 kB each, so 32 MB a worker, however few requests are open.

Change: the key is a hash of 64 bits. A collision only makes a worker look better than it is. Not measured; test-serving and the crowds pass as before.

--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -79,7 +79,7 @@
   };
   std::map<ModelKey, ReplicaNotice> notices;
   // Time at which this node last sent a prompt part to the worker, by model, adapter and part.
-  absl::flat_hash_map<std::string, absl::Time> prompt_parts;
+  absl::flat_hash_map<std::uint64_t, absl::Time> prompt_parts;
 
   bool Holds(const ModelKey& key, absl::Time now) const;
 };
@@ -194,8 +194,9 @@
   std::map<std::string, WorkerState> departed_;
 };
 
-// Key of a prompt part in WorkerState::prompt_parts.
-std::string PromptPartKey(const ModelKey& model, const PromptPart& part);
+// Key of a prompt part in WorkerState::prompt_parts: a hash, as callers choose how long ids are. Two
+// parts with the same hash only make a worker look better than it is.
+std::uint64_t PromptPartKey(const ModelKey& model, const PromptPart& part);
 
 }  // namespace hingespan::gateway
 
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -51,8 +51,9 @@
 
 }  // namespace
 
-std::string PromptPartKey(const ModelKey& model, const PromptPart& part) {
-  return absl::StrCat(model.model, "/", model.adapter, "/", part.id);
+std::uint64_t PromptPartKey(const ModelKey& model, const PromptPart& part) {
+  const std::string text = absl::StrCat(model.model, "/", model.adapter, "/", part.id);
+  return XXH3_64bits(text.data(), text.size());
 }
 
 bool WorkerState::Holds(const ModelKey& key, absl::Time now) const {
