Fault: streams with long ids are recorded under a hash of their id

Cause, by reading: the registry keeps up to 50,000 records of streams until their callers' deadlines, with the id twice, the archive one more; a caller's id may be 16 kB. A notice of such a stream was also larger than a datagram should be.

Change: an id longer than 64 bytes is replaced by a hash of 128 bits where the gateway records or looks for a stream, so that other nodes and the store get the same short id.

--- a/include/hingespan/fleet/stream_registry.h
+++ b/include/hingespan/fleet/stream_registry.h
@@ -14,6 +14,13 @@
 
 namespace hingespan::gateway {
 
+// Size of the ids under which streams are recorded, in bytes.
+inline constexpr std::size_t kMaxStreamIdBytes = 64;
+
+// Returns the id under which a stream is recorded: its own, or a hash of it if it is long. Callers
+// choose the ids, and records outlive their requests.
+std::string ShortStreamId(const std::string& stream_id);
+
 // Does no I/O and reads no clock; not thread-safe.
 class StreamRegistry {
  public:
--- a/src/fleet/stream_registry.cc
+++ b/src/fleet/stream_registry.cc
@@ -1,9 +1,21 @@
 #include "hingespan/fleet/stream_registry.h"
 
+#include <xxhash.h>
+
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 namespace hingespan::gateway {
 
+std::string ShortStreamId(const std::string& stream_id) {
+  if (stream_id.size() <= kMaxStreamIdBytes) {
+    return stream_id;
+  }
+  const XXH128_hash_t hash = XXH3_128bits(stream_id.data(), stream_id.size());
+  return absl::StrCat(absl::Hex(hash.high64), "-", absl::Hex(hash.low64));
+}
+
 void StreamRegistry::Add(const std::string& stream_id, Record record, absl::Time now) {
   Expire(now);
   const absl::Time expires = record.expires;
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -75,19 +75,20 @@
 
 void Gateway::RecordStream(const std::string& id, const StreamSource& source,
                            absl::Duration lifetime) {
-  streams_.Add(id, source, lifetime);
+  streams_.Add(ShortStreamId(id), source, lifetime);
 }
 
 void Gateway::FindStream(const std::string& id, const std::string& service,
                          std::function<void(std::optional<StreamSource>)> done) {
-  std::optional<StreamSource> source = streams_.FindHere(id);
+  const std::string short_id = ShortStreamId(id);
+  std::optional<StreamSource> source = streams_.FindHere(short_id);
   if (source.has_value()) {
     done(std::move(source));
     return;
   }
   // Also asked if this node knows one version only: another node may have learnt of a new one
   // first.
-  streams_.Ask(id, service, worker_follower_->connected(), std::move(done));
+  streams_.Ask(short_id, service, worker_follower_->connected(), std::move(done));
 }
 
 }  // namespace hingespan::gateway
