Fault: requests that were read ahead wait until their caller reads

Callers saw: a node that ends for want of memory.

Cause: once an answer is complete the next request of the connection is parsed, however much of the answers before it is unsent; and a kept connection kept the memory of its largest answer.

Change: the next request is not parsed while more than 64 kB are unsent; it goes on when they have been handed to the kernel. 16 kB instead of 64 are read ahead. The memory of what was written is released.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -19,7 +19,10 @@
 
 constexpr std::size_t kReadBufferBytes = 8 * 1024;
 // Reading pauses once a caller has sent this many bytes after an unanswered request.
-constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+constexpr std::size_t kMaxUnparsedBytes = 16 * 1024;
+// The next request of a caller is not parsed while more bytes than this of the answers before it
+// wait for the caller to read them.
+constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
 // Time for which input is still read and discarded after the last answer, so that the answer
 // arrives.
 constexpr absl::Duration kLingerTime = absl::Milliseconds(500);
@@ -268,7 +271,8 @@
   }
 
   void Parse() {
-    if (closed_ || exchange_open_ || close_when_written_ || input_.empty()) {
+    if (closed_ || exchange_open_ || close_when_written_ || input_.empty() ||
+        pending_bytes() > kMaxUnsentBytes) {
       return;
     }
     if (!head_timer_running_) {
@@ -342,7 +346,8 @@
   }
 
   void OnWritten(const boost::system::error_code& error) {
-    writing_.clear();
+    // A connection that is kept would otherwise keep the memory of its largest answer.
+    std::string().swap(writing_);
     bytes_written_ = 0;
     if (closed_) {
       return;
@@ -361,8 +366,13 @@
     }
     if (const auto exchange = current_.lock()) {
       exchange->HandleDrained();
-    } else if (!exchange_open_ && !head_timer_running_) {
-      WaitForRequest();
+    } else if (!exchange_open_) {
+      if (!head_timer_running_) {
+        WaitForRequest();
+      }
+      // A request that was read ahead may have waited for its caller to read.
+      Parse();
+      Read();
     }
   }
 
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -189,6 +189,35 @@
   CHECK(caller.ReadUntil("second").ends_with("second"));
 }
 
+// Guards against answers that pile up for callers that pipeline and don't read (Fault).
+TEST_CASE("requests that were read ahead wait until the caller reads") {
+  constexpr std::size_t kBody = 8 * 1024 * 1024;
+  int requests = 0;
+  Fixture fixture([&](const std::shared_ptr<ServerExchange>& exchange) {
+    ++requests;
+    exchange->Answer(200, "OK", {}, std::string(kBody, 'a'));
+  });
+  constexpr int kRequests = 4;
+  RawClient caller(fixture.server.address());
+  for (int number = 1; number < kRequests; ++number) {
+    REQUIRE(caller.Send(kRequest));
+  }
+  REQUIRE(caller.Send(kLastRequest));
+  REQUIRE(fixture.Wait([&] { return requests > 0; }));
+  // Another caller's request is served meanwhile.
+  RawClient other(fixture.server.address());
+  REQUIRE(other.Send("GET /other HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+  REQUIRE(fixture.Wait([&] { return requests > 1; }));
+  CHECK(requests == 2);
+  CHECK(fixture.server.activity().unsent_bytes < 3 * kBody);
+  std::size_t received = 0;
+  REQUIRE(fixture.Wait([&] {
+    received += caller.Readable(0) ? caller.ReadSome(kBody).size() : 0;
+    return received > kRequests * kBody;
+  }));
+  CHECK(requests == 1 + kRequests);
+}
+
 // Sets the process's limit of open descriptors to those that are open.
 class NoFreeDescriptors {
  public:
