Fault: a connection that is to close ends although its caller reads nothing

Callers saw, by reading: none of their own; but a client that asks for its last answer, or is refused, and never reads holds its connection and the answer for good.

Cause: the timer of a connection was cancelled when it was to close after its answer; what ends it then is only the caller.

Change: such a connection waits like one that is kept: the idle timeout closes it if its caller acknowledges nothing for so long. It may also make room for a new connection once all is acknowledged. New: http_server_test, a closing connection whose caller reads nothing.

--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -95,7 +95,7 @@
   ~Connection() override { LeaveServer(); }
 
   void Start() {
-    WaitForRequest();
+    WaitForCaller();
     Read();
   }
 
@@ -148,15 +148,14 @@
     exchange_open_ = false;
     parser_ = std::make_unique<RequestParser>(server_->limits.message);
     head_timer_running_ = false;
+    WaitForCaller();
     if (close) {
       close_when_written_ = true;
-      timer_->Cancel();
       if (writing_.empty() && queued_.empty()) {
         CloseGracefully();
       }
       return;
     }
-    WaitForRequest();
     // Posted, because the handler that answered may still be running.
     server_->loop->Post([self = shared_from_this()] {
       self->Parse();
@@ -190,7 +189,8 @@
     server_->connections.erase(this);
   }
 
-  void WaitForRequest() {
+  // Waits for the caller's next request, or for it to read its answer.
+  void WaitForCaller() {
     LeaveIdle();
     idle_place_ = server_->idle.insert(server_->idle.end(), this);
     idle_since_ = server_->loop->Now();
@@ -214,7 +214,7 @@
     }
     const std::size_t unsent = pending_bytes() + unacknowledged_bytes();
     if (unsent > 0 && unsent < unsent_before) {
-      WaitForRequest();
+      WaitForCaller();
       return;
     }
     Close();
@@ -320,7 +320,7 @@
     Write(absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status),
                        "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
     close_when_written_ = true;
-    timer_->Cancel();
+    WaitForCaller();
   }
 
   void Deliver() {
@@ -368,7 +368,7 @@
       exchange->HandleDrained();
     } else if (!exchange_open_) {
       if (!head_timer_running_) {
-        WaitForRequest();
+        WaitForCaller();
       }
       // A request that was read ahead may have waited for its caller to read.
       Parse();
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -218,6 +218,21 @@
   CHECK(requests == 1 + kRequests);
 }
 
+// Guards against connections that stay open for good because their callers don't read their last
+// answers.
+TEST_CASE("a closing connection whose caller reads nothing ends by the idle timeout") {
+  constexpr std::size_t kHugeBody = 32 * 1024 * 1024;
+  Fixture fixture;
+  ServerLimits limits;
+  limits.idle_timeout = absl::Milliseconds(100);
+  fixture.server.SetLimits(limits);
+  RawClient caller(fixture.server.address());
+  REQUIRE(caller.Send(kLastRequest));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+  fixture.held->Answer(200, "OK", {}, std::string(kHugeBody, 'a'));
+  CHECK(fixture.Wait([&] { return fixture.server.connections() == 0; }));
+}
+
 // Sets the process's limit of open descriptors to those that are open.
 class NoFreeDescriptors {
  public:
