Fault: a body that is sent to a worker or peer is shared, and memory goes back

Cause: each attempt copied the body behind its head, and a connection to a worker kept the capacity of its message. The allocator raises the size from which it maps blocks each time that a mapped one is freed, so later ones stayed in the heap.

Change: the exchange's body is shared with the client, which writes head and body as two buffers and releases both once they are written. The threshold for mapped blocks is fixed at 128 kB.

--- a/include/hingespan/http/http_client.h
+++ b/include/hingespan/http/http_client.h
@@ -68,13 +68,14 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // `message` is the complete serialized request. `receiver` must outlive the exchange.
+  // `message` is the serialized request up to `body`, which is shared instead of copied and may be
+  // null. `receiver` must outlive the exchange.
   std::unique_ptr<ClientExchange> Send(const std::string& address, std::string message,
-                                       AnswerReceiver* receiver);
+                                       AnswerReceiver* receiver, SharedBody body = nullptr);
   // Like Send, but makes a connection even if an idle one is there.
   std::unique_ptr<ClientExchange> SendOnNewConnection(const std::string& address,
-                                                      std::string message,
-                                                      AnswerReceiver* receiver);
+                                                      std::string message, AnswerReceiver* receiver,
+                                                      SharedBody body = nullptr);
   // Number of open connections to `address`, busy and idle.
   std::size_t connections(const std::string& address) const;
   std::size_t idle_connections(const std::string& address) const;
--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -59,6 +59,7 @@
 
   virtual const RequestHead& head() const = 0;
   virtual const std::string& body() const = 0;
+  virtual SharedBody shared_body() const = 0;
   // Time at which the first byte of the request was received.
   virtual absl::Time received() const = 0;
 
--- a/include/hingespan/http/message_head.h
+++ b/include/hingespan/http/message_head.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,6 +20,9 @@
 
 using HeaderFields = std::vector<HeaderField>;
 
+// Body of a message that several holders need, e.g. the server's and a client's exchange.
+using SharedBody = std::shared_ptr<const std::string>;
+
 struct RequestHead {
   std::string method;
   // Path and query as received, not decoded.
--- a/programs/hingespan_gateway.cc
+++ b/programs/hingespan_gateway.cc
@@ -22,6 +22,8 @@
 
 constexpr int kExitListen = 3;
 constexpr int kExitSettings = 2;
+// Larger blocks of memory go back to the system as soon as they are freed.
+constexpr int kMinMappedBytes = 128 * 1024;
 // Time limit for flushing the log at exit; must be below the time that a stop reserves for it.
 constexpr absl::Duration kLogFlushTimeout = absl::Milliseconds(100);
 constexpr const char* kSettingsVariable = "HINGESPAN_SETTINGS";
@@ -102,6 +104,8 @@
   }
   signal(SIGPIPE, SIG_IGN);
   mallopt(M_ARENA_MAX, 1);
+  // A fixed value keeps the allocator from raising it when large blocks are freed.
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   return RunGateway(settings, flags.settings_file);
 }
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -57,10 +57,11 @@
     }
   }
 
-  void Begin(Exchange* exchange, std::string message) {
+  void Begin(Exchange* exchange, std::string message, SharedBody body) {
     timer_->Cancel();
     exchange_ = exchange;
     message_ = std::move(message);
+    body_ = std::move(body);
     received_any_ = false;
     written_ = false;
     paused_ = false;
@@ -150,14 +151,19 @@
 
   void Write() {
     Read();
+    std::array<boost::asio::const_buffer, 2> parts = {boost::asio::buffer(message_)};
+    if (body_ != nullptr) {
+      parts[1] = boost::asio::buffer(*body_);
+    }
     boost::asio::async_write(
-        socket_, boost::asio::buffer(message_),
+        socket_, parts,
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t count) {
           self->OnWritten(error, count);
         });
   }
 
   void OnWritten(const boost::system::error_code& error, std::size_t count) {
+    ReleaseMessage();
     if (closed_) {
       return;
     }
@@ -166,7 +172,12 @@
       return;
     }
     written_ = true;
-    message_.clear();
+  }
+
+  // A connection that is kept would otherwise keep the memory of its largest request.
+  void ReleaseMessage() {
+    std::string().swap(message_);
+    body_ = nullptr;
   }
 
   void Read() {
@@ -269,6 +280,7 @@
   std::unique_ptr<AnswerParser> parser_;
   std::array<char, kReadBufferBytes> buffer_;
   std::string message_;
+  SharedBody body_;
   Exchange* exchange_ = nullptr;
   absl::Duration idle_timeout_;
   int interim_answers_ = 0;
@@ -401,9 +413,10 @@
 }
 
 std::unique_ptr<ClientExchange> Begin(const std::shared_ptr<Connection>& connection,
-                                      std::string message, AnswerReceiver* receiver) {
+                                      std::string message, AnswerReceiver* receiver,
+                                      SharedBody body) {
   auto exchange = std::make_unique<Exchange>(connection, receiver);
-  connection->Begin(exchange.get(), std::move(message));
+  connection->Begin(exchange.get(), std::move(message), std::move(body));
   return exchange;
 }
 
@@ -430,11 +443,11 @@
 }
 
 std::unique_ptr<ClientExchange> HttpClient::Send(const std::string& address, std::string message,
-                                                 AnswerReceiver* receiver) {
+                                                 AnswerReceiver* receiver, SharedBody body) {
   const std::shared_ptr<Pool>& pool = implementation_->pool;
   const auto entry = pool->idle.find(address);
   if (entry == pool->idle.end()) {
-    return SendOnNewConnection(address, std::move(message), receiver);
+    return SendOnNewConnection(address, std::move(message), receiver, std::move(body));
   }
   // Reuses the most recently used connection, so that the others can time out.
   const std::shared_ptr<Connection> connection = entry->second.back();
@@ -442,14 +455,15 @@
   if (entry->second.empty()) {
     pool->idle.erase(entry);
   }
-  return Begin(connection, std::move(message), receiver);
+  return Begin(connection, std::move(message), receiver, std::move(body));
 }
 
 std::unique_ptr<ClientExchange> HttpClient::SendOnNewConnection(const std::string& address,
                                                                 std::string message,
-                                                                AnswerReceiver* receiver) {
+                                                                AnswerReceiver* receiver,
+                                                                SharedBody body) {
   return Begin(std::make_shared<Connection>(implementation_->pool, address), std::move(message),
-               receiver);
+               receiver, std::move(body));
 }
 
 std::size_t HttpClient::connections(const std::string& address) const {
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -40,12 +40,13 @@
       : connection_(std::move(connection)),
         server_(std::move(server)),
         head_(std::move(head)),
-        body_(std::move(body)),
+        body_(std::make_shared<const std::string>(std::move(body))),
         received_(received) {}
   ~Exchange() override;
 
   const RequestHead& head() const override { return head_; }
-  const std::string& body() const override { return body_; }
+  const std::string& body() const override { return *body_; }
+  SharedBody shared_body() const override { return body_; }
   absl::Time received() const override { return received_; }
   void OnCallerGone(std::function<void()> callback) override {
     on_caller_gone_ = std::move(callback);
@@ -71,7 +72,7 @@
   std::shared_ptr<Connection> connection_;
   std::shared_ptr<ServerState> server_;
   RequestHead head_;
-  std::string body_;
+  SharedBody body_;
   absl::Time received_;
   std::function<void()> on_caller_gone_;
   std::function<void()> on_drained_;
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -293,8 +293,8 @@
   if (!body.empty() || head.method == "POST" || head.method == "PUT") {
     absl::StrAppend(&message, "Content-Length: ", body.size(), "\r\n");
   }
-  absl::StrAppend(&message, "\r\n", body);
-  upstream_ = context_->client->Send(address, std::move(message), this);
+  message.append("\r\n");
+  upstream_ = context_->client->Send(address, std::move(message), this, exchange_->shared_body());
 }
 
 absl::Time RequestRelay::Deadline() const {
