Fault: what clients make a node hold is bounded in sum by its machine's memory

Cause: every limit is per request or per connection; nothing bounds their sum.

ClientMemory counts what each connection of each server holds: head with its overhead, body and buffers with spare capacity, bytes read ahead, the prompt's parts, answers unsent or unacknowledged. Beyond the bound clients that keep the node waiting give way until an eighth is free, those with most bytes times seconds first; one with 16 kB or less never does, nor one whose request is complete. An unfinished request gets 503 with Retry-After: it has not run and never will; forwarded ones say that another node may have room. A client that leaves its answer unread is reset. Who was turned away is logged (client_turned_away, at the log's rate) and counted by reason. The heap is released after much memory was.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -11,6 +11,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "hingespan/http/client_memory.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/http/message_head.h"
 #include "hingespan/http/message_parser.h"
@@ -24,11 +25,42 @@
   // A keep-alive connection without a request is closed after this time. While an answer is being
   // sent, it is closed only if the caller has acknowledged none of it for this long.
   absl::Duration idle_timeout = absl::Seconds(15);
-  // At the limit, a new connection takes the place of the one that has been idle longest. If none
-  // is idle, the new one is closed unread.
+  // At the limit, a new connection takes the place of the one that has been idle longest, or else
+  // of the one whose request has been unfinished longest, or whose answer was read least recently.
+  // If there is none, the new one is closed unread.
   std::size_t max_connections = 3000;
+  // Bytes that the kernel may receive for a connection before they are read; 0 for its default.
+  // Takes effect at Listen.
+  std::size_t receive_buffer_bytes = 0;
+  // Fields of the answer to a client that is turned away because clients hold too much memory.
+  HeaderFields overload_fields;
 };
 
+// Why a client was turned away before its request was passed on, or while its answer was sent.
+enum class TurnedAwayReason {
+  // All clients together make the node hold too much, and this one kept it waiting.
+  kMemory,
+  // A new connection took its place, or it found no place itself.
+  kConnections,
+  kTimeout,
+  kMalformed,
+  kHeadTooLarge,
+  kBodyTooLarge,
+};
+
+struct TurnedAwayClient {
+  TurnedAwayReason reason = TurnedAwayReason::kMalformed;
+  // Status of the answer; 0 if the connection was closed without one.
+  int status = 0;
+  // The client's "ip:port"; empty if not known.
+  std::string address;
+  std::size_t held_bytes = 0;
+  // Time for which the node had waited for the client.
+  absl::Duration waited;
+};
+
+using TurnedAwayCallback = std::function<void(const TurnedAwayClient&)>;
+
 // Number of connections by state, each counted once, and byte totals over all connections.
 struct ServerActivity {
   // A complete request was read and its answer is incomplete, or bytes after it are to be parsed.
@@ -62,6 +94,8 @@
   virtual SharedBody shared_body() const = 0;
   // Time at which the first byte of the request was received.
   virtual absl::Time received() const = 0;
+  // Sets the bytes that the answering code holds for this request in addition to head and body.
+  virtual void SetExtraBytes(std::size_t bytes) = 0;
 
   // Calls `callback` once if the caller's connection ends before the answer is complete.
   virtual void OnCallerGone(std::function<void()> callback) = 0;
@@ -91,7 +125,8 @@
  public:
   using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
 
-  HttpServer(EventLoop* loop, Handler handler);
+  // `memory` bounds what the clients make the node hold; without it there is no such bound.
+  HttpServer(EventLoop* loop, Handler handler, std::shared_ptr<ClientMemory> memory = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -102,6 +137,8 @@
   std::string address() const;
   // Takes effect for messages that begin after this call.
   void SetLimits(const ServerLimits& limits);
+  // Calls `callback` for each client that the server turns away.
+  void OnTurnedAway(TurnedAwayCallback callback);
   // From now on every answer carries "Connection: close", unless further requests were already read
   // from its connection.
   void AskToClose();
--- a/include/hingespan/serving/memory_budget.h
+++ b/include/hingespan/http/memory_budget.h
@@ -1,21 +1,21 @@
-// Bounds the memory of answers that are kept until they can be passed on, over all requests.
+// Bounds a sum of buffers that grow independently of each other.
 //
-// An answer may have a share of what is free, so that answers that grow without end leave room for
+// One buffer may have a share of what is free, so that buffers that grow without end leave room for
 // others. A small one always has room.
-#ifndef HINGESPAN_SERVING_MEMORY_BUDGET_H_
-#define HINGESPAN_SERVING_MEMORY_BUDGET_H_
+#ifndef HINGESPAN_HTTP_MEMORY_BUDGET_H_
+#define HINGESPAN_HTTP_MEMORY_BUDGET_H_
 
 #include <cstddef>
 
 namespace hingespan::gateway {
 
 struct MemoryBudgetSettings {
-  // All answers, in bytes.
+  // All buffers, in bytes.
   std::size_t total = 48 * 1024 * 1024;
-  // One answer, in bytes: at most, and even if nothing is free. A buffer that grows has up to twice
+  // One buffer, in bytes: at most, and even if nothing is free. A buffer that grows has up to twice
   // its content's size.
-  std::size_t max_answer = 8 * 1024 * 1024;
-  std::size_t min_answer = 16 * 1024;
+  std::size_t max_buffer = 8 * 1024 * 1024;
+  std::size_t min_buffer = 16 * 1024;
 };
 
 // Not thread-safe. Outlives its reservations.
@@ -23,9 +23,10 @@
  public:
   explicit MemoryBudget(const MemoryBudgetSettings& settings = {}) : settings_(settings) {}
 
-  // Size that one answer may have now, in bytes.
-  std::size_t AnswerLimit() const;
+  // Size that one buffer may have now, in bytes.
+  std::size_t BufferLimit() const;
   std::size_t used() const { return used_; }
+  std::size_t total() const { return settings_.total; }
 
  private:
   friend class MemoryReservation;
@@ -34,7 +35,7 @@
   std::size_t used_ = 0;
 };
 
-// The part of one answer; returned when it is destroyed.
+// The part of one buffer; returned when it is destroyed.
 class MemoryReservation {
  public:
   explicit MemoryReservation(MemoryBudget* budget) : budget_(budget) {}
@@ -42,8 +43,9 @@
   MemoryReservation(const MemoryReservation&) = delete;
   MemoryReservation& operator=(const MemoryReservation&) = delete;
 
-  // Sets the answer's memory in bytes. Returns whether it may be as large.
+  // Sets the buffer's size in bytes. Returns whether it may be as large.
   bool Resize(std::size_t bytes);
+  std::size_t bytes() const { return bytes_; }
 
  private:
   MemoryBudget* budget_;
@@ -52,4 +54,4 @@
 
 }  // namespace hingespan::gateway
 
-#endif  // HINGESPAN_SERVING_MEMORY_BUDGET_H_
+#endif  // HINGESPAN_HTTP_MEMORY_BUDGET_H_
--- a/include/hingespan/http/server_connection.h
+++ b/include/hingespan/http/server_connection.h
@@ -6,18 +6,20 @@
 #include <cstddef>
 #include <list>
 #include <memory>
+#include <string>
 
 #include "absl/container/flat_hash_set.h"
 #include "hingespan/http/http_server.h"
 
 namespace hingespan::gateway {
 
-class ServerConnection {
+class ServerConnection : public MemoryHolder {
  public:
-  virtual ~ServerConnection() = default;
   virtual void AddTo(ServerActivity* activity) const = 0;
   // Closes a connection that waits for a request, unless bytes are under way in either direction.
   virtual bool CloseIfIdle() = 0;
+  // Closes the connection of a client that keeps the node waiting, for a new connection.
+  virtual void GiveWayToConnection() = 0;
 };
 
 // State shared by all connections of a server.
@@ -26,11 +28,19 @@
   HttpServer::Handler handler;
   ServerLimits limits;
   bool ask_to_close = false;
+  std::shared_ptr<ClientMemory> memory;
+  // May be null.
+  TurnedAwayCallback on_turned_away;
   absl::flat_hash_set<const ServerConnection*> connections;
-  // Connections that wait for a request, the one that has waited longest first.
+  // Connections that wait for a request or for their client to read its answer, and those with a
+  // part of a request; the one that has waited longest first.
   std::list<ServerConnection*> idle;
+  std::list<ServerConnection*> unfinished;
 };
 
+// Returns the "ip:port" of the socket's peer; empty if it isn't connected any more.
+std::string RemoteAddress(const boost::asio::ip::tcp::socket& socket);
+
 // Reads requests from `socket` and passes them to the handler until the connection ends.
 void StartServerConnection(const std::shared_ptr<ServerState>& server,
                            boost::asio::ip::tcp::socket socket);
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -27,6 +27,7 @@
 #include "hingespan/serving/deployment_reader.h"
 #include "hingespan/serving/gateway_metrics.h"
 #include "hingespan/serving/gateway_settings.h"
+#include "hingespan/serving/memory_plan.h"
 #include "hingespan/serving/request_dialect.h"
 #include "hingespan/serving/request_queue.h"
 #include "hingespan/serving/request_relay.h"
@@ -47,6 +48,8 @@
   HttpClient* client = nullptr;
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
+  // Returns free pages of the heap to the system; may be null.
+  std::function<void()> release_heap;
 };
 
 // Not thread-safe; used only on its event loop.
@@ -128,8 +131,10 @@
   // Returns whether this node's orders could reach a worker.
   bool ReachesModelWorkers() const;
   ServerActivity Activity() const;
-  // Sets the limits of callers' requests, and those of forwarded ones accordingly.
-  void SetRequestLimits(const ServerLimits& limits);
+  // Sets the limits of callers' requests, and those of forwarded ones accordingly. `limits` has
+  // those of the configuration.
+  void SetRequestLimits(ServerLimits limits);
+  void OnTurnedAway(const TurnedAwayClient& client);
   void OnStatusRequest(const std::shared_ptr<ServerExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<ServerExchange>& exchange);
   void DispatchWaiting();
@@ -151,7 +156,9 @@
   GatewaySettings settings_;
   GatewayParts parts_;
   RelayContext context_;
+  MemoryPlan memory_plan_;
   MemoryBudget answer_memory_;
+  std::shared_ptr<ClientMemory> client_memory_;
   WorkerDirectory workers_;
   // By service; entries are never removed.
   std::map<std::string, ServicePath> paths_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -58,6 +58,9 @@
   // Datagrams about brittle workers and their slots.
   std::uint64_t slot_datagrams = 0;
   std::uint64_t callers_gone = 0;
+  // Clients that were turned away before their request was passed on, or while they were answered,
+  // by reason.
+  std::map<std::string, std::uint64_t> clients_turned_away;
   // Attempts that were forwarded to another node, and those that it couldn't take.
   std::uint64_t forwards = 0;
   std::uint64_t forwards_declined = 0;
@@ -80,6 +83,8 @@
   std::uint64_t waiting_now = 0;
   // Bytes of answers that are not passed on yet.
   std::uint64_t kept_answer_bytes = 0;
+  // Bytes that clients make this node hold.
+  std::uint64_t client_bytes = 0;
   std::uint64_t configuration_version = 0;
   ServerActivity connections;
   bool holds_lease = false;
--- a/include/hingespan/serving/gateway_settings.h
+++ b/include/hingespan/serving/gateway_settings.h
@@ -38,6 +38,8 @@
   std::string zone;
   // Bandwidth of this machine's network link; 0 if not known.
   double link_mbps = 0;
+  // Memory of this machine in MB, of which callers may make this node hold a part.
+  double memory_mb = 256;
   // Address for callers' requests.
   std::string request_listen;
   // Address for readiness checks and metrics.
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -25,7 +25,7 @@
 #include "hingespan/serving/decision_log.h"
 #include "hingespan/serving/event_splitter.h"
 #include "hingespan/serving/forwarding.h"
-#include "hingespan/serving/memory_budget.h"
+#include "hingespan/http/memory_budget.h"
 #include "hingespan/serving/peer_directory.h"
 #include "hingespan/serving/prompt_quarantine.h"
 #include "hingespan/serving/request_dialect.h"
--- a/programs/hingespan_gateway.cc
+++ b/programs/hingespan_gateway.cc
@@ -54,7 +54,8 @@
   const platform::DeploymentRows reader;
   platform::StoreRowsClient store(&loop, &client, settings.store_address, &metrics);
   platform::WorkerOrders control(&loop, &client);
-  Gateway gateway(settings, {&loop, &dialect, &reader, &store, &control, &client, &log, &metrics});
+  Gateway gateway(settings, {&loop, &dialect, &reader, &store, &control, &client, &log, &metrics,
+                             [] { malloc_trim(0); }});
   if (const std::error_code error = gateway.Start()) {
     log.Write(LogLevel::kError, "start_failed", {{"error", error.message()}});
     return kExitListen;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -30,11 +30,15 @@
 }  // namespace
 
 struct HttpServer::Implementation : std::enable_shared_from_this<HttpServer::Implementation> {
-  Implementation(EventLoop* event_loop, Handler request_handler)
+  Implementation(EventLoop* event_loop, Handler request_handler,
+                 std::shared_ptr<ClientMemory> memory)
       : loop(event_loop), acceptor(event_loop->context()), accept_timer(event_loop->MakeTimer()) {
     shared = std::make_shared<ServerState>();
     shared->loop = event_loop;
     shared->handler = std::move(request_handler);
+    shared->memory = memory == nullptr
+                         ? std::make_shared<ClientMemory>(event_loop, ClientMemorySettings{})
+                         : std::move(memory);
   }
 
   void Accept() {
@@ -46,7 +50,7 @@
           }
           if (!error) {
             self->StartConnection(std::move(socket));
-          } else if (LacksResources(error) && !self->CloseLongestIdle()) {
+          } else if (LacksResources(error) && !self->MakeRoom()) {
             self->AcceptLater();
             return;
           }
@@ -63,13 +67,21 @@
   }
 
   void StartConnection(tcp::socket socket) {
-    if (shared->connections.size() >= shared->limits.max_connections && !CloseLongestIdle()) {
+    if (shared->connections.size() >= shared->limits.max_connections && !MakeRoom()) {
+      if (shared->on_turned_away) {
+        shared->on_turned_away({TurnedAwayReason::kConnections, 0, RemoteAddress(socket), 0, {}});
+      }
       return;  // Destroying the socket closes it before anything was read from it.
     }
     StartServerConnection(shared, std::move(socket));
   }
 
-  // Callers that keep their connections would otherwise shut out all others.
+  // Closes one connection whose client doesn't need it now. Clients that keep their connections
+  // would otherwise shut out all others.
+  bool MakeRoom() {
+    return CloseLongestIdle();
+  }
+
   bool CloseLongestIdle() {
     std::size_t tried = 0;
     for (auto place = shared->idle.begin(); place != shared->idle.end() && tried < kMaxIdleTried;
@@ -99,12 +111,15 @@
   return *this;
 }
 
-HttpServer::HttpServer(EventLoop* loop, Handler handler)
-    : implementation_(std::make_shared<Implementation>(loop, std::move(handler))) {}
+HttpServer::HttpServer(EventLoop* loop, Handler handler, std::shared_ptr<ClientMemory> memory)
+    : implementation_(
+          std::make_shared<Implementation>(loop, std::move(handler), std::move(memory))) {}
 
 HttpServer::~HttpServer() {
   boost::system::error_code ignored;
   implementation_->acceptor.close(ignored);
+  // Open connections go on until they end.
+  implementation_->shared->on_turned_away = nullptr;
 }
 
 std::error_code HttpServer::Listen(const std::string& address) {
@@ -123,6 +138,12 @@
   if (!error) {
     acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   }
+  const std::size_t receive_buffer = implementation_->shared->limits.receive_buffer_bytes;
+  if (!error && receive_buffer > 0) {
+    // Accepted connections inherit it.
+    acceptor.set_option(
+        boost::asio::socket_base::receive_buffer_size(static_cast<int>(receive_buffer)), error);
+  }
   if (!error) {
     acceptor.bind(endpoint, error);
   }
@@ -146,6 +167,9 @@
 }
 
 void HttpServer::SetLimits(const ServerLimits& limits) { implementation_->shared->limits = limits; }
+void HttpServer::OnTurnedAway(TurnedAwayCallback callback) {
+  implementation_->shared->on_turned_away = std::move(callback);
+}
 void HttpServer::AskToClose() { implementation_->shared->ask_to_close = true; }
 std::size_t HttpServer::connections() const { return implementation_->shared->connections.size(); }
 ServerActivity HttpServer::activity() const {
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
 #include <list>
-#include <optional>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -23,6 +22,11 @@
 // The next request of a caller is not parsed while more bytes than this of the answers before it
 // wait for the caller to read them.
 constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
+// The kernel is asked for the bytes that a caller has not acknowledged each time that it was handed
+// this many.
+constexpr std::size_t kUnacknowledgedStep = 16 * 1024;
+// A connection without a request.
+constexpr std::size_t kConnectionBytes = 1024;
 // Time for which input is still read and discarded after the last answer, so that the answer
 // arrives.
 constexpr absl::Duration kLingerTime = absl::Milliseconds(500);
@@ -48,6 +52,7 @@
   const std::string& body() const override { return *body_; }
   SharedBody shared_body() const override { return body_; }
   absl::Time received() const override { return received_; }
+  void SetExtraBytes(std::size_t bytes) override;
   void OnCallerGone(std::function<void()> callback) override {
     on_caller_gone_ = std::move(callback);
   }
@@ -64,6 +69,7 @@
   // The following two are called by the connection.
   void HandleDisconnect();
   void HandleDrained();
+  std::size_t held_bytes() const { return HeldBytes(head_) + body_->capacity() + extra_bytes_; }
 
  private:
   std::string HeadText(int status, absl::string_view reason, const HeaderFields& fields);
@@ -73,6 +79,7 @@
   std::shared_ptr<ServerState> server_;
   RequestHead head_;
   SharedBody body_;
+  std::size_t extra_bytes_ = 0;
   absl::Time received_;
   std::function<void()> on_caller_gone_;
   std::function<void()> on_drained_;
@@ -87,8 +94,10 @@
       : server_(std::move(server)),
         socket_(std::move(socket)),
         timer_(server_->loop->MakeTimer()),
-        parser_(std::make_unique<RequestParser>(server_->limits.message)) {
+        parser_(std::make_unique<RequestParser>(server_->limits.message)),
+        held_(server_->memory->budget()) {
     server_->connections.insert(this);
+    server_->memory->Add(this);
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.non_blocking(true, ignored);
@@ -112,6 +121,38 @@
     return true;
   }
 
+  void GiveWayToConnection() override {
+    NoteTurnedAway(TurnedAwayReason::kConnections, 0);
+    Close();
+  }
+
+  std::size_t reclaimable_bytes() const override {
+    const bool waits_for_request = request_started_ && !exchange_open_;
+    const bool waits_for_reader = pending_bytes() > 0 || unacknowledged_ > 0;
+    return !closed_ && (waits_for_request || waits_for_reader) ? held_.bytes() : 0;
+  }
+
+  absl::Time waiting_since() const override {
+    return request_started_ && !exchange_open_ ? received_ : waiting_since_;
+  }
+
+  // A refusal promises that the request does not run, so a client whose request is unfinished gets
+  // one, unless it leaves earlier answers unread.
+  void GiveWay() override {
+    const auto self = shared_from_this();
+    unacknowledged_ = unacknowledged_bytes();
+    UpdateHeldBytes();
+    if (reclaimable_bytes() == 0) {
+      return;  // The client has read its answer.
+    }
+    if (request_started_ && !exchange_open_ && pending_bytes() == 0) {
+      Refuse(TurnedAwayReason::kMemory);
+      return;
+    }
+    NoteTurnedAway(TurnedAwayReason::kMemory, 0);
+    Abort(true);
+  }
+
   void AddTo(ServerActivity* activity) const override {
     if (closed_) {
       return;
@@ -137,18 +178,35 @@
     if (closed_) {
       return;
     }
+    if (pending_bytes() == 0) {
+      waiting_since_ = server_->loop->Now();
+    }
     queued_.append(bytes.data(), bytes.size());
     if (writing_.empty()) {
       StartWrite();
     }
+    UpdateHeldBytes();
+    server_->memory->RelieveLater();
+  }
+
+  // Sets what this connection makes the node hold.
+  void UpdateHeldBytes() {
+    std::size_t bytes = 0;
+    if (!closed_) {
+      const auto exchange = current_.lock();
+      bytes = kConnectionBytes + input_.capacity() + parser_->held_bytes() + writing_.capacity() +
+              queued_.capacity() + unacknowledged_ +
+              (exchange == nullptr ? 0 : exchange->held_bytes());
+    }
+    server_->memory->Resize(&held_, bytes);
   }
 
   // Called when the answer of the current exchange is complete.
   void EndExchange(bool close) {
     current_.reset();
     exchange_open_ = false;
-    parser_ = std::make_unique<RequestParser>(server_->limits.message);
-    head_timer_running_ = false;
+    ResetParser();
+    UpdateHeldBytes();
     WaitForCaller();
     if (close) {
       close_when_written_ = true;
@@ -169,7 +227,6 @@
     if (closed_) {
       return;
     }
-    queued_.clear();
     if (with_reset) {
       boost::system::error_code ignored;
       socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
@@ -178,28 +235,32 @@
   }
 
  private:
-  void LeaveIdle() {
-    if (idle_place_.has_value()) {
-      server_->idle.erase(*idle_place_);
-      idle_place_.reset();
-    }
+  // Moves this connection to the end of a list of the server, or of its own.
+  void MoveTo(std::list<ServerConnection*>* list) {
+    list->splice(list->end(), *list_, place_);
+    list_ = list;
   }
 
   void LeaveServer() {
-    LeaveIdle();
+    MoveTo(&own_list_);
     server_->connections.erase(this);
+    server_->memory->Remove(this);
+  }
+
+  void ResetParser() {
+    parser_ = std::make_unique<RequestParser>(server_->limits.message);
+    request_started_ = false;
   }
 
   // Waits for the caller's next request, or for it to read its answer.
   void WaitForCaller() {
-    LeaveIdle();
-    idle_place_ = server_->idle.insert(server_->idle.end(), this);
-    idle_since_ = server_->loop->Now();
+    MoveTo(&server_->idle);
+    waiting_since_ = server_->loop->Now();
     SetIdleTimer(pending_bytes() + unacknowledged_bytes());
   }
 
   void SetIdleTimer(std::size_t unsent) {
-    timer_->Set(idle_since_ + server_->limits.idle_timeout, [weak = weak_from_this(), unsent] {
+    timer_->Set(waiting_since_ + server_->limits.idle_timeout, [weak = weak_from_this(), unsent] {
       if (const auto self = weak.lock()) {
         self->OnIdleTimeout(unsent);
       }
@@ -208,7 +269,7 @@
 
   // A caller that is still receiving the last answer is not idle.
   void OnIdleTimeout(std::size_t unsent_before) {
-    if (server_->loop->Now() < idle_since_ + server_->limits.idle_timeout) {
+    if (server_->loop->Now() < waiting_since_ + server_->limits.idle_timeout) {
       // The limit was raised, and the caller may keep the connection for as long.
       SetIdleTimer(unsent_before);
       return;
@@ -265,28 +326,33 @@
       return;
     }
     input_.append(buffer.data(), count);
-    if (!exchange_open_) {
-      Parse();
-    }
+    Parse();
     Read();
   }
 
   void Parse() {
     if (closed_ || exchange_open_ || close_when_written_ || input_.empty() ||
         pending_bytes() > kMaxUnsentBytes) {
+      UpdateHeldBytes();
       return;
     }
-    if (!head_timer_running_) {
-      head_timer_running_ = true;
-      LeaveIdle();
+    if (!request_started_) {
+      request_started_ = true;
+      MoveTo(&server_->unfinished);
       received_ = server_->loop->Now();
       RestartHeadTimer();
     }
     const bool had_head = parser_->head_complete();
     const std::size_t taken = parser_->Feed(input_);
     input_.erase(0, taken);
+    if (input_.empty()) {
+      std::string().swap(input_);
+    }
     if (parser_->fault() != ParseFault::kNone) {
-      Refuse(StatusOf(parser_->fault()));
+      Refuse(ReasonOf(parser_->fault()));
+      return;
+    }
+    if (!HasRoom()) {
       return;
     }
     if (parser_->complete()) {
@@ -298,39 +364,85 @@
     }
   }
 
+  // Returns false if this client was turned away because clients hold too much memory.
+  bool HasRoom() {
+    if (parser_->complete()) {
+      parser_->head();  // Expands it, so that it is counted as it will be held.
+    }
+    UpdateHeldBytes();
+    server_->memory->Relieve();
+    return !closed_ && !close_when_written_;
+  }
+
   void RestartHeadTimer() {
     timer_->Set(server_->loop->Now() + server_->limits.head_timeout, [weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
-        self->Refuse(408);
+        self->Refuse(TurnedAwayReason::kTimeout);
       }
     });
   }
 
-  static int StatusOf(ParseFault fault) {
+  static TurnedAwayReason ReasonOf(ParseFault fault) {
     switch (fault) {
       case ParseFault::kHeadTooLarge:
-        return 431;
+        return TurnedAwayReason::kHeadTooLarge;
       case ParseFault::kBodyTooLarge:
-        return 413;
+        return TurnedAwayReason::kBodyTooLarge;
       default:
+        return TurnedAwayReason::kMalformed;
+    }
+  }
+
+  static int StatusOf(TurnedAwayReason reason) {
+    switch (reason) {
+      case TurnedAwayReason::kMemory:
+      case TurnedAwayReason::kConnections:
+        return 503;
+      case TurnedAwayReason::kTimeout:
+        return 408;
+      case TurnedAwayReason::kMalformed:
         return 400;
+      case TurnedAwayReason::kHeadTooLarge:
+        return 431;
+      case TurnedAwayReason::kBodyTooLarge:
+        return 413;
     }
+    return 400;
   }
 
-  void Refuse(int status) {
-    Write(absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status),
-                       "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"));
+  // Answers a request that is not complete, drops what was read of it, and closes.
+  void Refuse(TurnedAwayReason reason) {
+    const int status = StatusOf(reason);
+    NoteTurnedAway(reason, status);
+    ResetParser();
+    std::string().swap(input_);
     close_when_written_ = true;
+    std::string text = absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status), "\r\n");
+    if (reason == TurnedAwayReason::kMemory) {
+      for (const HeaderField& field : server_->limits.overload_fields) {
+        absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
+      }
+    }
+    Write(absl::StrCat(text, "Content-Length: 0\r\nConnection: close\r\n\r\n"));
     WaitForCaller();
   }
 
+  void NoteTurnedAway(TurnedAwayReason reason, int status) const {
+    if (server_->on_turned_away) {
+      server_->on_turned_away({reason, status, RemoteAddress(socket_), held_.bytes(),
+                               server_->loop->Now() - waiting_since()});
+    }
+  }
+
   void Deliver() {
     timer_->Cancel();
+    MoveTo(&own_list_);
     exchange_open_ = true;
     auto exchange =
         std::make_shared<Exchange>(shared_from_this(), server_, std::move(parser_->head()),
                                    std::move(parser_->body()), received_);
     current_ = exchange;
+    UpdateHeldBytes();
     server_->handler(std::move(exchange));
   }
 
@@ -341,12 +453,14 @@
         socket_, boost::asio::buffer(writing_),
         [self](const boost::system::error_code& error, std::size_t written) {
           self->bytes_written_ = written;
+          self->waiting_since_ = self->server_->loop->Now();
           return boost::asio::transfer_all()(error, written);
         },
         [self](const boost::system::error_code& error, std::size_t) { self->OnWritten(error); });
   }
 
   void OnWritten(const boost::system::error_code& error) {
+    NoteHandedToKernel(bytes_written_);
     // A connection that is kept would otherwise keep the memory of its largest answer.
     std::string().swap(writing_);
     bytes_written_ = 0;
@@ -357,10 +471,12 @@
       Close();
       return;
     }
+    waiting_since_ = server_->loop->Now();
     if (!queued_.empty()) {
       StartWrite();
       return;
     }
+    UpdateHeldBytes();
     if (close_when_written_) {
       CloseGracefully();
       return;
@@ -368,7 +484,7 @@
     if (const auto exchange = current_.lock()) {
       exchange->HandleDrained();
     } else if (!exchange_open_) {
-      if (!head_timer_running_) {
+      if (!request_started_) {
         WaitForCaller();
       }
       // A request that was read ahead may have waited for its caller to read.
@@ -377,6 +493,15 @@
     }
   }
 
+  // Bytes that the kernel holds for the caller become fewer without a notice, so the last count is
+  // an upper bound.
+  void NoteHandedToKernel(std::size_t bytes) {
+    unacknowledged_ += bytes;
+    if (unacknowledged_ >= kUnacknowledgedStep) {
+      unacknowledged_ = closed_ ? 0 : unacknowledged_bytes();
+    }
+  }
+
   // Shuts down the sending side and discards further input until kLingerTime: closing a socket
   // with unread input would reset the connection, and the caller could lose the answer.
   void CloseGracefully() {
@@ -391,7 +516,8 @@
         self->Close();
       }
     });
-    input_.clear();
+    std::string().swap(input_);
+    UpdateHeldBytes();
     Read();
   }
 
@@ -404,8 +530,12 @@
     timer_->Cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
-    if (const auto exchange = current_.lock()) {
-      current_.reset();
+    std::string().swap(input_);
+    std::string().swap(queued_);
+    const auto exchange = current_.lock();
+    current_.reset();
+    UpdateHeldBytes();
+    if (exchange != nullptr) {
       exchange->HandleDisconnect();
     }
   }
@@ -425,12 +555,18 @@
   std::string queued_;
   std::weak_ptr<Exchange> current_;
   absl::Time received_;
-  absl::Time idle_since_;
-  // Place among the server's idle connections.
-  std::optional<std::list<ServerConnection*>::iterator> idle_place_;
+  // Time at which the caller last read, or was last answered.
+  absl::Time waiting_since_;
+  MemoryReservation held_;
+  // Bytes that were handed to the kernel and may not be acknowledged by the caller yet.
+  std::size_t unacknowledged_ = 0;
+  // The list that this connection is in; its own while it is in none of the server's.
+  std::list<ServerConnection*> own_list_{this};
+  std::list<ServerConnection*>* list_ = &own_list_;
+  std::list<ServerConnection*>::iterator place_ = own_list_.begin();
   bool reading_ = false;
   bool exchange_open_ = false;
-  bool head_timer_running_ = false;
+  bool request_started_ = false;
   bool close_when_written_ = false;
   bool lingering_ = false;
   bool closed_ = false;
@@ -442,6 +578,13 @@
   }
 }
 
+void Exchange::SetExtraBytes(std::size_t bytes) {
+  extra_bytes_ = bytes;
+  if (connection_ != nullptr) {
+    connection_->UpdateHeldBytes();
+  }
+}
+
 std::size_t Exchange::pending_bytes() const {
   return connection_ == nullptr ? 0 : connection_->pending_bytes();
 }
@@ -554,6 +697,12 @@
 
 }  // namespace
 
+std::string RemoteAddress(const tcp::socket& socket) {
+  boost::system::error_code error;
+  const tcp::endpoint endpoint = socket.remote_endpoint(error);
+  return error ? std::string() : absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
 void StartServerConnection(const std::shared_ptr<ServerState>& server, tcp::socket socket) {
   std::make_shared<Connection>(server, std::move(socket))->Start();
 }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -74,22 +74,32 @@
 
 Gateway::Gateway(GatewaySettings settings, GatewayParts parts)
     : settings_(std::move(settings)),
-      parts_(parts),
+      parts_(std::move(parts)),
+      memory_plan_(
+          PlanMemory(settings_.memory_mb, static_cast<std::size_t>(settings_.max_connections))),
+      answer_memory_(memory_plan_.answers),
+      client_memory_(
+          std::make_shared<ClientMemory>(parts_.loop, memory_plan_.clients, parts_.release_heap)),
       workers_(settings_.node, settings_.zone, MakeChoicePolicy(settings_.serving)),
       peer_directory_(settings_.node, settings_.zone),
       budget_({settings_.retry_ratio, settings_.retry_extra, settings_.retry_window},
               FleetShare(settings_.node), parts_.loop->Now()),
-      requests_(parts_.loop,
-                [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }),
+      requests_(
+          parts_.loop,
+          [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); },
+          client_memory_),
       forwarded_(
           parts_.loop,
-          [this](const std::shared_ptr<ServerExchange>& exchange) { OnForwarded(exchange); }),
+          [this](const std::shared_ptr<ServerExchange>& exchange) { OnForwarded(exchange); },
+          client_memory_),
       status_(
           parts_.loop,
-          [this](const std::shared_ptr<ServerExchange>& exchange) { OnStatusRequest(exchange); }),
+          [this](const std::shared_ptr<ServerExchange>& exchange) { OnStatusRequest(exchange); },
+          client_memory_),
       metrics_(
           parts_.loop,
-          [this](const std::shared_ptr<ServerExchange>& exchange) { OnMetricsRequest(exchange); }),
+          [this](const std::shared_ptr<ServerExchange>& exchange) { OnMetricsRequest(exchange); },
+          client_memory_),
       peers_(parts_.loop, [this](absl::string_view bytes) { OnDatagram(bytes); }),
       archive_(ArchiveSettings(settings_),
                {parts_.loop, &SystemClock(), parts_.store, parts_.log, parts_.metrics}),
@@ -162,9 +172,10 @@
                         {{"address", settings_.metrics_listen}, {"error", error.message()}});
     }
   }
-  ServerLimits limits;
-  limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
-  SetRequestLimits(limits);
+  SetRequestLimits({});
+  for (HttpServer* const server : {&requests_, &forwarded_, &status_, &metrics_}) {
+    server->OnTurnedAway([this](const TurnedAwayClient& client) { OnTurnedAway(client); });
+  }
   if (const std::error_code error = requests_.Listen(settings_.request_listen)) {
     return error;
   }
@@ -343,6 +354,7 @@
   if (exchange->head().target == settings_.metrics_path) {
     parts_.metrics->waiting_now = queue_.size();
     parts_.metrics->kept_answer_bytes = answer_memory_.used();
+    parts_.metrics->client_bytes = client_memory_->budget()->used();
     parts_.metrics->holds_lease = fleet_->holds_lease();
     parts_.metrics->connections = Activity();
     parts_.metrics->log_lines_left_out = parts_.log->left_out();
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -144,6 +144,10 @@
   families.push_back(CountersByLabel<std::string>(
       "hingespan_refusals_total", "Requests refused before they ran, by reason", "reason",
       metrics.refusals, [](const std::string& reason) { return reason; }));
+  families.push_back(CountersByLabel<std::string>(
+      "hingespan_clients_turned_away_total",
+      "Clients refused or disconnected by their behaviour or for want of room, by reason", "reason",
+      metrics.clients_turned_away, [](const std::string& reason) { return reason; }));
   const auto count = [&](const char* name, const char* help, std::uint64_t value) {
     families.push_back(Counter(name, help, value));
   };
@@ -210,6 +214,9 @@
   families.push_back(Gauge("hingespan_kept_answer_bytes",
                            "Bytes of workers' answers that are not passed on yet",
                            metrics.kept_answer_bytes));
+  families.push_back(Gauge("hingespan_client_bytes",
+                           "Bytes of requests and unread answers that clients make this node hold",
+                           metrics.client_bytes));
   families.push_back(ConnectionGauges(metrics.connections));
   families.push_back(Gauge("hingespan_unsent_bytes",
                            "Bytes of answers that have not left this process",
--- a/src/serving/gateway_path.cc
+++ b/src/serving/gateway_path.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "hingespan/serving/gateway.h"
 
 namespace hingespan::gateway {
@@ -18,6 +19,27 @@
 // Additional size of the head of a forwarded request.
 constexpr std::uint32_t kForwardHeadBytes = 16 * 1024;
 
+// Time after which a caller that was turned away for want of memory may come back, in seconds.
+constexpr const char* kOverloadRetryAfter = "0.5";
+
+absl::string_view NameOf(TurnedAwayReason reason) {
+  switch (reason) {
+    case TurnedAwayReason::kMemory:
+      return "memory";
+    case TurnedAwayReason::kConnections:
+      return "connections";
+    case TurnedAwayReason::kTimeout:
+      return "timeout";
+    case TurnedAwayReason::kMalformed:
+      return "malformed";
+    case TurnedAwayReason::kHeadTooLarge:
+      return "head_too_large";
+    case TurnedAwayReason::kBodyTooLarge:
+      return "body_too_large";
+  }
+  return "malformed";
+}
+
 // Outcome of the probes of one round so far.
 struct ProbeRound {
   std::size_t open = 0;
@@ -43,14 +65,30 @@
   StartRequest(exchange, ReadOrigin(exchange->head()), route);
 }
 
-void Gateway::SetRequestLimits(const ServerLimits& limits) {
+void Gateway::SetRequestLimits(ServerLimits limits) {
+  limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
+  limits.receive_buffer_bytes = memory_plan_.receive_buffer_bytes;
+  limits.overload_fields = {{"Retry-After", kOverloadRetryAfter}};
   requests_.SetLimits(limits);
   ServerLimits forward_limits = limits;
+  // Another node may have room.
+  forward_limits.overload_fields.push_back(VerdictField(PeerVerdict::kUnavailable));
   forward_limits.message.head_bytes += kForwardHeadBytes;
   forward_limits.idle_timeout = kForwardIdleTimeout;
   forwarded_.SetLimits(forward_limits);
 }
 
+void Gateway::OnTurnedAway(const TurnedAwayClient& client) {
+  const std::string why(NameOf(client.reason));
+  ++parts_.metrics->clients_turned_away[why];
+  parts_.log->Write(LogLevel::kInfo, "client_turned_away",
+                    {{"why", why},
+                     {"client", client.address},
+                     {"status", absl::StrCat(client.status)},
+                     {"held_bytes", absl::StrCat(client.held_bytes)},
+                     {"waited_ms", absl::StrCat(absl::ToInt64Milliseconds(client.waited))}});
+}
+
 ServerActivity Gateway::Activity() const {
   ServerActivity activity = requests_.activity();
   activity += forwarded_.activity();
--- a/src/serving/gateway_records.cc
+++ b/src/serving/gateway_records.cc
@@ -29,7 +29,6 @@
   limits.message.body_bytes = configuration->limits.max_body_bytes;
   limits.head_timeout = configuration->limits.head_timeout;
   limits.idle_timeout = configuration->limits.idle_timeout;
-  limits.max_connections = static_cast<std::size_t>(settings_.max_connections);
   SetRequestLimits(limits);
   fleet_->SetConfiguration(configuration);
   parts_.metrics->configuration_version = configuration->version;
--- a/src/serving/gateway_settings.cc
+++ b/src/serving/gateway_settings.cc
@@ -126,6 +126,8 @@
       {"node.name", Text(&settings->node)},
       {"node.zone", Text(&settings->zone)},
       {"node.link_mbps", Number(0, 1e7, [settings](double value) { settings->link_mbps = value; })},
+      {"node.memory_mb",
+       Number(16, 1e8, [settings](double value) { settings->memory_mb = value; })},
       {"listen.requests", Address(&settings->request_listen)},
       {"listen.status", Address(&settings->status_listen)},
       {"listen.readiness_path", Text(&settings->readiness_path)},
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -67,6 +67,16 @@
   return "none";
 }
 
+// Each part of the prompt is held twice: in the facts and, unless it is the last one, as shared.
+std::size_t HeldBytes(const RequestFacts& facts) {
+  std::size_t bytes = facts.prompt_parts.capacity() * sizeof(PromptPart) + facts.id.capacity() +
+                      facts.model.capacity() + facts.adapter.capacity();
+  for (const PromptPart& part : facts.prompt_parts) {
+    bytes += sizeof(std::string) + 2 * part.id.capacity();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 RequestRelay::RequestRelay(const RelayContext* context, std::shared_ptr<ServerExchange> exchange,
@@ -94,6 +104,7 @@
   for (std::size_t index = 0; index + 1 < facts_.prompt_parts.size(); ++index) {
     shared_parts_.insert(facts_.prompt_parts[index].id);
   }
+  exchange_->SetExtraBytes(HeldBytes(facts_));
 }
 
 void RequestRelay::Start() {
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -4,10 +4,12 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "hingespan/http/http_client.h"
 #include "tests/net/raw_client.h"
@@ -189,6 +191,21 @@
   CHECK(caller.ReadUntil("second").ends_with("second"));
 }
 
+// Guards against connections that stay open for good because their callers don't read their last
+// answers.
+TEST_CASE("a closing connection whose caller reads nothing ends by the idle timeout") {
+  constexpr std::size_t kHugeBody = 32 * 1024 * 1024;
+  Fixture fixture;
+  ServerLimits limits;
+  limits.idle_timeout = absl::Milliseconds(100);
+  fixture.server.SetLimits(limits);
+  RawClient caller(fixture.server.address());
+  REQUIRE(caller.Send(kLastRequest));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
+  fixture.held->Answer(200, "OK", {}, std::string(kHugeBody, 'a'));
+  CHECK(fixture.Wait([&] { return fixture.server.connections() == 0; }));
+}
+
 // Guards against answers that pile up for callers that pipeline and don't read (Fault).
 TEST_CASE("requests that were read ahead wait until the caller reads") {
   constexpr std::size_t kBody = 8 * 1024 * 1024;
@@ -218,19 +235,51 @@
   CHECK(requests == 1 + kRequests);
 }
 
-// Guards against connections that stay open for good because their callers don't read their last
-// answers.
-TEST_CASE("a closing connection whose caller reads nothing ends by the idle timeout") {
-  constexpr std::size_t kHugeBody = 32 * 1024 * 1024;
-  Fixture fixture;
+// Guards against bodies that together take more memory than the machine has (Fault).
+TEST_CASE("unfinished requests give way when the clients hold too much") {
+  constexpr std::size_t kTotal = 1024 * 1024;
+  constexpr std::size_t kBody = 300 * 1024;
+  EventLoop loop;
+  const auto memory = std::make_shared<ClientMemory>(&loop, ClientMemorySettings{kTotal});
+  std::vector<std::shared_ptr<ServerExchange>> exchanges;
+  HttpServer server(
+      &loop,
+      [&](std::shared_ptr<ServerExchange> exchange) { exchanges.push_back(std::move(exchange)); },
+      memory);
   ServerLimits limits;
-  limits.idle_timeout = absl::Milliseconds(100);
-  fixture.server.SetLimits(limits);
-  RawClient caller(fixture.server.address());
-  REQUIRE(caller.Send(kLastRequest));
-  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr; }));
-  fixture.held->Answer(200, "OK", {}, std::string(kHugeBody, 'a'));
-  CHECK(fixture.Wait([&] { return fixture.server.connections() == 0; }));
+  limits.head_timeout = absl::Minutes(1);
+  limits.overload_fields = {{"Retry-After", "2"}};
+  server.SetLimits(limits);
+  REQUIRE(!server.Listen("127.0.0.1:0"));
+  std::vector<TurnedAwayClient> turned_away;
+  server.OnTurnedAway([&](const TurnedAwayClient& client) { turned_away.push_back(client); });
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n";
+  const std::string body(kBody, 'b');
+
+  std::vector<std::unique_ptr<RawClient>> stalled;
+  for (int number = 0; number < 4; ++number) {
+    stalled.push_back(std::make_unique<RawClient>(server.address()));
+    REQUIRE(stalled.back()->Send(head + body.substr(1)));
+    REQUIRE(loop.RunUntil(
+        [&] { return memory->budget()->used() > stalled.size() * kBody || !turned_away.empty(); },
+        kLimit));
+  }
+  REQUIRE(loop.RunUntil([&] { return stalled.front()->Readable(0); }, kLimit));
+  REQUIRE(turned_away.size() == 1);
+  CHECK(turned_away.front().reason == TurnedAwayReason::kMemory);
+  CHECK(turned_away.front().status == 503);
+  CHECK(turned_away.front().held_bytes >= kBody);
+  CHECK(memory->budget()->used() <= kTotal);
+  const std::string refusal = stalled.front()->ReadUntil("\r\n\r\n");
+  CHECK(refusal.starts_with("HTTP/1.1 503 "));
+  CHECK(refusal.find("Retry-After: 2\r\n") != std::string::npos);
+
+  // A whole large request is served, as it does not wait for its client.
+  RawClient caller(server.address());
+  REQUIRE(caller.Send(head + body));
+  REQUIRE(loop.RunUntil([&] { return !exchanges.empty(); }, kLimit));
+  CHECK(exchanges.front()->body().size() == kBody);
 }
 
 // Sets the process's limit of open descriptors to those that are open.
--- a/tests/serving/memory_budget_test.cc
+++ b/tests/http/memory_budget_test.cc
@@ -1,4 +1,4 @@
-#include "hingespan/serving/memory_budget.h"
+#include "hingespan/http/memory_budget.h"
 
 #include <doctest/doctest.h>
 
@@ -35,11 +35,11 @@
 
 }  // namespace
 
-TEST_CASE("one answer may have the most that an answer may have") {
+TEST_CASE("one buffer may have the most that a buffer may have") {
   MemoryBudget budget;
   MemoryReservation answer(&budget);
-  CHECK(answer.Resize(kSettings.max_answer));
-  CHECK(!answer.Resize(kSettings.max_answer + 1));
+  CHECK(answer.Resize(kSettings.max_buffer));
+  CHECK(!answer.Resize(kSettings.max_buffer + 1));
 }
 
 // Guards against a node that many answers without end fill until it is killed (Fault).
@@ -50,7 +50,7 @@
     const auto answers = GrowWithoutEnd(&budget, count);
     CHECK(budget.used() <= kSettings.total);
     MemoryReservation sound(&budget);
-    CHECK(sound.Resize(kSettings.min_answer));
+    CHECK(sound.Resize(kSettings.min_buffer));
   }
 }
 
