Fault: at the limit of connections the slowest client gives way to a new one

Cause: only a connection that waits for a request, without bytes under way, made room for a new one.

Change: if none does, the request that has been unfinished for longest gives way, then the caller who has left its answer unread for longest; both only after a second, so that a burst of connections doesn't end requests that are just arriving. Below the limit a slow client is left alone.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -21,6 +21,10 @@
 // memory. The connection stays in the queue, so that the attempt would fail again at once.
 constexpr absl::Duration kAcceptPause = absl::Milliseconds(20);
 
+// A client that sends its request or reads its answer for longer than this is slow, and a new
+// connection may take its place.
+constexpr absl::Duration kSlowAfter = absl::Seconds(1);
+
 bool LacksResources(const boost::system::error_code& error) {
   namespace errc = boost::system::errc;
   return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system ||
@@ -76,10 +80,19 @@
     StartServerConnection(shared, std::move(socket));
   }
 
-  // Closes one connection whose client doesn't need it now. Clients that keep their connections
-  // would otherwise shut out all others.
+  // Closes one connection whose client doesn't need it now, or is the slowest. Clients that keep
+  // their connections would otherwise shut out all others.
   bool MakeRoom() {
-    return CloseLongestIdle();
+    return CloseLongestIdle() || TurnAwaySlowest(shared->unfinished) ||
+           TurnAwaySlowest(shared->idle);
+  }
+
+  bool TurnAwaySlowest(const std::list<ServerConnection*>& waiting) {
+    if (waiting.empty() || loop->Now() - waiting.front()->waiting_since() < kSlowAfter) {
+      return false;
+    }
+    waiting.front()->GiveWayToConnection();
+    return true;
   }
 
   bool CloseLongestIdle() {
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -191,6 +191,37 @@
   CHECK(caller.ReadUntil("second").ends_with("second"));
 }
 
+// Guards against slow clients that take all connections (Fault).
+TEST_CASE("at the limit a new connection takes the place of the slowest unfinished request") {
+  Fixture fixture;
+  ServerLimits limits;
+  limits.max_connections = 2;
+  limits.head_timeout = absl::Minutes(1);
+  fixture.server.SetLimits(limits);
+  std::vector<TurnedAwayClient> turned_away;
+  fixture.server.OnTurnedAway(
+      [&](const TurnedAwayClient& client) { turned_away.push_back(client); });
+  RawClient slowest(fixture.server.address());
+  REQUIRE(slowest.Send("GET / HT"));
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 1; }));
+  RawClient slow(fixture.server.address());
+  REQUIRE(slow.Send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\n"));
+  // Tries again until the first request counts as slow.
+  std::unique_ptr<RawClient> caller;
+  REQUIRE(fixture.Wait([&] {
+    if (caller == nullptr || caller->Readable(0)) {
+      caller = std::make_unique<RawClient>(fixture.server.address());
+      (void)caller->Send(kRequest);
+    }
+    return fixture.held != nullptr;
+  }));
+  CHECK(slowest.ReadAll().empty());
+  CHECK(!slow.Readable(0));
+  REQUIRE(!turned_away.empty());
+  CHECK(turned_away.back().reason == TurnedAwayReason::kConnections);
+  CHECK(turned_away.back().waited >= absl::Seconds(1));
+}
+
 // Guards against connections that stay open for good because their callers don't read their last
 // answers.
 TEST_CASE("a closing connection whose caller reads nothing ends by the idle timeout") {
