Fault: at the limit of connections a kept one with a request under way stays

Callers would see: a reset in place of an answer. A connection is kept for longer than a second, its next request arrives in the same moment as a new connection, and none else can make room.

--- a/include/hingespan/http/server_connection.h
+++ b/include/hingespan/http/server_connection.h
@@ -18,6 +18,8 @@
   virtual void AddTo(ServerActivity* activity) const = 0;
   // Closes a connection that waits for a request, unless bytes are under way in either direction.
   virtual bool CloseIfIdle() = 0;
+  // True if the client has not acknowledged all of its answers.
+  virtual bool has_unread_answer() const = 0;
   // Closes the connection of a client that keeps the node waiting, for a new connection.
   virtual void GiveWayToConnection() = 0;
 };
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -15,7 +15,7 @@
 
 namespace {
 
-// Idle connections that are looked at for one that can be closed. Others have bytes under way.
+// Idle connections that are looked at for one that can be closed.
 constexpr std::size_t kMaxIdleTried = 16;
 // Pause before the next attempt to accept a connection for which the process lacks a descriptor or
 // memory. The connection stays in the queue, so that the attempt would fail again at once.
@@ -83,18 +83,35 @@
   // Closes one connection whose client doesn't need it now, or is the slowest. Clients that keep
   // their connections would otherwise shut out all others.
   bool MakeRoom() {
-    return CloseLongestIdle() || TurnAwaySlowest(shared->unfinished) ||
-           TurnAwaySlowest(shared->idle);
+    return CloseLongestIdle() || TurnAwaySlowestSender() || TurnAwaySlowestReader();
   }
 
-  bool TurnAwaySlowest(const std::list<ServerConnection*>& waiting) {
-    if (waiting.empty() || loop->Now() - waiting.front()->waiting_since() < kSlowAfter) {
+  bool IsSlow(const ServerConnection& connection) const {
+    return loop->Now() - connection.waiting_since() >= kSlowAfter;
+  }
+
+  bool TurnAwaySlowestSender() {
+    if (shared->unfinished.empty() || !IsSlow(*shared->unfinished.front())) {
       return false;
     }
-    waiting.front()->GiveWayToConnection();
+    shared->unfinished.front()->GiveWayToConnection();
     return true;
   }
 
+  bool TurnAwaySlowestReader() {
+    std::size_t tried = 0;
+    for (ServerConnection* const connection : shared->idle) {
+      if (++tried > kMaxIdleTried || !IsSlow(*connection)) {
+        return false;
+      }
+      if (connection->has_unread_answer()) {
+        connection->GiveWayToConnection();
+        return true;
+      }
+    }
+    return false;
+  }
+
   bool CloseLongestIdle() {
     std::size_t tried = 0;
     for (auto place = shared->idle.begin(); place != shared->idle.end() && tried < kMaxIdleTried;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -114,13 +114,17 @@
 
   bool CloseIfIdle() override {
     boost::system::error_code ignored;
-    if (pending_bytes() > 0 || unacknowledged_bytes() > 0 || socket_.available(ignored) > 0) {
+    if (has_unread_answer() || socket_.available(ignored) > 0) {
       return false;
     }
     Close();
     return true;
   }
 
+  bool has_unread_answer() const override {
+    return pending_bytes() > 0 || unacknowledged_bytes() > 0;
+  }
+
   void GiveWayToConnection() override {
     NoteTurnedAway(TurnedAwayReason::kConnections, 0);
     Close();
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -222,6 +222,28 @@
   CHECK(turned_away.back().waited >= absl::Seconds(1));
 }
 
+// Guards against ending a request that has just arrived because its connection was idle for long.
+TEST_CASE("at the limit a kept connection with a request under way stays") {
+  Fixture fixture;
+  ServerLimits limits;
+  limits.max_connections = 1;
+  fixture.server.SetLimits(limits);
+  RawClient kept(fixture.server.address());
+  REQUIRE(fixture.Wait([&] { return fixture.server.connections() == 1; }));
+  bool is_old = false;
+  const std::unique_ptr<LoopTimer> timer = fixture.loop.MakeTimer();
+  timer->Set(fixture.loop.Now() + absl::Milliseconds(1100), [&] { is_old = true; });
+  REQUIRE(fixture.Wait([&] { return is_old; }));
+  // Both are there before the loop goes on.
+  RawClient refused(fixture.server.address());
+  REQUIRE(kept.Send(kRequest));
+  REQUIRE(fixture.Wait([&] { return fixture.held != nullptr && refused.Readable(0); }));
+  CHECK(refused.ReadAll().empty());
+  fixture.held->Answer(200, "OK", {}, "kept");
+  REQUIRE(fixture.Wait([&] { return kept.Readable(0); }));
+  CHECK(kept.ReadUntil("kept").ends_with("kept"));
+}
+
 // Guards against connections that stay open for good because their callers don't read their last
 // answers.
 TEST_CASE("a closing connection whose caller reads nothing ends by the idle timeout") {
