--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -194,8 +194,8 @@
   std::map<std::string, WorkerState> departed_;
 };
 
-// Key of a prompt part in WorkerState::prompt_parts: a hash, as callers choose how long ids are. Two
-// parts with the same hash only make a worker look better than it is.
+// Key of a prompt part in WorkerState::prompt_parts: a hash, as callers choose how long ids are.
+// Two parts with the same hash only make a worker look better than it is.
 std::uint64_t PromptPartKey(const ModelKey& model, const PromptPart& part);
 
 }  // namespace hingespan::gateway
