tests: the default limit of bodies in calm, and the log of clients turned away

Evidence: the crowds checked neither; in calm the largest body was 1 MB, while the configuration's default allows 4 MB.

Both checks are new; the crowds and bounds of the others are unchanged.

--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -173,6 +173,21 @@
   world.CheckSound();
 }
 
+TEST_CASE("the log tells who was turned away and why") {
+  CrowdWorld world;
+  world.SendCrowd(150, BodyShortOfItsEnd());
+  CHECK(world.LogLines("\"event\":\"client_turned_away\"") > 0);
+  CHECK(world.LogLines("\"why\":\"memory\",\"client\":\"127.0.0.1:") > 0);
+}
+
+TEST_CASE("in calm a single body at the default limit is served") {
+  CrowdWorldOptions options;
+  options.max_body_bytes = 4 * kMegabyte;
+  CrowdWorld world(options);
+  CHECK(world.AskWithBody(std::string(options.max_body_bytes, 'b')) == 200);
+  world.CheckSound();
+}
+
 TEST_CASE("in calm a single large request is served, and a slow one is left alone") {
   CrowdWorld world;
   CHECK(world.AskWithBody(std::string(kMaxBodyBytes, 'b')) == 200);
--- a/tests/crowd/crowd_world.cc
+++ b/tests/crowd/crowd_world.cc
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 namespace hingespan::crowd {
@@ -109,7 +111,7 @@
       {"routes", Json::array({route})},
       {"services", Json::array({Json{{"name", "plain"}, {"max_connections", 1000}}})},
       {"limits", Json{{"max_header_bytes", kMaxHeadBytes},
-                      {"max_body_bytes", kMaxBodyBytes},
+                      {"max_body_bytes", options_.max_body_bytes},
                       {"header_timeout_ms", timeout},
                       {"idle_timeout_ms", timeout}}}};
   store_.Put("op", "config", configuration.dump());
@@ -214,6 +216,15 @@
   return false;
 }
 
+std::size_t CrowdWorld::LogLines(const std::string& text) const {
+  std::ifstream log(process_->log_file());
+  std::size_t count = 0;
+  for (std::string line; std::getline(log, line);) {
+    count += absl::StrContains(line, text) ? 1 : 0;
+  }
+  return count;
+}
+
 bool CrowdWorld::Lives() {
   int status = 0;
   ended_ = ended_ || process_->Reap(&status);
--- a/tests/crowd/crowd_world.h
+++ b/tests/crowd/crowd_world.h
@@ -29,6 +29,8 @@
 
 struct CrowdWorldOptions {
   std::size_t max_connections = kMaxConnections;
+  // Limit of bodies in the configuration, in bytes.
+  std::size_t max_body_bytes = kMaxBodyBytes;
   // Bytes of the worker's answers.
   std::size_t answer_bytes = 100;
 };
@@ -62,6 +64,9 @@
   void AwaitHeld();
   std::size_t worker_requests() const { return worker_requests_; }
 
+  // Lines of the process's log with this text.
+  std::size_t LogLines(const std::string& text) const;
+
   bool Lives();
   ProcessMemory Now();
   // The most that the process has held so far: resident and unread bytes.
