--- a/review/10/case-2.cc
+++ b/review/10/case-2.cc
@@ -1,81 +1,71 @@
-// The operator raises the limit on bodies. Clients that have kept their connections send bodies
-// that the new configuration allows and the old one did not.
-#include "standin-2/world.h"
+// A part of a prompt crashes each worker that begins to write an answer on it. All processes of the
+// system are killed at the same moment; requests with the part come again once all machines are in
+// touch.
+#include "standin-2/crashing_part.h"
 
 namespace hingespan::review {
 namespace {
 
-constexpr int kGateways = 2;
-constexpr int kClients = 16;
-constexpr int kSmallLimit = 64 * 1024;
-constexpr int kLargeLimit = 1024 * 1024;
-constexpr std::size_t kBody = 200 * 1000;
-
-emulator::PlatformWorkerOptions PlainWorker() {
-  emulator::PlatformWorkerOptions options;
-  options.service = "gate-desk";
-  options.run_time = absl::Milliseconds(30);
-  return options;
-}
+constexpr int kGateways = 3;
+constexpr int kWorkers = 12;
+constexpr const char* kCrashingPart = "91bd3f06";
+constexpr int kInWave = 20;
+constexpr absl::Duration kInterval = absl::Milliseconds(35);
+constexpr absl::Duration kWorkerBack = absl::Seconds(3);
+constexpr absl::Duration kDown = absl::Milliseconds(1200);
 
 int Run() {
   World world;
-  // Without the change, the larger limit has been in force from the start.
-  world.store()->Put("op", "config",
-                     ConfigurationJson(1, World::Trouble() ? kSmallLimit : kLargeLimit).dump());
-  for (int number = 1; number <= 3; ++number) {
-    world.AddWorker(absl::StrCat(number), absl::Seconds(2), PlainWorker);
+  world.store()->Put("op", "config", ConfigurationJson(1).dump());
+  for (int number = 1; number <= kWorkers; ++number) {
+    world.AddWorker(absl::StrCat(number), kWorkerBack,
+                    [] { return CrashingModelWorker(kCrashingPart); });
   }
   if (!world.StartGateways(kGateways)) {
     world.record().Line("the gateways did not start");
     return kNotRun;
   }
-  std::vector<std::unique_ptr<gateway::HttpClient>> clients;
-  const auto ask = [&](int number, int turn, const std::string& kind, std::size_t bytes,
-                       gateway::HttpClient* client) {
-    world.Send(static_cast<std::size_t>(number % kGateways), kind,
-               absl::StrCat("9c", number, "d", turn), "POST", "/read/berth",
-               {{"Deadline-Ms", "3000"}}, std::string(bytes, 'b'), client);
+  int sound = 0;
+  int crashing = 0;
+  const auto ask_sound = [&](int turn) {
+    ++sound;
+    AskForStream(&world, static_cast<std::size_t>(turn % kGateways), "sound",
+                 absl::StrCat("50", sound), absl::StrCat("5c1e07a2:400,e44", sound, ":240"));
   };
-  world.RunFor(absl::Seconds(4));
-  // Each client keeps one connection and sends a small request each 3 s.
-  for (int number = 0; number < kClients; ++number) {
-    clients.push_back(std::make_unique<gateway::HttpClient>(world.loop(), gateway::ClientLimits{}));
-    gateway::HttpClient* const client = clients.back().get();
-    world.Every(world.Now() + absl::Milliseconds(100 * number), world.Now() + absl::Seconds(9),
-                absl::Seconds(3),
-                [&ask, number, client](int turn) { ask(number, turn, "small", 500, client); });
+  const auto ask_crashing = [&](int turn) {
+    ++crashing;
+    AskForStream(&world, static_cast<std::size_t>(turn % kGateways), "crashing",
+                 absl::StrCat("c", crashing),
+                 absl::StrCat("5c1e07a2:400,", kCrashingPart, ":140,f", crashing, ":100"));
+  };
+  const absl::Time begin = world.Now();
+  const absl::Time first_wave = begin + absl::Seconds(8);
+  const absl::Time kill = first_wave + kInWave * kInterval + absl::Seconds(8);
+  world.Every(begin, kill, absl::Milliseconds(300), ask_sound);
+  world.Every(first_wave, first_wave + kInWave * kInterval, kInterval, ask_crashing);
+  world.RunUntil(kill);
+  for (const auto& gateway : world.gateways()) {
+    gateway->Signal(SIGKILL);
   }
-  world.RunFor(absl::Seconds(11));
-  world.store()->Put("op", "config", ConfigurationJson(2, kLargeLimit).dump());
-  world.record().Line("version 2 is acknowledged");
-  world.RunFor(kConfigApply + absl::Seconds(1));
-  for (int number = 0; number < kClients; ++number) {
-    ask(number, 100, "large", kBody, clients[static_cast<std::size_t>(number)].get());
-    ask(number, 101, "large", kBody, nullptr);
-    world.RunFor(absl::Milliseconds(100));
+  world.record().Line("all processes are killed");
+  world.RunFor(kDown);
+  for (const auto& gateway : world.gateways()) {
+    int status = 0;
+    (void)gateway->Reap(&status);
+    gateway->Launch();
   }
-  world.RunFor(absl::Seconds(4));
-  int all = 0;
-  int denied = 0;
-  int denied_on_new = 0;
-  for (const Try& each : world.tries()) {
-    const bool is_denied = each.complete() && each.head.status == 413;
-    ++all;
-    denied += is_denied ? 1 : 0;
-    denied_on_new += is_denied && !each.kept ? 1 : 0;
-    if (each.kind == "large") {
-      world.record().Line(each.id, each.kept ? " on a kept connection: " : " on a new connection: ",
-                          each.complete() ? absl::StrCat(each.head.status) : "no whole answer");
-    }
+  if (!world.AwaitGateways(absl::Seconds(10))) {
+    world.record().Line("the gateways did not start again");
+    return kNotRun;
   }
-  world.record().Line("requests: ", all,
-                      "; denied though the only configuration in force allows "
-                      "them: ",
-                      denied, ", of these on new connections: ", denied_on_new);
-  const bool broken = denied > 5 + all / 500;
-  world.record().Line(broken ? "BROKEN" : "HELD");
-  return broken ? kBroken : kHeld;
+  const absl::Time back = world.Now();
+  world.record().Line("all processes serve again");
+  const absl::Time second_wave = back + kContact + absl::Seconds(3);
+  const absl::Time end = second_wave + kInWave * kInterval + absl::Seconds(5);
+  world.Every(back, end, absl::Milliseconds(300), ask_sound);
+  world.Every(second_wave, second_wave + kInWave * kInterval, kInterval, ask_crashing);
+  world.RunUntil(end);
+  return JudgeCrashingPart(&world, back + kContact);
 }
 
 }  // namespace
