--- a/review/8/case-2.cc
+++ b/review/8/case-2.cc
@@ -7,13 +7,13 @@
 namespace hingespan::review {
 namespace {
 
-constexpr int kGateways = 6;
-constexpr int kWorkers = 12;
+constexpr int kGateways = 9;
+constexpr int kWorkers = 14;
 constexpr const char* kCrashingPart = "f1bd3f06";
 // Parts of documents that prompts share, and those that one prompt has.
 constexpr int kDocuments = 600;
 constexpr int kInPrompt = 45;
-constexpr int kRequests = 12;
+constexpr int kRequests = 18;
 constexpr absl::Duration kInterval = absl::Seconds(2);
 constexpr absl::Duration kWorkerBack = absl::Seconds(3);
 
