--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,9 +4,14 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 case=target/review-2/case-$(basename "$here")
-[ -x "$case" ] && [ -x target/hingespan-gateway ] || { echo "build first: deploy/system.toml, review/build-2.sh"; exit 2; }
-RECORD="$here/record.txt" timeout 115 "$case"
+if [[ ! -x $case || ! -x target/hingespan-gateway ]]; then
+  echo "build first: the command of deploy/system.toml, then review/build-2.sh"
+  exit 2
+fi
+RECORD="$here/record.txt" timeout 118 "$case"
 code=$?
-[ "$code" -le 2 ] || code=2
+if ((code > 2)); then
+  code=2
+fi
 tail -3 "$here/record.txt"
 exit "$code"
