Fault: an answer whose head is no HTTP is passed on as the worker's (MIXED)

Callers saw: answers of workers in trouble that bear id and seal and have the status 000, 001, 099, 600 or 999, bodies under a transfer coding that nobody had taken off ("gzip", "identity", "gzip, chunked"), and fields joined from two lines of which the second one began with a blank. Blanks and control bytes within names were refused already; the tests now hold that, too.

Cause: AnswerParser took what Beast takes. Beast checks that a status has three digits, looks for "chunked" as the last of the transfer codings and otherwise reads to the end of the connection, and unfolds lines.

Change: the parser of answers refuses a status outside 100 to 599, 101 (never asked for), any Transfer-Encoding but the single word chunked, and lines that begin with a blank. Answers of workers, peers, reports, orders and the store go through this parser and no other, so one place serves them all. hingespand's clients (httplib) map statuses to typed errors and pass none on (by reading).

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -1,8 +1,11 @@
 #include "hingespan/http/message_parser.h"
 
+#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <utility>
 
+#include "absl/strings/match.h"
+
 namespace hingespan::gateway {
 namespace {
 
@@ -16,6 +19,12 @@
 // Bytes of a chunk header or trailer that may come without its end.
 constexpr std::size_t kMaxFramingBytes = 64 * 1024;
 
+// Range of statuses that an answer may have (RFC 9110, 15).
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+// Never asked for, and what follows it is no HTTP.
+constexpr int kSwitchingProtocols = 101;
+
 std::string ToString(BeastView view) { return {view.data(), view.size()}; }
 
 ParseFault FaultOf(const BeastError& error) {
@@ -190,6 +199,35 @@
 RequestHead& RequestParser::head() { return implementation_->head(); }
 std::string& RequestParser::body() { return implementation_->body; }
 
+// Finds lines of a head that begin with a blank. Beast joins them to the line before.
+class FoldedLineFinder {
+ public:
+  // Returns whether there is one among these next bytes. Those behind the head are ignored.
+  bool Find(absl::string_view bytes) {
+    for (const char each : bytes) {
+      if (head_ended_) {
+        return false;
+      }
+      if (line_bytes_ == 0 && !first_line_ && (each == ' ' || each == '\t')) {
+        return true;
+      }
+      if (each == '\n') {
+        head_ended_ = line_bytes_ == 0;
+        line_bytes_ = 0;
+        first_line_ = false;
+      } else if (each != '\r') {
+        ++line_bytes_;
+      }
+    }
+    return false;
+  }
+
+ private:
+  std::size_t line_bytes_ = 0;
+  bool first_line_ = true;
+  bool head_ended_ = false;
+};
+
 class AnswerParser::Implementation : public CommonParser<false> {
  public:
   explicit Implementation(std::function<void(absl::string_view)> on_body)
@@ -199,8 +237,16 @@
     this->body_limit(kAnswerBodyLimit);
   }
 
+  std::size_t Feed(absl::string_view bytes) {
+    if (folded_lines_.Find(bytes)) {
+      fault_ = ParseFault::kMalformed;
+      return bytes.size();
+    }
+    return FeedAll(bytes);
+  }
+
   void End() {
-    if (!this->is_header_done() || this->is_done()) {
+    if (fault_ != ParseFault::kNone || !this->is_header_done() || this->is_done()) {
       return;
     }
     BeastError error;
@@ -214,12 +260,20 @@
 
  protected:
   void on_request_impl(http::verb, BeastView, BeastView, int, BeastError&) override {}
-  void on_response_impl(int status, BeastView reason, int, BeastError&) override {
+  void on_response_impl(int status, BeastView reason, int, BeastError& error) override {
+    if (status < kMinStatus || status > kMaxStatus || status == kSwitchingProtocols) {
+      error = http::error::bad_status;
+      return;
+    }
     head.status = status;
     head.reason = ToString(reason);
   }
-  void on_header_impl(BeastError&) override {
+  void on_header_impl(BeastError& error) override {
     head.fields = TakeFields();
+    if (!HasKnownEncoding()) {
+      error = http::error::bad_transfer_encoding;
+      return;
+    }
     head.keep_alive = this->keep_alive();
     if (const auto length = this->content_length()) {
       head.body_length = *length;
@@ -229,13 +283,22 @@
   void OnBodyBytes(absl::string_view piece) override { on_body_(piece); }
 
  private:
+  // Returns false if the body has a transfer coding that isn't taken off here.
+  bool HasKnownEncoding() const {
+    return std::all_of(head.fields.begin(), head.fields.end(), [this](const HeaderField& field) {
+      return !absl::EqualsIgnoreCase(field.name, "Transfer-Encoding") ||
+             (this->chunked() && absl::EqualsIgnoreCase(field.value, "chunked"));
+    });
+  }
+
   std::function<void(absl::string_view)> on_body_;
+  FoldedLineFinder folded_lines_;
 };
 
 AnswerParser::AnswerParser(std::function<void(absl::string_view)> on_body)
     : implementation_(std::make_unique<Implementation>(std::move(on_body))) {}
 AnswerParser::~AnswerParser() = default;
-std::size_t AnswerParser::Feed(absl::string_view bytes) { return implementation_->FeedAll(bytes); }
+std::size_t AnswerParser::Feed(absl::string_view bytes) { return implementation_->Feed(bytes); }
 void AnswerParser::FeedEnd() { implementation_->End(); }
 ParseFault AnswerParser::fault() const { return implementation_->fault(); }
 bool AnswerParser::head_complete() const { return implementation_->is_header_done(); }
--- a/tests/platform/json_call_test.cc
+++ b/tests/platform/json_call_test.cc
@@ -10,6 +10,7 @@
 
 #include "hingespan/http/http_server.h"
 #include "tests/http/endless_server.h"
+#include "tests/serving/raw_server.h"
 
 namespace hingespan::gateway::platform {
 namespace {
@@ -99,6 +100,29 @@
   CHECK(reset.error() == make_error_code(Error::kAnswerLost));
 }
 
+// Guards against an order, a report or a row of the store that is read from an answer which is none
+// (MIXED).
+TEST_CASE("a call whose answer has a malformed head is lost") {
+  Fixture fixture;
+  std::string head;
+  RawServer server(&fixture.loop, [&](int, absl::string_view) {
+    return RawAnswer{head + "\r\n[1]", true};
+  });
+  for (const char* const each :
+       {"HTTP/1.1 000 OK\r\nContent-Length: 3\r\n", "HTTP/1.1 999 OK\r\nContent-Length: 3\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX: a\r\n b\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX y: a\r\n"}) {
+    head = each;
+    CAPTURE(head);
+    const auto answer = fixture.Ask(server.address());
+    REQUIRE(!answer.ok());
+    CHECK(answer.error() == make_error_code(Error::kAnswerLost));
+  }
+  head = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n";
+  CHECK(fixture.Ask(server.address()).ok());
+}
+
 // Guards against a worker's report that holds its call, and fills the memory, without an end.
 TEST_CASE("an answer without an end is lost") {
   EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "[1]");
