--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -157,8 +157,8 @@
   std::set<std::string> workers;
   // Milliseconds since the first of the crashes.
   int since_ms = 0;
-  // Milliseconds for which the quarantine lasts.
-  int lifetime_ms = 0;
+  // Milliseconds after which a node of an earlier release ends the quarantine.
+  int lifetime_ms = 60'000;
   std::string reply_address;
   // True while the crashes may have had a common cause outside the prompts.
   bool provisional = false;
--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -7,7 +7,8 @@
 // requests whose prompts have all of them are refused. Each part that is cleared later leaves the
 // quarantine, so that what remains is the part that crashes workers. Crashes that a quarantine
 // explains count against no other part. From time to time, at ever longer intervals, one node
-// admits one request as a trial.
+// admits one request as a trial. Only an answer lifts a quarantine: that no request with its parts
+// comes says nothing about them.
 //
 // Workers that crash at the same time may have run requests that came together, or may be in a rack
 // that has lost power. A quarantine that follows from such crashes is provisional: its trials begin
@@ -42,12 +43,13 @@
   absl::Duration same_event = absl::Milliseconds(25);
   // Time between the last crash needed and the quarantine, for answers that clear its parts.
   absl::Duration settling_time = absl::Milliseconds(250);
-  // Evidence against a part lapses this long after the last crash.
-  absl::Duration evidence_lifetime = absl::Seconds(60);
+  // The crash of a worker is evidence for this long. A part that crashes workers less often isn't
+  // told from parts that others had by chance.
+  absl::Duration evidence_lifetime = absl::Minutes(10);
   // An answer this recent shows that a part is sound when the repeat of a request is decided.
   absl::Duration recent_answer = absl::Seconds(10);
-  // A quarantine ends if no request with its parts has come for this long.
-  absl::Duration quarantine_lifetime = absl::Seconds(60);
+  // Interval at which the other nodes are told again of a quarantine whose requests still come.
+  absl::Duration notice_interval = absl::Seconds(30);
   absl::Duration first_trial = absl::Seconds(30);
   double trial_backoff = 3;
   // Age of a provisional quarantine at its first trial. Each further one comes at twice the age, up
@@ -65,7 +67,10 @@
   std::set<std::string> workers;
   // Time of the first of these crashes.
   absl::Time since;
-  absl::Time expires;
+  // Time of the last request with its parts at this node.
+  absl::Time last_request = absl::InfinitePast();
+  // Time at which the other nodes were last told of it by this node or another.
+  absl::Time last_notice = absl::InfinitePast();
   // Time of the next trial. It follows from the age alone, so that all nodes have the same, those
   // that restarted included.
   absl::Time next_trial = absl::InfiniteFuture();
@@ -109,9 +114,9 @@
   bool TakeTrial(Quarantine* quarantine, absl::Time now);
   // Time after which a request that is refused may be sent again.
   absl::Duration RetryAfter(const Quarantine& quarantine, absl::Time now) const;
-  // Extends the quarantine as requests with its parts still come. Returns whether the other nodes
-  // should be told.
-  bool Renew(Quarantine* quarantine, absl::Time now);
+  // Notes that a request with its parts was refused. Returns whether the other nodes should be told
+  // of the quarantine again.
+  bool NoteRefused(Quarantine* quarantine, absl::Time now);
   // Returns whether a request that a crash has interrupted may be sent to another worker. A trial
   // may not.
   bool MayRepeat(const std::string& service, const PromptPartIds& parts, absl::Time now) const;
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -244,7 +244,6 @@
   notice.parts = quarantine.parts;
   notice.workers = quarantine.workers;
   notice.since_ms = static_cast<int>(absl::ToInt64Milliseconds(now - quarantine.since));
-  notice.lifetime_ms = static_cast<int>(absl::ToInt64Milliseconds(quarantine.expires - now));
   notice.reply_address = address_;
   notice.provisional = quarantine.provisional;
   return notice;
@@ -252,7 +251,7 @@
 
 void QuarantineExchange::OnQuarantine(const QuarantineNotice& notice) {
   const absl::Time now = parts_.loop->Now();
-  if (notice.lifetime_ms <= 0 || notice.parts.empty()) {
+  if (notice.parts.empty()) {
     return;
   }
   Quarantine quarantine;
@@ -260,7 +259,6 @@
   quarantine.parts = notice.parts;
   quarantine.workers = notice.workers;
   quarantine.since = now - absl::Milliseconds(std::max(notice.since_ms, 0));
-  quarantine.expires = now + absl::Milliseconds(notice.lifetime_ms);
   quarantine.provisional = notice.provisional;
   const bool known = quarantine_.Find(notice.service, notice.parts, now) != nullptr;
   const PromptPartIds answered = quarantine_.Apply(quarantine, now);
@@ -336,7 +334,7 @@
     Log("quarantine_trial", service, quarantine->parts, {});
     return {QuarantineVerdict::Kind::kTrial, {}};
   }
-  if (quarantine_.Renew(quarantine, now)) {
+  if (quarantine_.NoteRefused(quarantine, now)) {
     SendToAll(NoticeOf(*quarantine));
   }
   return {QuarantineVerdict::Kind::kRefused, quarantine_.RetryAfter(*quarantine, now)};
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -146,7 +146,7 @@
     if (quarantines_.size() >= settings_.max_quarantines) {
       quarantines_.erase(std::min_element(quarantines_.begin(), quarantines_.end(),
                                           [](const Quarantine& left, const Quarantine& right) {
-                                            return left.expires < right.expires;
+                                            return left.last_request < right.last_request;
                                           }));
     }
     Quarantine quarantine;
@@ -159,7 +159,8 @@
     const std::vector<absl::Time> crashes = TimesOf(evidence_.at(*key).crashes);
     quarantine.since = crashes.front();
     quarantine.provisional = CountEvents(crashes) < CrashesNeeded(*key);
-    quarantine.expires = now + settings_.quarantine_lifetime;
+    quarantine.last_request = now;
+    quarantine.last_notice = now;
     quarantine.next_trial = NextTrial(quarantine, now);
     Explain(quarantine.workers);
     RemoveCovered(quarantine.service, quarantine.parts);
@@ -218,7 +219,8 @@
   PromptPartIds answered;
   Quarantine kept = quarantine;
   kept.since = std::min(kept.since, now);
-  kept.expires = std::min(kept.expires, now + settings_.quarantine_lifetime);
+  kept.last_request = now;
+  kept.last_notice = now;
   for (const std::string& part : quarantine.parts) {
     if (AnsweredAt({quarantine.service, part}) > kept.since) {
       answered.insert(part);
@@ -228,10 +230,10 @@
   if (kept.parts.empty()) {
     return answered;
   }
-  // A late notice neither widens a quarantine that was narrowed meanwhile nor shortens it.
+  // A late notice doesn't widen a quarantine that was narrowed meanwhile.
   for (Quarantine& each : quarantines_) {
     if (each.service == kept.service && HasAll(kept.parts, each.parts)) {
-      each.expires = std::max(each.expires, kept.expires);
+      each.last_notice = now;
       if (each.provisional && !kept.provisional) {
         Confirm(&each, now);
       }
@@ -273,7 +275,7 @@
 absl::Duration PromptQuarantine::RetryAfter(const Quarantine& quarantine, absl::Time now) const {
   return quarantine.provisional
              ? std::max(quarantine.next_trial - now, settings_.first_provisional_trial)
-             : quarantine.expires - now;
+             : std::max(quarantine.next_trial - now, settings_.first_trial);
 }
 
 absl::Time PromptQuarantine::NextTrial(const Quarantine& quarantine, absl::Time now) const {
@@ -294,20 +296,20 @@
   return next;
 }
 
-bool PromptQuarantine::Renew(Quarantine* quarantine, absl::Time now) {
-  const bool was_old = quarantine->expires - now < settings_.quarantine_lifetime / 2;
-  if (was_old) {
-    quarantine->expires = now + settings_.quarantine_lifetime;
+bool PromptQuarantine::NoteRefused(Quarantine* quarantine, absl::Time now) {
+  quarantine->last_request = now;
+  const bool due = now - quarantine->last_notice >= settings_.notice_interval;
+  if (due) {
+    quarantine->last_notice = now;
   }
-  return was_old;
+  return due;
 }
 
 bool PromptQuarantine::MayRepeat(const std::string& service, const PromptPartIds& parts,
                                  absl::Time now) const {
-  const bool quarantined =
-      std::any_of(quarantines_.begin(), quarantines_.end(), [&](const Quarantine& each) {
-        return each.service == service && each.expires > now && HasAll(parts, each.parts);
-      });
+  const bool quarantined = std::any_of(
+      quarantines_.begin(), quarantines_.end(),
+      [&](const Quarantine& each) { return each.service == service && HasAll(parts, each.parts); });
   return !quarantined && std::none_of(parts.begin(), parts.end(), [&](const std::string& part) {
     const PartKey key{service, part};
     const auto entry = evidence_.find(key);
@@ -323,7 +325,6 @@
 }
 
 void PromptQuarantine::Expire(absl::Time now) {
-  std::erase_if(quarantines_, [&](const Quarantine& each) { return each.expires <= now; });
   for (auto entry = evidence_.begin(); entry != evidence_.end();) {
     std::erase_if(entry->second.crashes, [&](const auto& crash) {
       return now - crash.second > settings_.evidence_lifetime;
@@ -336,10 +337,18 @@
   if (answered_.size() <= settings_.max_answered_parts) {
     return;
   }
-  const absl::Time oldest = now - settings_.evidence_lifetime;
-  absl::erase_if(answered_, [&](const auto& entry) { return entry.second < oldest; });
+  // Half of them, so that it isn't done at each answer.
+  std::vector<absl::Time> times;
+  times.reserve(answered_.size());
+  for (const auto& [key, at] : answered_) {
+    times.push_back(at);
+  }
+  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  absl::erase_if(answered_,
+                 [oldest = *middle](const auto& entry) { return entry.second < oldest; });
   if (answered_.size() > settings_.max_answered_parts) {
-    answered_.clear();
+    answered_.clear();  // Too many are of one time.
   }
 }
 
--- a/tests/quarantine/prompt_quarantine_test.cc
+++ b/tests/quarantine/prompt_quarantine_test.cc
@@ -157,7 +157,7 @@
     if (quarantine->TakeTrial(found, now)) {
       trials.push_back(now - At(0));
     }
-    quarantine->Renew(found, now);
+    quarantine->NoteRefused(found, now);
   }
   return trials;
 }
@@ -281,22 +281,37 @@
   CHECK(ImposeAfter(&quarantine, later).empty());
 }
 
-// Guards against a quarantine for ever, and one that ends while such requests still come.
-TEST_CASE("a quarantine ends when no request with its parts has come for its lifetime") {
+// Guards against a part that crashes workers anew after a while without requests (BUDGET).
+TEST_CASE("a quarantine outlasts any time without requests, and an answer ends it") {
+  PromptQuarantine quarantine = WithQuarantine({"bad"});
+  for (const absl::Duration silence : {absl::Seconds(132), absl::Hours(1), absl::Hours(100)}) {
+    const absl::Time now = At(2) + silence;
+    Quarantine* const found = quarantine.Find(kService, {"bad"}, now);
+    REQUIRE(found != nullptr);
+    // One request is admitted, and no second one.
+    CHECK(quarantine.TakeTrial(found, now));
+    CHECK(!quarantine.TakeTrial(found, now + absl::Seconds(1)));
+    quarantine.RecordCrash("late", kService, {"bad", "own"}, true, now);
+    CHECK(quarantine.ImposeDue(now + kSettings.settling_time).empty());
+  }
+  quarantine.RecordAnswered(kService, {"bad"}, At(2) + absl::Hours(101));
+  CHECK(quarantine.quarantines().empty());
+}
+
+// Guards against nodes that were not told, while such requests still come.
+TEST_CASE("the other nodes are told of a quarantine again while requests come, and not often") {
   PromptQuarantine quarantine = WithQuarantine({"bad"});
   absl::Time now = At(2) + kSettings.settling_time;
-  const absl::Time renewed_until = now + 3 * kSettings.quarantine_lifetime;
+  const absl::Time end = now + absl::Minutes(3);
   int told = 0;
-  while (now < renewed_until) {
+  while (now < end) {
     now += absl::Seconds(1);
     Quarantine* const found = quarantine.Find(kService, {"bad"}, now);
     REQUIRE(found != nullptr);
-    told += quarantine.Renew(found, now) ? 1 : 0;
+    told += quarantine.NoteRefused(found, now) ? 1 : 0;
   }
   CHECK(told >= 3);
   CHECK(told <= 6);
-  CHECK(quarantine.Find(kService, {"bad"}, now + kSettings.quarantine_lifetime) == nullptr);
-  CHECK(quarantine.quarantines().empty());
 }
 
 // Guards against trials that are more than three requests, and against none at all.
@@ -309,7 +324,7 @@
     if (quarantine.TakeTrial(found, now)) {
       trials.push_back(now - At(0));
     }
-    quarantine.Renew(found, now);
+    quarantine.NoteRefused(found, now);
   }
   CHECK(trials ==
         std::vector<absl::Duration>{absl::Seconds(30), absl::Seconds(120), absl::Seconds(390)});
@@ -334,10 +349,9 @@
   CHECK(other.TakeTrial(other.Find(kService, {"bad"}, At(31)), At(31)));
   CHECK(!other.TakeTrial(other.Find(kService, {"bad"}, At(32)), At(32)));
   PromptQuarantine restarted;
-  notice.expires = At(100);
   CHECK(restarted.Apply(notice, At(33)).empty());
   CHECK(!restarted.TakeTrial(restarted.Find(kService, {"bad"}, At(34)), At(34)));
-  restarted.Renew(restarted.Find(kService, {"bad"}, At(80)), At(80));
+  restarted.NoteRefused(restarted.Find(kService, {"bad"}, At(80)), At(80));
   CHECK(restarted.TakeTrial(restarted.Find(kService, {"bad"}, At(121)), At(121)));
 }
 
@@ -367,13 +381,11 @@
   CHECK(other.quarantines()[0].parts == PromptPartIds{"bad", "old"});
 }
 
-// Guards against a late notice that widens, doubles or shortens a quarantine.
+// Guards against a late notice that widens or doubles a quarantine.
 TEST_CASE("a notice that a narrower quarantine covers changes nothing") {
   PromptQuarantine quarantine = WithQuarantine({"bad", "first"});
   Quarantine late = quarantine.quarantines().front();
-  late.expires -= absl::Seconds(20);
   quarantine.RecordAnswered(kService, {"first"}, At(3));
-  const absl::Time expires = quarantine.quarantines().front().expires;
   SUBCASE("answered here") {}
   SUBCASE("answered elsewhere") {
     const Quarantine narrowed = quarantine.quarantines().front();
@@ -383,7 +395,6 @@
   quarantine.Apply(late, At(4));
   REQUIRE(quarantine.quarantines().size() == 1);
   CHECK(quarantine.quarantines()[0].parts == PromptPartIds{"bad"});
-  CHECK(quarantine.quarantines()[0].expires == expires);
 }
 
 // Guards against a malformed notice that refuses every request, or lifts every quarantine.
@@ -400,17 +411,20 @@
   CHECK(quarantine.Find(kService, {"bad"}, At(3)) != nullptr);
 }
 
-// Guards against a malformed notice whose quarantine stays for days.
-TEST_CASE("a notice does not quarantine for longer than a quarantine lasts") {
+// Guards against a malformed notice whose quarantine has no trials for days.
+TEST_CASE("a notice does not put off the first trial") {
   PromptQuarantine imposing = WithQuarantine({"bad"});
   Quarantine notice = imposing.quarantines().front();
-  notice.expires = At(3) + absl::Hours(500);
   notice.since = At(3) + absl::Hours(500);
   PromptQuarantine other;
   other.RecordAnswered(kService, {"bad"}, At(2.9));
   SUBCASE("never answered here") { other = PromptQuarantine(); }
   other.Apply(notice, At(3));
-  CHECK(other.Find(kService, {"bad"}, At(3) + kSettings.quarantine_lifetime) == nullptr);
+  Quarantine* const found = other.Find(kService, {"bad"}, At(3) + kSettings.first_trial);
+  REQUIRE(found != nullptr);
+  CHECK(other.TakeTrial(found, At(3) + kSettings.first_trial));
+  other.RecordAnswered(kService, {"bad"}, At(3) + kSettings.first_trial);
+  CHECK(other.quarantines().empty());
 }
 
 // Guards against a repeat that crashes the next worker.
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -490,7 +490,7 @@
   exchange->RecordAnswered(kService, {"sound"});
   exchange->OnQuarantine({kService, {"sound"}, {}, kLeast, kMost, "n0"});
   const auto left = exchange->RetryAfter(kService, {"sound"});
-  CHECK(left.value_or(absl::ZeroDuration()) <= QuarantineSettings().quarantine_lifetime);
+  CHECK(left.value_or(absl::ZeroDuration()) <= QuarantineSettings().first_trial);
 }
 
 // Guards against a message of a peer that makes nodes answer each other without end.
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -112,8 +112,7 @@
     for (std::size_t node = 0; node < nodes_.size(); ++node) {
       for (const Quarantine& each : nodes_[node].quarantine.quarantines()) {
         absl::StrAppend(&list, "n", node, ": ", absl::StrJoin(each.parts, ","), " since ",
-                        absl::FormatDuration(each.since - Start()), " expires ",
-                        absl::FormatDuration(each.expires - Start()), " workers ",
+                        absl::FormatDuration(each.since - Start()), " workers ",
                         absl::StrJoin(each.workers, ","), "\n");
       }
     }
@@ -237,7 +236,7 @@
     if (found == nullptr || TakesTrial(node, found)) {
       return true;
     }
-    if (quarantine->Renew(found, now_)) {
+    if (quarantine->NoteRefused(found, now_)) {
       TellQuarantine(node, *found);
     }
     return false;
