--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -127,7 +127,8 @@
   std::set<std::string> versions;
 };
 
-// Tells the other nodes that a worker has crashed while it ran requests of this node.
+// Tells the other nodes that a worker has crashed while it ran requests of this node. A crash with
+// many parts or requests takes several notices, which add up.
 struct CrashNotice {
   std::string worker_id;
   std::string service;
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "crash_notices.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -15,18 +16,17 @@
 // Rounds of questions after the start, as the first nodes that are asked may have started as well.
 constexpr int kQuestionRounds = 3;
 constexpr absl::Duration kQuestionInterval = absl::Milliseconds(500);
-// Parts and requests of one datagram.
-constexpr std::size_t kMaxParts = 40;
-constexpr std::size_t kMaxRequests = 48;
+// Parts and requests that the notices of one crash tell of.
+constexpr std::size_t kMaxParts = 2048;
+constexpr std::size_t kMaxRequests = 512;
 constexpr std::size_t kMaxCheckedWorkers = 4096;
 // Crashes that a node which has started is told of.
 constexpr std::size_t kMaxCrashesInReply = 64;
 
-template <typename Set>
-Set FirstOf(const Set& set, std::size_t count) {
-  auto end = set.begin();
-  std::advance(end, std::min(set.size(), count));
-  return Set(set.begin(), end);
+std::set<RequestContent> FirstOf(const std::set<RequestContent>& requests, std::size_t count) {
+  auto end = requests.begin();
+  std::advance(end, std::min(requests.size(), count));
+  return {requests.begin(), end};
 }
 
 }  // namespace
@@ -73,7 +73,9 @@
         worker_id, {}, {}, address_, FirstOf(crashing_requests_.EndedBy(worker_id), kMaxRequests)};
     if (!notice.requests.empty() && told < kMaxCrashesInReply) {
       ++told;
-      parts_.send(question.reply_address, EncodeFleetMessage(notice));
+      for (const CrashNotice& piece : SplitNotice(notice)) {
+        parts_.send(question.reply_address, EncodeFleetMessage(piece));
+      }
     }
   }
 }
@@ -200,16 +202,20 @@
   Log("worker_crashed", check->service, parts, {worker_id});
   quarantine_.RecordCrash(worker_id, check->service, parts, true, parts_.loop->Now());
   told_early_.erase(worker_id);
-  CrashNotice notice{worker_id, check->service, FirstOf(parts, kMaxParts), address_,
-                     FirstOf(crashing_requests_.EndedBy(worker_id), kMaxRequests)};
+  const CrashNotice notice{worker_id, check->service,
+                           quarantine_.MostSuspect(worker_id, check->service, parts, kMaxParts),
+                           address_, FirstOf(crashing_requests_.EndedBy(worker_id), kMaxRequests)};
   check->told.insert(notice.requests.begin(), notice.requests.end());
-  SendToAll(notice);
+  for (const CrashNotice& piece : SplitNotice(notice)) {
+    SendToAll(piece);
+  }
   SetDueTimer();
 }
 
 void QuarantineExchange::OnCrash(const CrashNotice& notice) {
   const absl::Time now = parts_.loop->Now();
-  if (const Quarantine* const known = quarantine_.Find(notice.service, notice.parts, now)) {
+  if (const Quarantine* const known =
+          quarantine_.FindExplaining(notice.worker_id, notice.service, notice.parts)) {
     parts_.send(notice.reply_address, EncodeFleetMessage(NoticeOf(*known)));
   }
   quarantine_.RecordCrash(notice.worker_id, notice.service, notice.parts, false, now);
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -1,8 +1,12 @@
 #include "hingespan/serving/prompt_quarantine.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
 #include <map>
+#include <utility>
 
 namespace hingespan::gateway {
 namespace {
@@ -60,6 +64,28 @@
   BoundEvidence();
 }
 
+PromptPartIds PromptQuarantine::MostSuspect(const std::string& worker, const std::string& service,
+                                            const PromptPartIds& parts, std::size_t count) const {
+  if (parts.size() <= count) {
+    return parts;
+  }
+  using Rank = std::pair<bool, std::uint64_t>;
+  const std::uint64_t seed = XXH3_64bits(worker.data(), worker.size());
+  std::vector<std::pair<Rank, const std::string*>> ranked;
+  ranked.reserve(parts.size());
+  for (const std::string& part : parts) {
+    const bool answered = answered_.contains(PartKey{service, part});
+    ranked.push_back({{answered, XXH3_64bits_withSeed(part.data(), part.size(), seed)}, &part});
+  }
+  std::nth_element(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                   ranked.end());
+  PromptPartIds most_suspect;
+  for (std::size_t index = 0; index < count; ++index) {
+    most_suspect.insert(*ranked[index].second);
+  }
+  return most_suspect;
+}
+
 void PromptQuarantine::BoundEvidence() {
   if (evidence_.size() <= settings_.max_suspected_parts) {
     return;
@@ -83,8 +109,30 @@
   }
 }
 
+bool PromptQuarantine::HadAll(const std::string& worker, const std::string& service,
+                              const PromptPartIds& parts, const PromptPartIds& told) const {
+  return std::all_of(parts.begin(), parts.end(), [&](const std::string& part) {
+    const auto entry = evidence_.find({service, part});
+    return told.contains(part) ||
+           (entry != evidence_.end() && entry->second.crashes.contains(worker));
+  });
+}
+
+const Quarantine* PromptQuarantine::FindExplaining(const std::string& worker,
+                                                   const std::string& service,
+                                                   const PromptPartIds& parts) const {
+  const auto found =
+      std::find_if(quarantines_.begin(), quarantines_.end(), [&](const Quarantine& each) {
+        return each.service == service && HadAll(worker, service, each.parts, parts);
+      });
+  return found == quarantines_.end() ? nullptr : &*found;
+}
+
 bool PromptQuarantine::TakeExplained(const std::string& worker, const std::string& service,
                                      const PromptPartIds& parts, absl::Time now) {
+  if (explained_workers_.contains(worker)) {
+    return true;
+  }
   bool explained = false;
   for (Quarantine& each : quarantines_) {
     if (each.service != service) {
@@ -93,13 +141,17 @@
     if (each.workers.contains(worker)) {
       return true;
     }
-    if (HasAll(parts, each.parts)) {
+    if (HadAll(worker, service, each.parts, parts)) {
       explained = true;
       if (each.provisional && now - each.since >= settings_.first_provisional_trial) {
         Confirm(&each, now);
       }
     }
   }
+  if (explained) {
+    Explain({worker});
+    explained_workers_[worker] = now;
+  }
   return explained;
 }
 
@@ -325,6 +377,9 @@
 }
 
 void PromptQuarantine::Expire(absl::Time now) {
+  std::erase_if(explained_workers_, [&](const auto& worker) {
+    return now - worker.second > settings_.evidence_lifetime;
+  });
   for (auto entry = evidence_.begin(); entry != evidence_.end();) {
     std::erase_if(entry->second.crashes, [&](const auto& crash) {
       return now - crash.second > settings_.evidence_lifetime;
--- a/tests/quarantine/prompt_quarantine_test.cc
+++ b/tests/quarantine/prompt_quarantine_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -314,6 +315,44 @@
   CHECK(told <= 6);
 }
 
+// Guards against a crash with many parts, told in pieces, that counts against sound parts.
+TEST_CASE("a quarantine explains a crash whose parts are told one after the other") {
+  PromptQuarantine quarantine = WithQuarantine({"a", "z"});
+  quarantine.RecordCrash("w", kService, {"a", "b"}, false, At(4));
+  CHECK(quarantine.suspected_parts() == 2);
+  CHECK(quarantine.FindExplaining("w", kService, {"y", "z"}) != nullptr);
+  CHECK(quarantine.FindExplaining("w", kService, {"y"}) == nullptr);
+  quarantine.RecordCrash("w", kService, {"y", "z"}, false, At(4));
+  CHECK(quarantine.suspected_parts() == 0);
+  // The next round.
+  quarantine.RecordCrash("w", kService, {"a", "b"}, false, At(4.2));
+  CHECK(quarantine.suspected_parts() == 0);
+}
+
+// Guards against a crashing part that is left out of every notice, as its id sorts late.
+TEST_CASE("of too many parts, other ones are left out for each crash, and answered ones first") {
+  PromptQuarantine quarantine;
+  PromptPartIds parts = {"zz-bad"};
+  for (int number = 0; number < 100; ++number) {
+    parts.insert(absl::StrCat("part", number));
+  }
+  int with_bad = 0;
+  constexpr int kCrashes = 200;
+  for (int crash = 0; crash < kCrashes; ++crash) {
+    const PromptPartIds told =
+        quarantine.MostSuspect(absl::StrCat("w", crash), kService, parts, 50);
+    CHECK(told.size() == 50);
+    CHECK(std::includes(parts.begin(), parts.end(), told.begin(), told.end()));
+    with_bad += told.contains("zz-bad") ? 1 : 0;
+  }
+  CHECK(with_bad > kCrashes / 4);
+  CHECK(with_bad < kCrashes);
+  parts.erase("zz-bad");
+  quarantine.RecordAnswered(kService, parts, At(1));
+  parts.insert("zz-bad");
+  CHECK(quarantine.MostSuspect("w", kService, parts, 1) == PromptPartIds{"zz-bad"});
+}
+
 // Guards against trials that are more than three requests, and against none at all.
 TEST_CASE("trials come at ever longer intervals") {
   PromptQuarantine quarantine = WithQuarantine({"bad"});
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -493,6 +493,33 @@
   CHECK(left.value_or(absl::ZeroDuration()) <= QuarantineSettings().first_trial);
 }
 
+// Guards against a crashing part that other nodes are not told of, as the prompts have many parts
+// (BUDGET).
+TEST_CASE("crashes on prompts with many parts at different nodes add up") {
+  Fleet fleet(18);
+  SUBCASE("datagrams arrive") {}
+  SUBCASE("a round of datagrams that are all lost is made up for") {
+    std::map<std::string, int> rounds;
+    fleet.lose = [rounds](const Fleet::Datagram& datagram) mutable {
+      return ++rounds[absl::StrCat(datagram.to, EncodeFleetMessage(datagram.message))] == 1;
+    };
+  }
+  for (int node = 0; node < 3; ++node) {
+    PromptPartIds prompt = {"zz-bad"};
+    for (int number = 0; number < 400; ++number) {
+      prompt.insert(absl::StrCat("document-", node, "-", number));
+    }
+    fleet.Crash(node, prompt, 1);
+  }
+  fleet.Wait([&] { return fleet.AllRefuse({"zz-bad"}); });
+  CHECK(fleet.AllFree({"document-0-0", "document-1-0"}));
+  for (const Fleet::Datagram& datagram : fleet.sent) {
+    if (std::holds_alternative<CrashNotice>(datagram.message)) {
+      CHECK(EncodeFleetMessage(datagram.message).size() <= 1400);
+    }
+  }
+}
+
 // Guards against a message of a peer that makes nodes answer each other without end.
 TEST_CASE("the datagrams of a quarantine come to an end") {
   Fleet fleet(9);
