--- a/include/hingespan/fleet/fleet_coordinator.h
+++ b/include/hingespan/fleet/fleet_coordinator.h
@@ -81,6 +81,8 @@
   std::function<void(DemandReport*)> fill_report;
   // Called after replicas or loads have changed.
   std::function<void()> on_update;
+  // Called with the rows of the table after each read, when `on_nodes` was called.
+  std::function<void(const StoreRows& rows)> on_table;
   // Called with all nodes of the fleet, as of a read that started at `read_started`.
   std::function<void(const std::vector<FleetNode>& nodes, absl::Time read_started)> on_nodes;
 };
--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -163,6 +163,8 @@
   std::string reply_address;
   // True while the crashes may have had a common cause outside the prompts.
   bool provisional = false;
+  // Names the quarantine in the fleet's record.
+  std::string id;
 };
 
 // Tells the sender of a quarantine, or all nodes, that prompts with these parts were answered
--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -4,7 +4,8 @@
 // If not, it tells all nodes which parts the worker was to answer. A node that imposes a quarantine
 // tells all nodes; those that have seen one of its parts answered meanwhile object, and all nodes
 // are told that it leaves the quarantine. A node that has started asks a few others for the
-// quarantines, and one that tells of a crash that a quarantine explains is told of it.
+// quarantines, and one that tells of a crash that a quarantine explains is told of it. Datagrams
+// are fast; what lasts is the fleet's record (QuarantineRecord), which each node reads.
 //
 // The notices of crashes also name the requests under which workers have ended, so that none is
 // sent to a further worker when its caller tries again at another node (CrashingRequests).
@@ -23,6 +24,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "hingespan/fleet/fleet_messages.h"
+#include "hingespan/fleet/quarantine_record.h"
 #include "hingespan/fleet/stream_holders.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/serving/crashing_requests.h"
@@ -36,6 +38,7 @@
   EventLoop* loop = nullptr;
   DecisionLog* log = nullptr;
   GatewayMetrics* metrics = nullptr;
+  QuarantineRecord* record = nullptr;
   // Sends a datagram to a node's address.
   std::function<void(const std::string& address, absl::string_view bytes)> send;
   // Asks the worker at an address on a new connection; calls back whether it answered.
@@ -122,6 +125,13 @@
   // Takes over from a notice which requests have ended workers.
   void TakeOverRequests(const CrashNotice& notice);
   void OnCrashConfirmed(const std::string& worker_id, WorkerCheck* check);
+  // Takes over another node's quarantine. Returns those of its parts that this node has seen
+  // answered since.
+  PromptPartIds TakeOver(const Quarantine& quarantine);
+  void OnRecorded(const Quarantine& quarantine);
+  void OnRecordRemoved(const std::string& id);
+  void RecordMissing();
+  void RemoveRecord(const std::string& id);
   void ImposeDue();
   void SetDueTimer();
   // Logs the quarantines that were narrowed or lifted here, and has later rounds of their notices
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -15,6 +15,7 @@
 #include "hingespan/fleet/fleet_coordinator.h"
 #include "hingespan/fleet/peer_link.h"
 #include "hingespan/fleet/quarantine_exchange.h"
+#include "hingespan/fleet/quarantine_record.h"
 #include "hingespan/fleet/shared_reading.h"
 #include "hingespan/fleet/slot_exchange.h"
 #include "hingespan/fleet/stream_archive.h"
@@ -174,6 +175,7 @@
   VersionRegistry versions_;
   StreamArchive archive_;
   StreamDirectory streams_;
+  QuarantineRecord quarantine_record_;
   QuarantineExchange quarantine_;
   SlotExchange slots_;
   SharedReading reading_;
--- a/include/hingespan/serving/gateway_metrics.h
+++ b/include/hingespan/serving/gateway_metrics.h
@@ -53,6 +53,7 @@
   std::uint64_t worker_crashes = 0;
   std::uint64_t quarantines = 0;
   std::uint64_t quarantine_datagrams = 0;
+  std::uint64_t quarantine_writes = 0;
   // Attempts that workers rejected for want of room.
   std::uint64_t worker_rejections = 0;
   // Datagrams about brittle workers and their slots.
--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -61,6 +61,8 @@
 };
 
 struct Quarantine {
+  // Names it in the fleet's record; it keeps its id when answers narrow it.
+  std::string id;
   std::string service;
   PromptPartIds parts;
   // The workers whose crashes it explains.
@@ -98,8 +100,13 @@
   // true if these are prompts that this node sent.
   void RecordCrash(const std::string& worker, const std::string& service,
                    const PromptPartIds& parts, bool own, absl::Time now);
+  struct Imposed {
+    Quarantine quarantine;
+    // Ids of the quarantines that it replaces, or that had to make room for it.
+    std::vector<std::string> replaced;
+  };
   // Imposes the quarantines that are due and returns them.
-  std::vector<Quarantine> ImposeDue(absl::Time now);
+  std::vector<Imposed> ImposeDue(absl::Time now);
   // Time at which the next quarantine may be due; InfiniteFuture if none is.
   absl::Time NextDue() const;
 
@@ -107,6 +114,9 @@
   // answered since the first crash, and which it therefore leaves out.
   PromptPartIds Apply(const Quarantine& quarantine, absl::Time now);
 
+  // Removes the quarantine with this id; returns it as one that was lifted.
+  std::vector<NarrowedQuarantine> Remove(const std::string& id);
+
   // Returns the quarantine that explains the worker's crash, or null. `parts` may be some of those
   // that the worker was to answer, if the others were recorded before.
   const Quarantine* FindExplaining(const std::string& worker, const std::string& service,
@@ -169,8 +179,8 @@
   void BoundEvidence();
   void Expire(absl::Time now);
   void PruneAnswered(absl::Time now);
-  // Removes quarantines that have these parts among theirs.
-  void RemoveCovered(const std::string& service, const PromptPartIds& parts);
+  // Removes quarantines that have these parts among theirs and returns their ids.
+  std::vector<std::string> RemoveCovered(const std::string& service, const PromptPartIds& parts);
 
   QuarantineSettings settings_;
   std::map<PartKey, Evidence> evidence_;
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -149,6 +149,7 @@
     }
   }
   ReadNodes(rows, read_started);
+  parts_.on_table(rows);
   const bool held_before = lease_.holding();
   const std::string holder_before =
       lease_.record().has_value() ? lease_.record()->holder : std::string();
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -207,20 +207,22 @@
 
 Json Encode(const QuarantineNotice& notice) {
   return Json::array({kQuarantineNotice, notice.service, Json(notice.parts), Json(notice.workers),
-                      notice.since_ms, notice.lifetime_ms, notice.reply_address,
-                      notice.provisional});
+                      notice.since_ms, notice.lifetime_ms, notice.reply_address, notice.provisional,
+                      notice.id});
 }
 
 QuarantineNotice DecodeQuarantine(const Json& json) {
-  // Nodes of an earlier release don't say whether it is provisional.
+  // Nodes of an earlier release don't say whether it is provisional, nor its id.
   constexpr std::size_t kProvisionalEntry = 7;
+  constexpr std::size_t kIdEntry = 8;
   return {json.at(1).get<std::string>(),
           json.at(2).get<std::set<std::string>>(),
           json.at(3).get<std::set<std::string>>(),
           json.at(4).get<int>(),
           json.at(5).get<int>(),
           json.at(6).get<std::string>(),
-          json.size() > kProvisionalEntry && json.at(kProvisionalEntry).get<bool>()};
+          json.size() > kProvisionalEntry && json.at(kProvisionalEntry).get<bool>(),
+          json.size() > kIdEntry ? json.at(kIdEntry).get<std::string>() : std::string()};
 }
 
 Json Encode(const ClearedParts& cleared) {
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -23,6 +23,10 @@
 // Crashes that a node which has started is told of.
 constexpr std::size_t kMaxCrashesInReply = 64;
 
+// A quarantine that is known for this long and not recorded is recorded by the node that admits its
+// trials, as the one that imposed it may have ended before it could.
+constexpr absl::Duration kUnrecordedAfter = absl::Seconds(5);
+
 std::set<RequestContent> FirstOf(const std::set<RequestContent>& requests, std::size_t count) {
   auto end = requests.begin();
   std::advance(end, std::min(requests.size(), count));
@@ -36,7 +40,11 @@
       parts_(std::move(parts)),
       due_timer_(parts_.loop->MakeTimer()),
       question_timer_(parts_.loop->MakeTimer()),
-      questions_left_(kQuestionRounds) {}
+      questions_left_(kQuestionRounds) {
+  parts_.record->SetListener({[this](const Quarantine& quarantine) { OnRecorded(quarantine); },
+                              [this](const std::string& id) { OnRecordRemoved(id); },
+                              [this] { RecordMissing(); }});
+}
 
 QuarantineExchange::~QuarantineExchange() = default;
 
@@ -231,11 +239,15 @@
 }
 
 void QuarantineExchange::ImposeDue() {
-  const std::vector<Quarantine> imposed = quarantine_.ImposeDue(parts_.loop->Now());
-  for (const Quarantine& quarantine : imposed) {
+  const auto imposed = quarantine_.ImposeDue(parts_.loop->Now());
+  for (const auto& [quarantine, replaced] : imposed) {
     ++parts_.metrics->quarantines;
     Log("quarantine_imposed", quarantine.service, quarantine.parts, quarantine.workers);
     SendToAll(NoticeOf(quarantine));
+    parts_.record->Add(quarantine);
+    for (const std::string& id : replaced) {
+      RemoveRecord(id);
+    }
   }
   if (!imposed.empty()) {
     parts_.on_quarantine();
@@ -250,6 +262,7 @@
   notice.parts = quarantine.parts;
   notice.workers = quarantine.workers;
   notice.since_ms = static_cast<int>(absl::ToInt64Milliseconds(now - quarantine.since));
+  notice.id = quarantine.id;
   notice.reply_address = address_;
   notice.provisional = quarantine.provisional;
   return notice;
@@ -261,20 +274,63 @@
     return;
   }
   Quarantine quarantine;
+  quarantine.id = notice.id;
   quarantine.service = notice.service;
   quarantine.parts = notice.parts;
   quarantine.workers = notice.workers;
   quarantine.since = now - absl::Milliseconds(std::max(notice.since_ms, 0));
   quarantine.provisional = notice.provisional;
-  const bool known = quarantine_.Find(notice.service, notice.parts, now) != nullptr;
-  const PromptPartIds answered = quarantine_.Apply(quarantine, now);
+  const PromptPartIds answered = TakeOver(quarantine);
   if (!answered.empty()) {
     parts_.send(notice.reply_address, EncodeFleetMessage(ClearedParts{notice.service, answered}));
   }
-  if (!known && answered.size() < notice.parts.size()) {
-    Log("quarantine_taken_over", notice.service, notice.parts, notice.workers);
+}
+
+PromptPartIds QuarantineExchange::TakeOver(const Quarantine& quarantine) {
+  const absl::Time now = parts_.loop->Now();
+  const bool known = quarantine_.Find(quarantine.service, quarantine.parts, now) != nullptr;
+  PromptPartIds answered = quarantine_.Apply(quarantine, now);
+  if (!known && answered.size() < quarantine.parts.size()) {
+    Log("quarantine_taken_over", quarantine.service, quarantine.parts, quarantine.workers);
     parts_.on_quarantine();
   }
+  return answered;
+}
+
+void QuarantineExchange::OnRecorded(const Quarantine& quarantine) {
+  const PromptPartIds answered = TakeOver(quarantine);
+  if (!answered.empty()) {
+    Quarantine narrowed = quarantine;
+    std::erase_if(narrowed.parts, [&](const auto& part) { return answered.contains(part); });
+    parts_.record->Narrow(narrowed);
+    return;
+  }
+  // A narrower quarantine makes the row superfluous.
+  const Quarantine* const narrower =
+      quarantine_.Find(quarantine.service, quarantine.parts, parts_.loop->Now());
+  if (narrower != nullptr && narrower->id != quarantine.id && AdmitsTrials(*narrower)) {
+    RemoveRecord(quarantine.id);
+  }
+}
+
+void QuarantineExchange::OnRecordRemoved(const std::string& id) {
+  NoteNarrowed(quarantine_.Remove(id));
+}
+
+void QuarantineExchange::RecordMissing() {
+  const absl::Time now = parts_.loop->Now();
+  for (const Quarantine& quarantine : quarantine_.quarantines()) {
+    if (!parts_.record->Has(quarantine.id) && now - quarantine.since >= kUnrecordedAfter &&
+        AdmitsTrials(quarantine)) {
+      parts_.record->Add(quarantine);
+    }
+  }
+}
+
+void QuarantineExchange::RemoveRecord(const std::string& id) {
+  Quarantine lifted;
+  lifted.id = id;
+  parts_.record->Narrow(lifted);
 }
 
 void QuarantineExchange::OnCleared(const ClearedParts& cleared) {
@@ -282,7 +338,12 @@
     RecordAnswered(cleared.service, cleared.parts);
     return;
   }
-  NoteNarrowed(quarantine_.RecordAnswered(cleared.service, cleared.parts, parts_.loop->Now()));
+  const auto narrowed =
+      quarantine_.RecordAnswered(cleared.service, cleared.parts, parts_.loop->Now());
+  NoteNarrowed(narrowed);
+  for (const auto& [quarantine, parts_before] : narrowed) {
+    parts_.record->NarrowOwn(quarantine);
+  }
 }
 
 void QuarantineExchange::RecordAnswered(const std::string& service, const PromptPartIds& parts) {
@@ -294,6 +355,7 @@
   // Only the parts that left a quarantine, as others are of no use to the other nodes.
   ClearedParts cleared{service, {}, true};
   for (const auto& [quarantine, parts_before] : narrowed) {
+    parts_.record->Narrow(quarantine);
     std::set_difference(parts_before.begin(), parts_before.end(), quarantine.parts.begin(),
                         quarantine.parts.end(), std::inserter(cleared.parts, cleared.parts.end()));
   }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -60,14 +60,25 @@
   return reading;
 }
 
+// The store counts a value's bytes in base64, which is a third longer.
+std::size_t MaxValueBytes(const GatewaySettings& settings) {
+  return static_cast<std::size_t>(settings.store_row_bytes) * 3 / 4;
+}
+
 StreamArchiveSettings ArchiveSettings(const GatewaySettings& settings) {
   StreamArchiveSettings archive;
   archive.node = settings.node;
-  // The store counts a value's bytes in base64, which is a third longer.
-  archive.row_bytes = static_cast<std::size_t>(settings.store_row_bytes) * 3 / 4;
+  archive.row_bytes = MaxValueBytes(settings);
   return archive;
 }
 
+QuarantineRecordSettings RecordSettings(const GatewaySettings& settings) {
+  QuarantineRecordSettings record;
+  record.table = FleetCoordinatorSettings().table;
+  record.row_bytes = MaxValueBytes(settings);
+  return record;
+}
+
 HeaderFields RetryAfter(std::string seconds) { return {{"Retry-After", std::move(seconds)}}; }
 
 }  // namespace
@@ -122,8 +133,10 @@
                   ObserveVersions();
                   return versions_.KnownVersions(service, parts_.loop->Now());
                 }}),
+      quarantine_record_(RecordSettings(settings_),
+                         {parts_.loop, &SystemClock(), parts_.store, parts_.log, parts_.metrics}),
       quarantine_(settings_.node,
-                  {parts_.loop, parts_.log, parts_.metrics,
+                  {parts_.loop, parts_.log, parts_.metrics, &quarantine_record_,
                    [this](const std::string& address, absl::string_view bytes) {
                      peers_.Send(address, bytes);
                    },
@@ -223,6 +236,7 @@
   };
   fleet_parts.reads_store = [this] { return reading_.reads_itself(); };
   fleet_parts.reads_for_others = [this] { return reading_.reads_for_others(); };
+  fleet_parts.on_table = [this](const StoreRows& rows) { quarantine_record_.OnTable(rows); };
   fleet_parts.on_nodes = [this](const std::vector<FleetNode>& nodes, absl::Time read_started) {
     reading_.SetNodes(nodes);
     std::vector<std::string> names;
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -171,6 +171,8 @@
         metrics.quarantines);
   count("hingespan_quarantine_datagrams_total", "Datagrams about crashes and quarantines",
         metrics.quarantine_datagrams);
+  count("hingespan_quarantine_writes_total", "Writes to the fleet's record of quarantines",
+        metrics.quarantine_writes);
   count("hingespan_stream_notices_total", "Records of streams sent to their holders",
         metrics.stream_notices);
   count("hingespan_stream_questions_total", "Questions to other nodes for records of streams",
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -8,6 +8,9 @@
 #include <map>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
 namespace hingespan::gateway {
 namespace {
 
@@ -15,6 +18,12 @@
   return std::includes(parts.begin(), parts.end(), wanted.begin(), wanted.end());
 }
 
+// Nodes that impose the same quarantine give it the same id.
+std::string IdOf(const std::string& service, const PromptPartIds& parts) {
+  const std::string text = absl::StrCat(service, "\n", absl::StrJoin(parts, "\n"));
+  return absl::StrCat(absl::Hex(XXH3_64bits(text.data(), text.size()), absl::kZeroPad16));
+}
+
 // Times of the crashes, in their order.
 std::vector<absl::Time> TimesOf(const std::map<std::string, absl::Time>& crashes) {
   std::vector<absl::Time> times;
@@ -191,16 +200,10 @@
   return due;
 }
 
-std::vector<Quarantine> PromptQuarantine::ImposeDue(absl::Time now) {
+std::vector<PromptQuarantine::Imposed> PromptQuarantine::ImposeDue(absl::Time now) {
   Expire(now);
-  std::vector<Quarantine> imposed;
+  std::vector<Imposed> imposed;
   while (const PartKey* const key = StrongestDue(now)) {
-    if (quarantines_.size() >= settings_.max_quarantines) {
-      quarantines_.erase(std::min_element(quarantines_.begin(), quarantines_.end(),
-                                          [](const Quarantine& left, const Quarantine& right) {
-                                            return left.last_request < right.last_request;
-                                          }));
-    }
     Quarantine quarantine;
     quarantine.service = key->first;
     for (const auto& [worker, at] : evidence_.at(*key).crashes) {
@@ -211,13 +214,22 @@
     const std::vector<absl::Time> crashes = TimesOf(evidence_.at(*key).crashes);
     quarantine.since = crashes.front();
     quarantine.provisional = CountEvents(crashes) < CrashesNeeded(*key);
+    quarantine.id = IdOf(quarantine.service, quarantine.parts);
     quarantine.last_request = now;
     quarantine.last_notice = now;
     quarantine.next_trial = NextTrial(quarantine, now);
     Explain(quarantine.workers);
-    RemoveCovered(quarantine.service, quarantine.parts);
+    std::vector<std::string> replaced = RemoveCovered(quarantine.service, quarantine.parts);
+    if (quarantines_.size() >= settings_.max_quarantines) {
+      const auto unused = std::min_element(quarantines_.begin(), quarantines_.end(),
+                                           [](const Quarantine& left, const Quarantine& right) {
+                                             return left.last_request < right.last_request;
+                                           });
+      replaced.push_back(unused->id);
+      quarantines_.erase(unused);
+    }
     quarantines_.push_back(quarantine);
-    imposed.push_back(std::move(quarantine));
+    imposed.push_back({std::move(quarantine), std::move(replaced)});
   }
   return imposed;
 }
@@ -260,16 +272,38 @@
   }
 }
 
-void PromptQuarantine::RemoveCovered(const std::string& service, const PromptPartIds& parts) {
+std::vector<std::string> PromptQuarantine::RemoveCovered(const std::string& service,
+                                                         const PromptPartIds& parts) {
+  std::vector<std::string> removed;
   std::erase_if(quarantines_, [&](const Quarantine& each) {
-    return each.service == service && HasAll(each.parts, parts);
+    const bool covered = each.service == service && HasAll(each.parts, parts);
+    if (covered) {
+      removed.push_back(each.id);
+    }
+    return covered;
   });
+  return removed;
+}
+
+std::vector<NarrowedQuarantine> PromptQuarantine::Remove(const std::string& id) {
+  std::vector<NarrowedQuarantine> removed;
+  std::erase_if(quarantines_, [&](const Quarantine& each) {
+    if (each.id == id) {
+      removed.push_back({each, each.parts});
+      removed.back().quarantine.parts.clear();
+    }
+    return each.id == id;
+  });
+  return removed;
 }
 
 PromptPartIds PromptQuarantine::Apply(const Quarantine& quarantine, absl::Time now) {
   Expire(now);
   PromptPartIds answered;
   Quarantine kept = quarantine;
+  if (kept.id.empty()) {
+    kept.id = IdOf(kept.service, kept.parts);  // Nodes of an earlier release give none.
+  }
   kept.since = std::min(kept.since, now);
   kept.last_request = now;
   kept.last_notice = now;
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -132,6 +132,7 @@
     }
   };
   parts.on_update = [] {};
+  parts.on_table = [](const StoreRows&) {};
   parts.on_nodes = [this](const std::vector<FleetNode>& nodes, absl::Time) {
     known_nodes.clear();
     for (const FleetNode& node : nodes) {
--- a/tests/quarantine/prompt_quarantine_test.cc
+++ b/tests/quarantine/prompt_quarantine_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -30,7 +31,11 @@
 
 // Parts of the quarantines that are imposed after the last of `count` crashes a second apart.
 std::vector<Quarantine> ImposeAfter(PromptQuarantine* quarantine, double last_crash) {
-  return quarantine->ImposeDue(At(last_crash) + kSettings.settling_time);
+  std::vector<Quarantine> quarantines;
+  for (auto& imposed : quarantine->ImposeDue(At(last_crash) + kSettings.settling_time)) {
+    quarantines.push_back(std::move(imposed.quarantine));
+  }
+  return quarantines;
 }
 
 // A quarantine of `parts`, imposed here 2.25 s after the first of three crashes at 0, 1 and 2 s.
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -15,6 +15,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "hingespan/common/clock.h"
+#include "tests/fleet/memory_store.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -33,6 +34,7 @@
   struct Node {
     std::string name;
     GatewayMetrics metrics;
+    std::unique_ptr<QuarantineRecord> record;
     std::unique_ptr<QuarantineExchange> exchange;
     int taken_over = 0;
   };
@@ -52,10 +54,14 @@
   Node* Add() {
     auto node = std::make_unique<Node>();
     node->name = absl::StrCat("n", nodes.size());
+    node->record = std::make_unique<QuarantineRecord>(
+        QuarantineRecordSettings(),
+        QuarantineRecordParts{&loop, &SystemClock(), &store, &log, &node->metrics});
     QuarantineExchangeParts parts;
     parts.loop = &loop;
     parts.log = &log;
     parts.metrics = &node->metrics;
+    parts.record = node->record.get();
     parts.send = [this, from = node->name](const std::string& address, absl::string_view bytes) {
       Deliver(from, address, std::string(bytes));
     };
@@ -179,7 +185,38 @@
     });
   }
 
+  // All nodes read the table, as they do at intervals.
+  void ReadTable() {
+    std::size_t left = nodes.size();
+    for (const auto& node : nodes) {
+      store.Read(QuarantineRecordSettings().table,
+                 [&left, record = node->record.get()](const Result<StoreRows>& rows) {
+                   record->OnTable(*rows);
+                   --left;
+                 });
+    }
+    Wait([&] { return left == 0; });
+  }
+  // All nodes end at the same time, and as many new ones start.
+  void RestartAll() {
+    const std::size_t count = nodes.size();
+    nodes.clear();
+    for (std::size_t number = 0; number < count; ++number) {
+      Add();
+    }
+    Connect();
+    ReadTable();
+  }
+  std::uint64_t Writes() const {
+    std::uint64_t writes = 0;
+    for (const auto& node : nodes) {
+      writes += node->metrics.quarantine_writes;
+    }
+    return writes;
+  }
+
   EventLoop loop;
+  MemoryStore store{&loop};
   DecisionLog log{-1, &SystemClock(), DecisionLogLimits{}};
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<Datagram> sent;
@@ -520,6 +557,67 @@
   }
 }
 
+// Guards against a crashing part that is forgotten when all processes are killed (BUDGET).
+TEST_CASE("a quarantine outlives all nodes") {
+  Fleet fleet(6);
+  fleet.Crash(0, {"bad"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.Writes() == 1);
+  fleet.RestartAll();
+  CHECK(fleet.AllRefuse({"bad"}));
+  CHECK(fleet.AllFree({"sound"}));
+  // And it is lifted for good by an answer.
+  fleet.nodes[2]->exchange->RecordAnswered(kService, {"bad", "sound"});
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.AllFree({"bad"}));
+  fleet.RestartAll();
+  CHECK(fleet.AllFree({"bad"}));
+}
+
+// Guards against sound parts that are refused again after all processes were killed (LOST).
+TEST_CASE("the record of a quarantine has the parts that answers have left") {
+  Fleet fleet(4);
+  fleet.Crash(0, {"bad", "first"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad", "first"}); });
+  SUBCASE("at once") {}
+  SUBCASE("later") { fleet.WaitUntilQuiet(); }
+  fleet.nodes[3]->exchange->RecordAnswered(kService, {"first"});
+  fleet.WaitUntilQuiet();
+  fleet.RestartAll();
+  CHECK(fleet.AllRefuse({"bad"}));
+  CHECK(fleet.AllFree({"first"}));
+}
+
+// Guards against a quarantine that is in no record, as the node that imposed it was killed before
+// it could write.
+TEST_CASE("another node records a quarantine that is not") {
+  Fleet fleet(3);
+  fleet.store.unanswered = 1;
+  fleet.Crash(0, {"bad"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"bad"}); });
+  fleet.WaitUntilQuiet();
+  fleet.nodes.erase(fleet.nodes.begin());
+  fleet.Connect();
+  bool recorded = false;
+  for (int read = 0; read < 10 && !recorded; ++read) {
+    fleet.ReadTable();
+    fleet.Pause(absl::Seconds(1));
+    recorded = fleet.Writes() > 0;
+  }
+  fleet.RestartAll();
+  CHECK(fleet.AllRefuse({"bad"}));
+}
+
+// Guards against a call to the store on a day without crashes.
+TEST_CASE("answers without a quarantine call no store") {
+  Fleet fleet(3);
+  fleet.nodes[0]->exchange->RecordAnswered(kService, {"first"});
+  fleet.Crash(0, {"rare"}, 1);
+  fleet.WaitUntilQuiet();
+  CHECK(fleet.store.reads + fleet.store.commits == 0);
+}
+
 // Guards against a message of a peer that makes nodes answer each other without end.
 TEST_CASE("the datagrams of a quarantine come to an end") {
   Fleet fleet(9);
--- a/tests/quarantine/quarantine_fleet_test.cc
+++ b/tests/quarantine/quarantine_fleet_test.cc
@@ -208,8 +208,8 @@
     });
   }
   void Impose(std::size_t node) {
-    for (const Quarantine& quarantine : nodes_[node].quarantine.ImposeDue(now_)) {
-      TellQuarantine(node, quarantine);
+    for (const auto& imposed : nodes_[node].quarantine.ImposeDue(now_)) {
+      TellQuarantine(node, imposed.quarantine);
     }
   }
 
