LOST: what several nodes tell of a worker's crash is not put together

Callers would see: sound requests refused for up to 30 s after many workers crashed at once.

Cause: notices in pieces counted each by itself, and a quarantine explained a crash if the worker had all its parts by all that anybody had told. Parts of several nodes' prompts thus seemed to be of one, and the crash confirmed a quarantine that was still provisional.

Change: CrashPieces.

--- a/include/hingespan/fleet/fleet_messages.h
+++ b/include/hingespan/fleet/fleet_messages.h
@@ -128,7 +128,7 @@
 };
 
 // Tells the other nodes that a worker has crashed while it ran requests of this node. A crash with
-// many parts or requests takes several notices, which add up.
+// many parts or requests is told in several pieces (CrashPieces).
 struct CrashNotice {
   std::string worker_id;
   std::string service;
@@ -137,6 +137,9 @@
   std::string reply_address;
   // Requests that ended with it, and that their callers may send again.
   std::set<RequestContent> requests;
+  // Number of this piece, and of all.
+  int piece = 0;
+  int pieces = 1;
 };
 
 // Tells the other nodes that a worker of an earlier CrashNotice has not crashed.
--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -23,6 +23,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "hingespan/fleet/crash_pieces.h"
 #include "hingespan/fleet/fleet_messages.h"
 #include "hingespan/fleet/quarantine_record.h"
 #include "hingespan/fleet/stream_holders.h"
@@ -123,6 +124,8 @@
                    const std::string& service, const PromptPartIds& parts);
   void OnAlive(const std::string& worker_id);
   // Takes over from a notice which requests have ended workers.
+  void OnWholeCrash(const CrashNotice& notice);
+  void TakeOverduePieces();
   void TakeOverRequests(const CrashNotice& notice);
   void OnCrashConfirmed(const std::string& worker_id, WorkerCheck* check);
   // Takes over another node's quarantine. Returns those of its parts that this node has seen
@@ -161,6 +164,8 @@
   std::unique_ptr<LoopTimer> due_timer_;
   std::unique_ptr<LoopTimer> question_timer_;
   int questions_left_;
+  CrashPieces pieces_;
+  std::unique_ptr<LoopTimer> pieces_timer_;
 };
 
 }  // namespace hingespan::gateway
--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -117,10 +117,6 @@
   // Removes the quarantine with this id; returns it as one that was lifted.
   std::vector<NarrowedQuarantine> Remove(const std::string& id);
 
-  // Returns the quarantine that explains the worker's crash, or null. `parts` may be some of those
-  // that the worker was to answer, if the others were recorded before.
-  const Quarantine* FindExplaining(const std::string& worker, const std::string& service,
-                                   const PromptPartIds& parts) const;
   // Returns the parts that come first in a notice of the worker's crash, as there may be more than
   // `count`: those that were never answered, and of these others for each worker.
   PromptPartIds MostSuspect(const std::string& worker, const std::string& service,
@@ -164,10 +160,6 @@
   PromptPartIds PartsOfCrashes(const std::string& service, const std::set<std::string>& workers,
                                bool with_answered) const;
   absl::Time AnsweredAt(const PartKey& key) const;
-  // Returns whether the worker was to answer all these parts when it crashed, by what was recorded
-  // and by `told`.
-  bool HadAll(const std::string& worker, const std::string& service, const PromptPartIds& parts,
-              const PromptPartIds& told) const;
   // Returns whether a quarantine explains the crash. A provisional one is confirmed if the crash is
   // later than its first trial.
   bool TakeExplained(const std::string& worker, const std::string& service,
@@ -186,8 +178,6 @@
   std::map<PartKey, Evidence> evidence_;
   absl::flat_hash_map<PartKey, absl::Time> answered_;
   std::vector<Quarantine> quarantines_;
-  // Workers whose crashes a quarantine explains, as notices of a crash come several times.
-  std::map<std::string, absl::Time> explained_workers_;
 };
 
 }  // namespace hingespan::gateway
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -188,7 +188,7 @@
 
 Json Encode(const CrashNotice& notice) {
   return Json::array({kCrashNotice, notice.worker_id, notice.service, Json(notice.parts),
-                      notice.reply_address, Json(notice.requests)});
+                      notice.reply_address, Json(notice.requests), notice.piece, notice.pieces});
 }
 
 CrashNotice DecodeCrash(const Json& json) {
@@ -202,6 +202,12 @@
   if (json.size() > kRequestsEntry) {
     notice.requests = json.at(kRequestsEntry).get<std::set<RequestContent>>();
   }
+  // Nor pieces.
+  constexpr std::size_t kPieceEntry = 6;
+  if (json.size() > kPieceEntry + 1) {
+    notice.piece = json.at(kPieceEntry).get<int>();
+    notice.pieces = json.at(kPieceEntry + 1).get<int>();
+  }
   return notice;
 }
 
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -6,7 +6,6 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
-#include "crash_notices.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -40,6 +39,7 @@
       parts_(std::move(parts)),
       due_timer_(parts_.loop->MakeTimer()),
       question_timer_(parts_.loop->MakeTimer()),
+      pieces_timer_(parts_.loop->MakeTimer()),
       questions_left_(kQuestionRounds) {
   parts_.record->SetListener({[this](const Quarantine& quarantine) { OnRecorded(quarantine); },
                               [this](const std::string& id) { OnRecordRemoved(id); },
@@ -221,13 +221,32 @@
 }
 
 void QuarantineExchange::OnCrash(const CrashNotice& notice) {
+  TakeOverRequests(notice);
+  if (const auto whole = pieces_.Add(notice, parts_.loop->Now())) {
+    OnWholeCrash(*whole);
+  }
+  const absl::Time overdue = pieces_.NextOverdue();
+  if (overdue != absl::InfiniteFuture()) {
+    pieces_timer_->Set(overdue, [this] { TakeOverduePieces(); });
+  }
+}
+
+void QuarantineExchange::TakeOverduePieces() {
+  for (const CrashNotice& notice : pieces_.TakeOverdue(parts_.loop->Now())) {
+    OnWholeCrash(notice);
+  }
+  const absl::Time overdue = pieces_.NextOverdue();
+  if (overdue != absl::InfiniteFuture()) {
+    pieces_timer_->Set(overdue, [this] { TakeOverduePieces(); });
+  }
+}
+
+void QuarantineExchange::OnWholeCrash(const CrashNotice& notice) {
   const absl::Time now = parts_.loop->Now();
-  if (const Quarantine* const known =
-          quarantine_.FindExplaining(notice.worker_id, notice.service, notice.parts)) {
+  if (const Quarantine* const known = quarantine_.Find(notice.service, notice.parts, now)) {
     parts_.send(notice.reply_address, EncodeFleetMessage(NoticeOf(*known)));
   }
   quarantine_.RecordCrash(notice.worker_id, notice.service, notice.parts, false, now);
-  TakeOverRequests(notice);
   SetDueTimer();
 }
 
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -118,30 +118,8 @@
   }
 }
 
-bool PromptQuarantine::HadAll(const std::string& worker, const std::string& service,
-                              const PromptPartIds& parts, const PromptPartIds& told) const {
-  return std::all_of(parts.begin(), parts.end(), [&](const std::string& part) {
-    const auto entry = evidence_.find({service, part});
-    return told.contains(part) ||
-           (entry != evidence_.end() && entry->second.crashes.contains(worker));
-  });
-}
-
-const Quarantine* PromptQuarantine::FindExplaining(const std::string& worker,
-                                                   const std::string& service,
-                                                   const PromptPartIds& parts) const {
-  const auto found =
-      std::find_if(quarantines_.begin(), quarantines_.end(), [&](const Quarantine& each) {
-        return each.service == service && HadAll(worker, service, each.parts, parts);
-      });
-  return found == quarantines_.end() ? nullptr : &*found;
-}
-
 bool PromptQuarantine::TakeExplained(const std::string& worker, const std::string& service,
                                      const PromptPartIds& parts, absl::Time now) {
-  if (explained_workers_.contains(worker)) {
-    return true;
-  }
   bool explained = false;
   for (Quarantine& each : quarantines_) {
     if (each.service != service) {
@@ -150,17 +128,13 @@
     if (each.workers.contains(worker)) {
       return true;
     }
-    if (HadAll(worker, service, each.parts, parts)) {
+    if (HasAll(parts, each.parts)) {
       explained = true;
       if (each.provisional && now - each.since >= settings_.first_provisional_trial) {
         Confirm(&each, now);
       }
     }
   }
-  if (explained) {
-    Explain({worker});
-    explained_workers_[worker] = now;
-  }
   return explained;
 }
 
@@ -411,9 +385,6 @@
 }
 
 void PromptQuarantine::Expire(absl::Time now) {
-  std::erase_if(explained_workers_, [&](const auto& worker) {
-    return now - worker.second > settings_.evidence_lifetime;
-  });
   for (auto entry = evidence_.begin(); entry != evidence_.end();) {
     std::erase_if(entry->second.crashes, [&](const auto& crash) {
       return now - crash.second > settings_.evidence_lifetime;
