LOST: late rounds of a quarantine's notice tell its age and parts as they are then

Cause (trace of one failing play): n0 imposed {first, sound0}, another node's notice narrowed it to {sound0}, and an answer lifted it a millisecond later. The narrowing was not noted with the rounds of n0's own notice, so those went on with both parts; and as each round told the quarantine's age of the first one, it seemed up to 300 ms younger than it was. n2, which had answered both parts since the first crash and objected to the first round, took the third one over. n2 was not the node that admits its trials, and no other node had it, so nothing lifted it.

Change: a round of a notice is encoded when it is sent, from the quarantine as it is then, and is left out if there is none any more. A quarantine that is in no record 5 s after its first crash is told to the node that admits its trials, which records it, or objects.

--- a/include/hingespan/fleet/quarantine_exchange.h
+++ b/include/hingespan/fleet/quarantine_exchange.h
@@ -103,9 +103,8 @@
   // A datagram to all nodes that is sent several times, as one may be lost.
   struct Broadcast {
     std::string bytes;
-    // Service and parts of the quarantine that it tells of; empty for other messages.
-    std::string service;
-    PromptPartIds quarantined;
+    // The quarantine that it tells of; empty for other messages. Each round tells how it is then.
+    std::string quarantine_id;
     int left = 0;
     std::unique_ptr<LoopTimer> timer;
   };
@@ -124,24 +123,26 @@
                    const std::string& service, const PromptPartIds& parts);
   void OnAlive(const std::string& worker_id);
   // Takes over from a notice which requests have ended workers.
+  void TakeOverRequests(const CrashNotice& notice);
   void OnWholeCrash(const CrashNotice& notice);
   void TakeOverduePieces();
-  void TakeOverRequests(const CrashNotice& notice);
   void OnCrashConfirmed(const std::string& worker_id, WorkerCheck* check);
   // Takes over another node's quarantine. Returns those of its parts that this node has seen
   // answered since.
   PromptPartIds TakeOver(const Quarantine& quarantine);
   void OnRecorded(const Quarantine& quarantine);
   void OnRecordRemoved(const std::string& id);
+  // Has the quarantines recorded that are not, as the node that imposed them may have ended, or
+  // lifted if another node knows better.
   void RecordMissing();
   void RemoveRecord(const std::string& id);
   void ImposeDue();
   void SetDueTimer();
-  // Logs the quarantines that were narrowed or lifted here, and has later rounds of their notices
-  // tell what is left.
-  void NoteNarrowed(const std::vector<NarrowedQuarantine>& narrowed);
-  // Returns whether this node is the one that admits the quarantine's trials.
-  bool AdmitsTrials(const Quarantine& quarantine) const;
+  // Logs the quarantines that were narrowed or lifted here.
+  void LogNarrowed(const std::vector<NarrowedQuarantine>& narrowed) const;
+  // Returns the node that admits the quarantine's trials; absent if this one does.
+  std::optional<StreamNode> TrialNode(const Quarantine& quarantine) const;
+  bool AdmitsTrials(const Quarantine& quarantine) const { return !TrialNode(quarantine); }
   QuarantineNotice NoticeOf(const Quarantine& quarantine) const;
   void SendToAll(const FleetMessage& message);
   void SendRound(std::list<Broadcast>::iterator broadcast);
@@ -163,9 +164,9 @@
   std::list<Broadcast> broadcasts_;
   std::unique_ptr<LoopTimer> due_timer_;
   std::unique_ptr<LoopTimer> question_timer_;
-  int questions_left_;
   CrashPieces pieces_;
   std::unique_ptr<LoopTimer> pieces_timer_;
+  int questions_left_;
 };
 
 }  // namespace hingespan::gateway
--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -114,6 +114,8 @@
   // answered since the first crash, and which it therefore leaves out.
   PromptPartIds Apply(const Quarantine& quarantine, absl::Time now);
 
+  // Returns the quarantine with this id, or null. The pointer is valid until the next call.
+  const Quarantine* FindById(const std::string& id) const;
   // Removes the quarantine with this id; returns it as one that was lifted.
   std::vector<NarrowedQuarantine> Remove(const std::string& id);
 
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -333,14 +333,18 @@
 }
 
 void QuarantineExchange::OnRecordRemoved(const std::string& id) {
-  NoteNarrowed(quarantine_.Remove(id));
+  LogNarrowed(quarantine_.Remove(id));
 }
 
 void QuarantineExchange::RecordMissing() {
   const absl::Time now = parts_.loop->Now();
   for (const Quarantine& quarantine : quarantine_.quarantines()) {
-    if (!parts_.record->Has(quarantine.id) && now - quarantine.since >= kUnrecordedAfter &&
-        AdmitsTrials(quarantine)) {
+    if (parts_.record->Has(quarantine.id) || now - quarantine.since < kUnrecordedAfter) {
+      continue;
+    }
+    if (const std::optional<StreamNode> trial_node = TrialNode(quarantine)) {
+      parts_.send(trial_node->address, EncodeFleetMessage(NoticeOf(quarantine)));
+    } else {
       parts_.record->Add(quarantine);
     }
   }
@@ -359,7 +363,7 @@
   }
   const auto narrowed =
       quarantine_.RecordAnswered(cleared.service, cleared.parts, parts_.loop->Now());
-  NoteNarrowed(narrowed);
+  LogNarrowed(narrowed);
   for (const auto& [quarantine, parts_before] : narrowed) {
     parts_.record->NarrowOwn(quarantine);
   }
@@ -370,7 +374,7 @@
     return;
   }
   const auto narrowed = quarantine_.RecordAnswered(service, parts, parts_.loop->Now());
-  NoteNarrowed(narrowed);
+  LogNarrowed(narrowed);
   // Only the parts that left a quarantine, as others are of no use to the other nodes.
   ClearedParts cleared{service, {}, true};
   for (const auto& [quarantine, parts_before] : narrowed) {
@@ -383,31 +387,19 @@
   }
 }
 
-void QuarantineExchange::NoteNarrowed(const std::vector<NarrowedQuarantine>& narrowed) {
+void QuarantineExchange::LogNarrowed(const std::vector<NarrowedQuarantine>& narrowed) const {
   for (const auto& [quarantine, parts_before] : narrowed) {
     const bool lifted = quarantine.parts.empty();
     Log(lifted ? "quarantine_lifted" : "quarantine_narrowed", quarantine.service,
         lifted ? parts_before : quarantine.parts, quarantine.workers);
-    for (Broadcast& each : broadcasts_) {
-      if (each.left == 0 || each.service != quarantine.service ||
-          each.quarantined != parts_before) {
-        continue;
-      }
-      if (lifted) {
-        each.left = 0;
-        each.timer->Cancel();
-        continue;
-      }
-      each.bytes = EncodeFleetMessage(NoticeOf(quarantine));
-      each.quarantined = quarantine.parts;
-    }
   }
 }
 
-bool QuarantineExchange::AdmitsTrials(const Quarantine& quarantine) const {
+std::optional<StreamNode> QuarantineExchange::TrialNode(const Quarantine& quarantine) const {
   const std::vector<StreamNode> chosen = ChooseHolders(
       absl::StrCat(quarantine.service, " ", absl::StrJoin(quarantine.parts, " ")), nodes_, "");
-  return chosen.empty() || chosen.front().name == node_;
+  return chosen.empty() || chosen.front().name == node_ ? std::nullopt
+                                                        : std::make_optional(chosen.front());
 }
 
 QuarantineVerdict QuarantineExchange::Admit(const std::string& service,
@@ -441,16 +433,24 @@
 
 void QuarantineExchange::SendToAll(const FleetMessage& message) {
   broadcasts_.remove_if([](const Broadcast& each) { return each.left == 0; });
-  Broadcast broadcast{EncodeFleetMessage(message), {}, {}, kRounds, parts_.loop->MakeTimer()};
+  Broadcast broadcast{EncodeFleetMessage(message), {}, kRounds, parts_.loop->MakeTimer()};
   if (const auto* const notice = std::get_if<QuarantineNotice>(&message)) {
-    broadcast.service = notice->service;
-    broadcast.quarantined = notice->parts;
+    broadcast.quarantine_id = notice->id;
   }
   broadcasts_.push_back(std::move(broadcast));
   SendRound(std::prev(broadcasts_.end()));
 }
 
 void QuarantineExchange::SendRound(std::list<Broadcast>::iterator broadcast) {
+  if (!broadcast->quarantine_id.empty()) {
+    const Quarantine* const quarantine = quarantine_.FindById(broadcast->quarantine_id);
+    if (quarantine == nullptr) {
+      broadcast->left = 0;
+      return;
+    }
+    // Its age and parts may have changed since the round before.
+    broadcast->bytes = EncodeFleetMessage(NoticeOf(*quarantine));
+  }
   for (const StreamNode& node : nodes_) {
     if (node.name != node_ && !node.address.empty()) {
       ++parts_.metrics->quarantine_datagrams;
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -259,6 +259,12 @@
   return removed;
 }
 
+const Quarantine* PromptQuarantine::FindById(const std::string& id) const {
+  const auto found = std::find_if(quarantines_.begin(), quarantines_.end(),
+                                  [&](const Quarantine& each) { return each.id == id; });
+  return found == quarantines_.end() ? nullptr : &*found;
+}
+
 std::vector<NarrowedQuarantine> PromptQuarantine::Remove(const std::string& id) {
   std::vector<NarrowedQuarantine> removed;
   std::erase_if(quarantines_, [&](const Quarantine& each) {
