--- a/emulator/platform_store.cc
+++ b/emulator/platform_store.cc
@@ -134,7 +134,11 @@
     }
     rows.push_back(std::move(entry));
   }
-  return Json{{"rows", rows}, {"has_more", false}, {"ver", version_}, {"now_ms", 1}}.dump();
+  return Json{{"rows", rows}, {"has_more", false}, {"ver", version_}, {"now_ms", NowMs()}}.dump();
+}
+
+std::int64_t PlatformStore::NowMs() const {
+  return absl::ToInt64Milliseconds(loop_->Now() - absl::UnixEpoch());
 }
 
 void PlatformStore::Get(const std::shared_ptr<ServerExchange>& exchange, const std::string& table) {
@@ -224,7 +228,7 @@
     rows_[{TableNameOf(entry), entry.at("private_key")}] = Row{"", version_, true};
   }
   AnswerWaitingCalls();
-  *answer = Json{{"ver", version_}, {"now_ms", 1}}.dump();
+  *answer = Json{{"ver", version_}, {"now_ms", NowMs()}}.dump();
   return 200;
 }
 
--- a/emulator/platform_store.h
+++ b/emulator/platform_store.h
@@ -62,6 +62,7 @@
   void Feed(const std::shared_ptr<gateway::ServerExchange>& exchange, const std::string& table,
             std::uint64_t after, int wait_ms);
   void Transact(const std::shared_ptr<gateway::ServerExchange>& exchange);
+  std::int64_t NowMs() const;
   std::string RowsJson(const std::string& table, std::uint64_t after, bool with_removed) const;
   bool HasChanges(const std::string& table, std::uint64_t after) const;
   void AnswerWaitingCalls();
--- a/include/hingespan/fleet/shared_reading.h
+++ b/include/hingespan/fleet/shared_reading.h
@@ -1,6 +1,10 @@
 // Reads the shared store on behalf of a large fleet. One node of each zone reads the store, and the
 // others read from that node or, when it fails, from its substitute. A node that gets no fresh
 // answer from either reads the store itself.
+//
+// What counts is the age of what a node knows, not that some node answers it: each answer tells
+// when the store had the rows, and a node reads the store itself before what it knows is older than
+// a change may take to reach it.
 #ifndef HINGESPAN_FLEET_SHARED_READING_H_
 #define HINGESPAN_FLEET_SHARED_READING_H_
 
@@ -32,13 +36,15 @@
   // requester gives up.
   absl::Duration peer_wait = absl::Seconds(1);
   absl::Duration peer_slack = absl::Milliseconds(400);
-  // Timeout of a reader's own watch on the store, which bounds the age of its copy.
+  // Timeout of a reader's own watch on the store. Shorter if the bound asks for it.
   absl::Duration reader_wait = absl::Seconds(1.5);
   // Delay after the last changes of a table before a reader watches it again. Each call to the
-  // store has a price.
+  // store has a price. Shorter if the bound asks for it.
   absl::Duration reader_pause = absl::Milliseconds(400);
-  // Age of the last confirmation by the store above which a copy is stale.
-  absl::Duration freshness = absl::Seconds(2.2);
+  // Time within which a change in the store must reach every node.
+  absl::Duration bound = absl::Seconds(2);
+  // Time that a direct read of the store may take.
+  absl::Duration direct_read = absl::Milliseconds(300);
   // Time for which a reader that failed is not asked again.
   absl::Duration avoid_reader = absl::Seconds(4);
   // Changes that arrive within this interval are sent together.
@@ -89,6 +95,18 @@
  private:
   struct PendingWatch;
   class PeerCall;
+  // Times that follow from the bound.
+  struct Ages {
+    // Age of what this node knows at which it reads the store itself.
+    absl::Duration direct;
+    // Age above which a copy is stale.
+    absl::Duration stale;
+    absl::Duration reader_wait;
+    absl::Duration reader_pause;
+    // False if the bound leaves no time for a way through another node.
+    bool allow_readers = true;
+  };
+  static Ages AgesOf(const SharedReadingSettings& settings);
 
   void OnRequest(const std::shared_ptr<ServerExchange>& exchange);
   void Answer(const PendingWatch& watch);
@@ -99,10 +117,13 @@
                      RowsCallback callback);
   // Watches the store as a reader: like WatchDirectly, but not before `reader_pause` is over.
   void WatchAsReader(const std::string& table, std::uint64_t after, RowsCallback callback);
+  // Time as of which the store had these rows.
+  absl::Time AsOf(const StoreRows& rows) const;
+  // Time after which this node reads the table itself; infinite while it has no copy.
+  absl::Duration TimeLeft(const std::string& table) const;
   // Applies an answer of another node's copy to this node's copy, so that it has no gaps when this
   // node becomes a reader.
-  void ApplyPeerAnswer(const std::string& table, const StoreRows& rows, absl::Duration age,
-                       bool snapshot);
+  void ApplyPeerAnswer(const std::string& table, const StoreRows& rows, bool snapshot);
   // Returns the reader to ask; null if there is none.
   const FleetNode* ChooseReader() const;
   void Avoid(const std::string& node, const std::string& why);
@@ -112,6 +133,7 @@
   HttpClient* client_;
   DecisionLog* log_;
   SharedReadingSettings settings_;
+  Ages ages_;
   HttpServer server_;
   std::map<std::string, TableCopy> copies_;
   std::vector<FleetNode> readers_;
--- a/include/hingespan/serving/gateway_settings.h
+++ b/include/hingespan/serving/gateway_settings.h
@@ -55,6 +55,10 @@
   std::string store_address;
   // Maximum size of a row's value in the store.
   int store_row_bytes = 65536;
+  // Times within which a change of the configuration, and the leaving of a worker, must be in force
+  // at this node once the store has acknowledged them.
+  absl::Duration apply_time = absl::Seconds(2);
+  absl::Duration drain_time = absl::Seconds(2);
   absl::Duration lease = absl::Seconds(3);
   // True if workers refuse an order whose fencing token is lower than one they have seen. False is
   // the conservative choice: a new lease holder then waits until no older order can arrive.
--- a/include/hingespan/serving/shared_store.h
+++ b/include/hingespan/serving/shared_store.h
@@ -29,6 +29,9 @@
 struct StoreRows {
   std::vector<StoreRow> rows;
   std::uint64_t version = 0;
+  // Time on this machine's steady clock as of which the store had these rows, whatever way the
+  // answer took and however late it was read. InfiniteFuture if the store doesn't tell.
+  absl::Time as_of = absl::InfiniteFuture();
 };
 
 struct RowCondition {
--- a/include/hingespan/serving/table_copy.h
+++ b/include/hingespan/serving/table_copy.h
@@ -24,8 +24,9 @@
   TableCopy(std::string table, SameMeaning same_meaning)
       : table_(std::move(table)), same_meaning_(std::move(same_meaning)) {}
 
-  void ApplySnapshot(const StoreRows& rows, absl::Time now);
-  void ApplyChanges(const StoreRows& rows, absl::Time now);
+  // `confirmed` is the time as of which the store had these rows.
+  void ApplySnapshot(const StoreRows& rows, absl::Time confirmed);
+  void ApplyChanges(const StoreRows& rows, absl::Time confirmed);
 
   bool known() const { return known_; }
   std::uint64_t version() const { return version_; }
--- a/include/hingespan/serving/table_follower.h
+++ b/include/hingespan/serving/table_follower.h
@@ -42,6 +42,8 @@
   // Reads a new snapshot instead of continuing with changes.
   void Resynchronize() { version_known_ = false; }
   bool connected() const { return connected_; }
+  // Time as of which the store had what this node knows of the table.
+  absl::Time as_of() const { return as_of_; }
 
  private:
   void ReadAll();
@@ -49,6 +51,7 @@
   void Next();
   void Retry();
   void SetConnected(bool connected);
+  void NoteAnswer(const StoreRows& rows);
 
   EventLoop* loop_;
   SharedStore* store_;
@@ -59,6 +62,7 @@
   // Lets callbacks of the store detect that this object was destroyed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::uint64_t version_ = 0;
+  absl::Time as_of_ = absl::InfinitePast();
   bool version_known_ = false;
   bool connected_ = false;
   bool connection_known_ = false;
--- a/src/fleet/shared_reading.cc
+++ b/src/fleet/shared_reading.cc
@@ -22,38 +22,50 @@
 constexpr int kGone = 410;
 constexpr int kNoCopy = 503;
 
+// A reader is of use if its watches on the store may take at least this long.
+constexpr absl::Duration kMinReaderWait = absl::Milliseconds(200);
+// Time between a reader's answer from the store and the age at which its copy is stale.
+constexpr absl::Duration kReaderMargin = absl::Milliseconds(300);
+
 // Format of an answer with rows, in CBOR: [version, milliseconds since the store confirmed it,
-// rows], with each row as [key, value, version, removed].
-std::string EncodeRows(const StoreRows& rows, absl::Duration age) {
+// rows, milliseconds for which the request was held], with each row as [key, value, version,
+// removed].
+std::string EncodeRows(const StoreRows& rows, absl::Duration age, absl::Duration held) {
   Json list = Json::array();
   for (const StoreRow& row : rows.rows) {
     list.push_back(Json::array({row.key, row.value, row.version, row.removed}));
   }
   std::string bytes;
-  Json::to_cbor(Json::array({rows.version, absl::ToInt64Milliseconds(age), std::move(list)}),
+  Json::to_cbor(Json::array({rows.version, absl::ToInt64Milliseconds(age), std::move(list),
+                             absl::ToInt64Milliseconds(held)}),
                 bytes);
   return bytes;
 }
 
-struct CopyAnswer {
-  StoreRows rows;
-  absl::Duration age;
-};
-
-std::optional<CopyAnswer> DecodeRows(const std::string& table, const std::string& bytes) {
+// Decodes the answer to a request that was sent at `sent`. Only the time for which the reader held
+// it is known to have passed until the answer was sent: the rest may be its way, or a pause of this
+// process.
+std::optional<StoreRows> DecodeRows(const std::string& table, const std::string& bytes,
+                                    absl::Time sent, absl::Time now) {
+  constexpr std::size_t kHeldEntry = 3;
   const Json json = ReadCbor(bytes);
-  if (!json.is_array() || json.size() != 3) {
+  if (!json.is_array() || json.size() < kHeldEntry) {
     return std::nullopt;
   }
   try {
-    CopyAnswer answer;
-    answer.rows.version = json.at(0).get<std::uint64_t>();
-    answer.age = absl::Milliseconds(json.at(1).get<std::int64_t>());
+    StoreRows rows;
+    rows.version = json.at(0).get<std::uint64_t>();
+    const absl::Duration age = absl::Milliseconds(json.at(1).get<std::int64_t>());
+    // Nodes of an earlier release don't tell it.
+    const absl::Duration held = json.size() > kHeldEntry
+                                    ? absl::Milliseconds(json.at(kHeldEntry).get<std::int64_t>())
+                                    : absl::ZeroDuration();
+    rows.as_of = std::min(now, sent + held) - age;
     for (const Json& row : json.at(2)) {
-      answer.rows.rows.push_back({table, row.at(0).get<std::string>(), row.at(1).get<std::string>(),
-                                  row.at(2).get<std::uint64_t>(), row.at(3).get<bool>()});
+      rows.rows.push_back({table, row.at(0).get<std::string>(), row.at(1).get<std::string>(),
+                           row.at(2).get<std::uint64_t>(), row.at(3).get<bool>()});
     }
-    return answer;
+    return rows;
   } catch (const Json::exception&) {
     return std::nullopt;
   }
@@ -68,6 +80,7 @@
   std::shared_ptr<ServerExchange> exchange;
   std::string table;
   std::uint64_t after = 0;
+  absl::Time arrived;
   std::shared_ptr<LoopTimer> timer;
 };
 
@@ -122,11 +135,34 @@
       client_(client),
       log_(log),
       settings_(std::move(settings)),
+      ages_(AgesOf(settings_)),
       server_(loop,
               [this](const std::shared_ptr<ServerExchange>& exchange) { OnRequest(exchange); }) {}
 
 SharedReading::~SharedReading() { *alive_ = false; }
 
+// A change that comes just after the store has confirmed a copy is known at other nodes no later
+// than these times say, and a direct read follows.
+SharedReading::Ages SharedReading::AgesOf(const SharedReadingSettings& settings) {
+  Ages ages;
+  ages.direct = settings.bound - settings.direct_read;
+  ages.stale = ages.direct - settings.peer_slack;
+  const absl::Duration for_reader = ages.stale - kReaderMargin;
+  ages.reader_pause = std::min(settings.reader_pause, for_reader / 5);
+  ages.reader_wait = std::min(settings.reader_wait, for_reader - ages.reader_pause);
+  ages.allow_readers = ages.reader_wait >= kMinReaderWait;
+  return ages;
+}
+
+absl::Time SharedReading::AsOf(const StoreRows& rows) const {
+  return std::min(rows.as_of, loop_->Now());
+}
+
+absl::Duration SharedReading::TimeLeft(const std::string& table) const {
+  const TableCopy& copy = copies_.at(table);
+  return copy.known() ? copy.confirmed() + ages_.direct - loop_->Now() : absl::InfiniteDuration();
+}
+
 void SharedReading::Share(const std::string& table, TableCopy::SameMeaning same_meaning) {
   copies_.emplace(table, TableCopy(table, std::move(same_meaning)));
 }
@@ -143,7 +179,7 @@
     }
   }
   const bool read_itself_before = reads_itself_;
-  if (zone.size() <= settings_.max_nodes_without_readers) {
+  if (zone.size() <= settings_.max_nodes_without_readers || !ages_.allow_readers) {
     readers_.clear();
     reads_itself_ = true;
   } else {
@@ -186,7 +222,7 @@
     }
     const auto copy = copies_.find(table);
     if (result.ok() && copy != copies_.end()) {
-      copy->second.ApplySnapshot(*result, loop_->Now());
+      copy->second.ApplySnapshot(*result, AsOf(*result));
       ScheduleAnswers(table);
     }
     callback(std::move(result));
@@ -205,7 +241,7 @@
                     changed_at_[table] = loop_->Now();
                   }
                   if (result.ok() && copy != copies_.end()) {
-                    copy->second.ApplyChanges(*result, loop_->Now());
+                    copy->second.ApplyChanges(*result, AsOf(*result));
                     ScheduleAnswers(table);
                   }
                   callback(std::move(result));
@@ -216,16 +252,16 @@
                                   RowsCallback callback) {
   const auto changed = changed_at_.find(table);
   const absl::Time now = loop_->Now();
-  if (changed == changed_at_.end() || changed->second + settings_.reader_pause <= now) {
-    WatchDirectly(table, after, settings_.reader_wait, std::move(callback));
+  if (changed == changed_at_.end() || changed->second + ages_.reader_pause <= now) {
+    WatchDirectly(table, after, ages_.reader_wait, std::move(callback));
     return;
   }
   std::unique_ptr<LoopTimer>& timer = pause_timers_[table];
   if (timer == nullptr) {
     timer = loop_->MakeTimer();
   }
-  timer->Set(changed->second + settings_.reader_pause, [this, table, after, callback] {
-    WatchDirectly(table, after, settings_.reader_wait, callback);
+  timer->Set(changed->second + ages_.reader_pause, [this, table, after, callback] {
+    WatchDirectly(table, after, ages_.reader_wait, callback);
   });
 }
 
@@ -236,27 +272,33 @@
     return;
   }
   const std::string name = reader->name;
-  std::make_shared<PeerCall>(loop_, [this, alive = alive_, table, name, callback](
-                                        int status, const std::string& body) {
+  const auto on_answer = [this, alive = alive_, table, name, callback, sent = loop_->Now()](
+                             int status, const std::string& body) {
     if (!*alive) {
       return;
     }
-    const std::optional<CopyAnswer> answer = status == 200 ? DecodeRows(table, body) : std::nullopt;
-    if (!answer.has_value() || answer->age > settings_.freshness) {
-      Avoid(name, absl::StrCat("status ", status));
+    const absl::Time now = loop_->Now();
+    const std::optional<StoreRows> rows =
+        status == 200 ? DecodeRows(table, body, sent, now) : std::nullopt;
+    if (!rows.has_value() || now - rows->as_of > ages_.stale) {
+      Avoid(name, rows.has_value() ? "stale" : absl::StrCat("status ", status));
       ReadDirectly(table, callback);
       return;
     }
-    ApplyPeerAnswer(table, answer->rows, answer->age, true);
-    callback(answer->rows);
-  })->Start(client_, reader->address, absl::StrCat(kTablePath, table), settings_.peer_wait);
+    ApplyPeerAnswer(table, *rows, true);
+    callback(*rows);
+  };
+  const absl::Duration timeout =
+      std::clamp(TimeLeft(table), settings_.peer_slack, settings_.peer_wait);
+  std::make_shared<PeerCall>(loop_, on_answer)
+      ->Start(client_, reader->address, absl::StrCat(kTablePath, table), timeout);
 }
 
 void SharedReading::Watch(const std::string& table, std::uint64_t after, absl::Duration wait,
                           RowsCallback callback) {
   const FleetNode* const reader = ChooseReader();
   if (reads_itself_ || reader == nullptr || !copies_.contains(table)) {
-    if (readers_.empty() || wait < settings_.reader_wait) {
+    if (readers_.empty() || wait < ages_.reader_wait) {
       WatchDirectly(table, after, wait, std::move(callback));
     } else {
       WatchAsReader(table, after, std::move(callback));
@@ -264,42 +306,47 @@
     return;
   }
   const std::string name = reader->name;
-  const absl::Duration watch_wait = std::min(wait, settings_.peer_wait);
-  std::make_shared<PeerCall>(
-      loop_,
-      [this, alive = alive_, table, name, after, watch_wait, callback](int status,
-                                                                       const std::string& body) {
-        if (!*alive) {
-          return;
-        }
-        if (status == kGone) {
-          callback(Error::kNotFound);
-          return;
-        }
-        const std::optional<CopyAnswer> answer =
-            status == 200 ? DecodeRows(table, body) : std::nullopt;
-        if (!answer.has_value() || answer->age > settings_.freshness) {
-          Avoid(name, answer.has_value() ? "stale" : absl::StrCat("status ", status));
-          WatchDirectly(table, after, watch_wait, callback);
-          return;
-        }
-        ApplyPeerAnswer(table, answer->rows, answer->age, false);
-        callback(answer->rows);
-      })
-      ->Start(
-          client_, reader->address,
-          absl::StrCat(kTablePath, table, "/", after, "/", absl::ToInt64Milliseconds(watch_wait)),
-          watch_wait + settings_.peer_slack);
+  const absl::Duration longest = std::min(wait, settings_.peer_wait);
+  const absl::Duration left = TimeLeft(table);
+  if (left <= absl::ZeroDuration()) {
+    WatchDirectly(table, after, longest, std::move(callback));
+    return;
+  }
+  const auto on_answer = [this, alive = alive_, table, name, after, longest, callback,
+                          sent = loop_->Now()](int status, const std::string& body) {
+    if (!*alive) {
+      return;
+    }
+    if (status == kGone) {
+      callback(Error::kNotFound);
+      return;
+    }
+    const absl::Time now = loop_->Now();
+    const std::optional<StoreRows> rows =
+        status == 200 ? DecodeRows(table, body, sent, now) : std::nullopt;
+    if (!rows.has_value() || now - rows->as_of > ages_.stale) {
+      Avoid(name, rows.has_value() ? "stale" : absl::StrCat("status ", status));
+      WatchDirectly(table, after, longest, callback);
+      return;
+    }
+    ApplyPeerAnswer(table, *rows, false);
+    callback(*rows);
+  };
+  const absl::Duration held =
+      std::clamp(left - settings_.peer_slack, absl::ZeroDuration(), longest);
+  std::make_shared<PeerCall>(loop_, on_answer)
+      ->Start(client_, reader->address,
+              absl::StrCat(kTablePath, table, "/", after, "/", absl::ToInt64Milliseconds(held)),
+              std::min(held + settings_.peer_slack, left));
 }
 
 void SharedReading::ApplyPeerAnswer(const std::string& table, const StoreRows& rows,
-                                    absl::Duration age, bool snapshot) {
+                                    bool snapshot) {
   TableCopy& copy = copies_.at(table);
-  const absl::Time confirmed = loop_->Now() - age;
   if (snapshot) {
-    copy.ApplySnapshot(rows, confirmed);
+    copy.ApplySnapshot(rows, rows.as_of);
   } else {
-    copy.ApplyChanges(rows, confirmed);
+    copy.ApplyChanges(rows, rows.as_of);
   }
 }
 
@@ -315,16 +362,17 @@
   const auto copy = parts.size() > 2 ? copies_.find(parts[2]) : copies_.end();
   const absl::Time now = loop_->Now();
   if (copy == copies_.end() || !copy->second.known() ||
-      now - copy->second.confirmed() > settings_.freshness) {
+      now - copy->second.confirmed() > ages_.stale) {
     exchange->Answer(kNoCopy, ReasonPhrase(kNoCopy), {}, {});
     return;
   }
   if (parts.size() < 5) {
-    exchange->Answer(200, ReasonPhrase(200), {},
-                     EncodeRows(copy->second.Snapshot(), now - copy->second.confirmed()));
+    exchange->Answer(
+        200, ReasonPhrase(200), {},
+        EncodeRows(copy->second.Snapshot(), now - copy->second.confirmed(), absl::ZeroDuration()));
     return;
   }
-  PendingWatch watch{exchange, parts[2], 0, nullptr};
+  PendingWatch watch{exchange, parts[2], 0, now, nullptr};
   std::int64_t wait = 0;
   if (!absl::SimpleAtoi(parts[3], &watch.after) || !absl::SimpleAtoi(parts[4], &wait)) {
     exchange->Answer(400, ReasonPhrase(400), {}, {});
@@ -352,8 +400,9 @@
     watch.exchange->Answer(kGone, "Gone", {}, {});
     return;
   }
-  watch.exchange->Answer(200, ReasonPhrase(200), {},
-                         EncodeRows(*changes, loop_->Now() - copy.confirmed()));
+  watch.exchange->Answer(
+      200, ReasonPhrase(200), {},
+      EncodeRows(*changes, loop_->Now() - copy.confirmed(), loop_->Now() - watch.arrived));
 }
 
 void SharedReading::ScheduleAnswers(const std::string& table) {
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -57,6 +57,7 @@
   SharedReadingSettings reading;
   reading.node = settings.node;
   reading.zone = settings.zone;
+  reading.bound = std::min(settings.apply_time, settings.drain_time);
   return reading;
 }
 
--- a/src/serving/table_copy.cc
+++ b/src/serving/table_copy.cc
@@ -21,7 +21,7 @@
   newest_change_ = std::max(newest_change_, row.version);
 }
 
-void TableCopy::ApplySnapshot(const StoreRows& rows, absl::Time now) {
+void TableCopy::ApplySnapshot(const StoreRows& rows, absl::Time confirmed) {
   if (known_ && rows.version < version_) {
     return;
   }
@@ -43,10 +43,10 @@
   }
   known_ = true;
   version_ = rows.version;
-  confirmed_ = now;
+  confirmed_ = std::max(confirmed_, confirmed);
 }
 
-void TableCopy::ApplyChanges(const StoreRows& rows, absl::Time now) {
+void TableCopy::ApplyChanges(const StoreRows& rows, absl::Time confirmed) {
   if (!known_) {
     return;
   }
@@ -54,7 +54,7 @@
     Take(row);
   }
   version_ = std::max(version_, rows.version);
-  confirmed_ = now;
+  confirmed_ = std::max(confirmed_, confirmed);
 }
 
 StoreRows TableCopy::Snapshot() const {
--- a/src/serving/table_follower.cc
+++ b/src/serving/table_follower.cc
@@ -37,6 +37,12 @@
   }
 }
 
+void TableFollower::NoteAnswer(const StoreRows& rows) {
+  failures_ = 0;
+  as_of_ = std::max(as_of_, std::min(rows.as_of, loop_->Now()));
+  SetConnected(true);
+}
+
 void TableFollower::ReadAll() {
   store_->Read(settings_.table, [this, alive = alive_](Result<StoreRows> result) {
     if (!*alive) {
@@ -47,8 +53,7 @@
       Retry();
       return;
     }
-    failures_ = 0;
-    SetConnected(true);
+    NoteAnswer(*result);
     version_ = result->version;
     version_known_ = true;
     callbacks_.on_snapshot(*result);
@@ -73,8 +78,7 @@
       Retry();
       return;
     }
-    failures_ = 0;
-    SetConnected(true);
+    NoteAnswer(*result);
     version_ = std::max(version_, result->version);
     if (result->rows.empty()) {
       Next();
--- a/tests/fleet/shared_reading_test.cc
+++ b/tests/fleet/shared_reading_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,11 +20,17 @@
   explicit CountedStore(EventLoop* loop) : loop_(loop) {}
   void Read(const std::string&, RowsCallback callback) override {
     ++calls;
+    if (cut) {
+      return;
+    }
     loop_->Post([this, callback] { callback(StoreRows{rows, version}); });
   }
   void Watch(const std::string&, std::uint64_t after, absl::Duration,
              RowsCallback callback) override {
     ++calls;
+    if (cut) {
+      return;
+    }
     StoreRows changes{{}, version};
     for (const StoreRow& row : rows) {
       if (row.version > after) {
@@ -39,22 +46,23 @@
   std::vector<StoreRow> rows;
   std::uint64_t version = 1;
   int calls = 0;
+  // True if no call is answered.
+  bool cut = false;
 
  private:
   EventLoop* loop_;
 };
 
 struct Node {
-  Node(EventLoop* loop, const std::string& name)
+  Node(EventLoop* loop, const std::string& name, const SharedReadingSettings& settings = {})
       : store(loop),
         client(loop, ClientLimits{}),
         log(-1, &SystemClock(), DecisionLogLimits{}),
-        reading(loop, &store, &client, &log, SettingsOf(name)) {
+        reading(loop, &store, &client, &log, SettingsOf(name, settings)) {
     reading.Share("t", nullptr);
     REQUIRE(!reading.Listen("127.0.0.1:0"));
   }
-  static SharedReadingSettings SettingsOf(const std::string& name) {
-    SharedReadingSettings settings;
+  static SharedReadingSettings SettingsOf(const std::string& name, SharedReadingSettings settings) {
     settings.node = name;
     settings.zone = "z";
     settings.max_nodes_without_readers = 1;
@@ -194,5 +202,51 @@
   REQUIRE(fixture.loop.RunUntil([&] { return answered; }, kLimit));
 }
 
+// Watches the table through the node, again and again, until `done`.
+void WatchUntil(EventLoop* loop, Node* node, std::uint64_t after,
+                const std::function<bool()>& done) {
+  const auto watch = std::make_shared<std::function<void()>>();
+  *watch = [node, after, done, again = std::weak_ptr(watch)] {
+    node->reading.Watch("t", after, absl::Seconds(20), [done, again](const Result<StoreRows>&) {
+      const auto next = again.lock();
+      if (next != nullptr && !done()) {
+        (*next)();
+      }
+    });
+  };
+  (*watch)();
+  REQUIRE(loop->RunUntil(done, kLimit));
+}
+
+// Guards against a node that a reader which has lost the store keeps behind for longer than a
+// change may take (CONFIG, DRAIN).
+TEST_CASE("a node reads the store itself before what it knows is older than the bound") {
+  SharedReadingSettings settings;
+  settings.bound = absl::Seconds(2);
+  // Leaves the check below a second to spare.
+  settings.direct_read = absl::Seconds(1);
+  settings.peer_slack = absl::Milliseconds(300);
+  EventLoop loop;
+  Node reader(&loop, "a", settings);
+  Node other(&loop, "b", settings);
+  const std::vector<FleetNode> nodes = {{"a", "z", reader.reading.address(), 30},
+                                        {"b", "z", other.reading.address(), 10}};
+  reader.reading.SetNodes(nodes);
+  other.reading.SetNodes(nodes);
+  for (Node* const node : {&reader, &other}) {
+    bool read = false;
+    node->reading.Read("t", [&](const Result<StoreRows>& rows) { read = rows.ok(); });
+    REQUIRE(loop.RunUntil([&] { return read; }, kLimit));
+  }
+  CHECK(other.store.calls == 0);
+  reader.store.cut = true;
+  bool bound_is_over = false;
+  const auto timer = loop.MakeTimer();
+  timer->Set(loop.Now() + settings.bound, [&] { bound_is_over = true; });
+  other.store.Put("change");
+  WatchUntil(&loop, &other, 1, [&] { return other.store.calls > 0; });
+  CHECK(!bound_is_over);
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
