--- a/include/hingespan/fleet/stream_directory.h
+++ b/include/hingespan/fleet/stream_directory.h
@@ -5,7 +5,8 @@
 // and archives it, so that it outlives the node, and all nodes. A node without the record asks the
 // nodes that may hold it. If none has it, but half of them answer and know no other version than
 // this node's only one, the stream goes on at that one: records of streams of another version would
-// have been sent to the holders.
+// have been sent to the holders. If fewer answer, this node reads the workers from the store: what
+// it knew before may be older than the stream.
 #ifndef HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 #define HINGESPAN_FLEET_STREAM_DIRECTORY_H_
 
@@ -45,6 +46,9 @@
   // Returns the only software version of a service that this node knows of; std::nullopt if there
   // are others, or if it may not know all.
   std::function<std::optional<std::string>(const std::string& service)> only_version;
+  // Reads all workers from the store, so that this node knows every version at which a stream may
+  // have begun until now. Calls back whether it could, not from within the call.
+  std::function<void(std::function<void(bool read)> done)> refresh_workers;
   // Returns all software versions of a service that this node knows of.
   std::function<std::set<std::string>(const std::string& service)> known_versions;
 };
@@ -74,22 +78,21 @@
   void Add(const std::string& stream_id, const StreamSource& source, absl::Duration lifetime);
   std::optional<StreamSource> FindHere(const std::string& stream_id) const;
   // Asks the other nodes. `stream_id` is empty if the caller doesn't tell it, `service` if it may
-  // be one of several. `is_current` is true if this node hears from the store: its own knowledge of
-  // versions is then enough, unless a reply says otherwise. Calls `done` from the loop, never from
-  // within this call.
-  void Ask(const std::string& stream_id, const std::string& service, bool is_current,
-           Callback done);
+  // be one of several. Calls `done` from the loop, never from within this call.
+  void Ask(const std::string& stream_id, const std::string& service, Callback done);
 
   void OnNotice(const StreamNotice& notice);
   void OnQuestion(const StreamQuestion& question);
   void OnReply(const StreamReply& reply);
 
  private:
+  enum class WorkersRead { kNo, kReading, kDone };
   struct Search {
     std::string stream_id;
     std::string service;
-    bool is_current = false;
     Callback done;
+    // Whether the workers were read from the store after the search had begun.
+    WorkersRead workers = WorkersRead::kNo;
     // Nodes that have not replied, by name.
     std::map<std::string, std::string> addresses;
     std::unique_ptr<LoopTimer> timer;
@@ -107,6 +110,14 @@
                   const std::vector<StreamNode>& but = {});
   // Asks those that have not replied, or ends the search.
   void NextRound(std::uint64_t number);
+  // Ends the search if what is known is enough, or if nothing more is to come. Returns whether it
+  // has ended. Reads the workers from the store if only that can decide.
+  bool Conclude(std::uint64_t number);
+  void ReadWorkers(std::uint64_t number);
+  // Returns whether the replies, or the store, have told which versions there are.
+  static bool KnowsVersions(const Search& search);
+  // Returns whether this node and those that replied know one version of the service, the same.
+  bool MayHaveOneVersion(const Search& search) const;
   // Returns what follows from the replies so far if none had a record.
   std::optional<StreamSource> Conclusion(const Search& search) const;
   void End(std::uint64_t number, std::optional<StreamSource> source);
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -142,6 +142,8 @@
   void ApplyConfiguration(const StoreRow& row);
   void ApplyWorkerRow(const StoreRow& row);
   void ApplyWorkerSnapshot(const StoreRows& rows);
+  // Reads all workers from the store itself, not from another node's copy.
+  void RefreshWorkers(std::function<void(bool read)> done);
   void OnDatagram(absl::string_view bytes);
   // Notes the software versions of the workers that are present.
   void ObserveVersions();
@@ -210,6 +212,8 @@
   absl::Time stop_began_;
 };
 
+  // Lets callbacks of the store detect that this object was destroyed.
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 }  // namespace hingespan::gateway
 
 #endif  // HINGESPAN_SERVING_GATEWAY_H_
--- a/src/fleet/stream_directory.cc
+++ b/src/fleet/stream_directory.cc
@@ -75,13 +75,11 @@
   return registry_.Find(stream_id, parts_.loop->Now());
 }
 
-void StreamDirectory::Ask(const std::string& stream_id, const std::string& service, bool is_current,
-                          Callback done) {
+void StreamDirectory::Ask(const std::string& stream_id, const std::string& service, Callback done) {
   const std::uint64_t number = ++last_number_;
   Search& search = searches_[number];
   search.stream_id = stream_id;
   search.service = service;
-  search.is_current = is_current;
   search.done = std::move(done);
   search.timer = parts_.loop->MakeTimer();
   for (const StreamNode& node : PossibleHolders(stream_id, nodes_, node_)) {
@@ -97,12 +95,11 @@
     return;
   }
   Search& search = entry->second;
-  std::optional<StreamSource> source;
-  if (search.rounds > 0 || search.addresses.empty()) {
-    source = Conclusion(search);
+  if ((search.rounds > 0 || search.addresses.empty()) && Conclude(number)) {
+    return;
   }
-  if (source.has_value() || search.addresses.empty() || search.rounds == kRounds) {
-    End(number, std::move(source));
+  if (search.rounds == kRounds) {
+    End(number, std::nullopt);
     return;
   }
   ++search.rounds;
@@ -115,18 +112,54 @@
   search.timer->Set(parts_.loop->Now() + kRoundTime, [this, number] { NextRound(number); });
 }
 
+bool StreamDirectory::Conclude(std::uint64_t number) {
+  const Search& search = searches_.at(number);
+  std::optional<StreamSource> source = Conclusion(search);
+  if (!source.has_value() && !KnowsVersions(search) && search.workers == WorkersRead::kNo &&
+      MayHaveOneVersion(search)) {
+    ReadWorkers(number);
+  }
+  const bool over = search.addresses.empty() && search.workers != WorkersRead::kReading;
+  if (!source.has_value() && !over) {
+    return false;
+  }
+  End(number, std::move(source));
+  return true;
+}
+
+void StreamDirectory::ReadWorkers(std::uint64_t number) {
+  searches_.at(number).workers = WorkersRead::kReading;
+  parts_.refresh_workers([this, number](bool read) {
+    const auto entry = searches_.find(number);
+    if (entry != searches_.end()) {
+      entry->second.workers = read ? WorkersRead::kDone : WorkersRead::kNo;
+      if (read) {
+        Conclude(number);
+      }
+    }
+  });
+}
+
+bool StreamDirectory::KnowsVersions(const Search& search) {
+  return search.workers == WorkersRead::kDone ||
+         (search.asked > 0 && 2 * search.replies >= search.asked);
+}
+
+bool StreamDirectory::MayHaveOneVersion(const Search& search) const {
+  const std::optional<std::string> only =
+      search.service.empty() ? std::nullopt : parts_.only_version(search.service);
+  return only.has_value() &&
+         (search.versions.empty() || search.versions == std::set<std::string>{*only});
+}
+
 std::optional<StreamSource> StreamDirectory::Conclusion(const Search& search) const {
   if (std::optional<StreamSource> source = FindHere(search.stream_id)) {
     return source;
   }
-  const std::optional<std::string> only =
-      search.service.empty() ? std::nullopt : parts_.only_version(search.service);
-  const bool enough_replies = search.is_current || 2 * search.replies >= search.asked;
-  if (!only.has_value() || !enough_replies ||
-      (!search.versions.empty() && search.versions != std::set<std::string>{*only})) {
+  if (!KnowsVersions(search) || !MayHaveOneVersion(search)) {
     return std::nullopt;
   }
-  return StreamSource{search.service, *only};
+  return StreamSource{search.service, *parts_.only_version(search.service)};
 }
 
 void StreamDirectory::End(std::uint64_t number, std::optional<StreamSource> source) {
@@ -170,7 +203,7 @@
   search.replies += reply.versions.empty() ? 0 : 1;
   search.versions.insert(reply.versions.begin(), reply.versions.end());
   if (search.addresses.empty()) {
-    End(reply.number, Conclusion(search));
+    Conclude(reply.number);
   }
 }
 
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -130,6 +130,7 @@
                   ObserveVersions();
                   return versions_.OnlyVersion(service, parts_.loop->Now());
                 },
+                [this](std::function<void(bool)> done) { RefreshWorkers(std::move(done)); },
                 [this](const std::string& service) {
                   ObserveVersions();
                   return versions_.KnownVersions(service, parts_.loop->Now());
@@ -170,7 +171,7 @@
   context_.return_when_late = settings_.serving.return_when_late;
 }
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() { *alive_ = false; }
 
 std::error_code Gateway::Start() {
   if (const std::error_code error = peers_.Listen(settings_.peer_listen)) {
--- a/src/serving/gateway_records.cc
+++ b/src/serving/gateway_records.cc
@@ -67,6 +67,21 @@
   }
 }
 
+void Gateway::RefreshWorkers(std::function<void(bool read)> done) {
+  parts_.store->Read(parts_.reader->worker_table(), [this, alive = alive_, done = std::move(done)](
+                                                        const Result<StoreRows>& rows) {
+    if (!*alive) {
+      return;
+    }
+    if (rows.ok()) {
+      ApplyWorkerSnapshot(*rows);
+    } else {
+      parts_.log->Write(LogLevel::kInfo, "workers_not_read", {{"error", rows.error().message()}});
+    }
+    done(rows.ok());
+  });
+}
+
 void Gateway::ApplyWorkerSnapshot(const StoreRows& rows) {
   ObserveVersions();
   std::set<std::string> present;
--- a/src/serving/gateway_streams.cc
+++ b/src/serving/gateway_streams.cc
@@ -88,7 +88,7 @@
   }
   // Also asked if this node knows one version only: another node may have learnt of a new one
   // first.
-  streams_.Ask(short_id, service, worker_follower_->connected(), std::move(done));
+  streams_.Ask(short_id, service, std::move(done));
 }
 
 }  // namespace hingespan::gateway
--- a/tests/fleet/stream_directory_test.cc
+++ b/tests/fleet/stream_directory_test.cc
@@ -49,6 +49,15 @@
       const std::set<std::string>& all = versions[name];
       return all.size() == 1 ? std::optional(*all.begin()) : std::nullopt;
     };
+    parts.refresh_workers = [this, name](std::function<void(bool)> done) {
+      loop.Post([this, name, done = std::move(done)] {
+        ++refreshes;
+        if (reach_store.contains(name)) {
+          versions[name].insert(stored_versions.begin(), stored_versions.end());
+        }
+        done(reach_store.contains(name));
+      });
+    };
     parts.known_versions = [this, name](const std::string&) { return versions[name]; };
     parts.send = [this, name](const std::string& address, absl::string_view bytes) {
       loop.Post([this, name, address, datagram = std::string(bytes)] {
@@ -100,11 +109,10 @@
   }
 
   // Asks at a node, and waits for the result.
-  std::optional<StreamSource> Ask(const std::string& name, const std::string& stream,
-                                  bool is_current = false) {
+  std::optional<StreamSource> Ask(const std::string& name, const std::string& stream) {
     bool ended = false;
     std::optional<StreamSource> found;
-    nodes.at(name)->Ask(stream, "s", is_current, [&](std::optional<StreamSource> source) {
+    nodes.at(name)->Ask(stream, "s", [&](std::optional<StreamSource> source) {
       found = std::move(source);
       ended = true;
     });
@@ -126,6 +134,10 @@
   std::map<std::string, StreamSource> archived;
   // False for the cases about what the nodes themselves know.
   bool reads_archive = false;
+  // Nodes that reach the store, and the versions that it knows of.
+  std::set<std::string> reach_store;
+  std::set<std::string> stored_versions;
+  int refreshes = 0;
   // The versions that a node knows of.
   std::map<std::string, std::set<std::string>> versions;
   std::map<std::string, std::unique_ptr<StreamDirectory>> nodes;
@@ -269,13 +281,18 @@
     }
     CHECK(!fleet.Ask("n0", "stream").has_value());
   }
-  SUBCASE("most don't answer, but this node hears from the store") {
+  SUBCASE("most don't answer, but this node reads the same version from the store") {
     fleet.down = {"n1", "n2", "n3"};
-    CHECK(fleet.Ask("n0", "stream", true) == kSource);
+    fleet.reach_store = {"n0"};
+    fleet.stored_versions = {"v1"};
+    CHECK(fleet.Ask("n0", "stream") == kSource);
+    CHECK(fleet.refreshes == 1);
   }
   SUBCASE("another node has learnt of a new version before this one") {
     fleet.versions["n4"] = {"v1", "v2"};
-    CHECK(!fleet.Ask("n0", "stream", true).has_value());
+    fleet.reach_store = {"n0"};
+    fleet.stored_versions = {"v1"};
+    CHECK(!fleet.Ask("n0", "stream").has_value());
   }
   SUBCASE("one knows of another version too") {
     fleet.versions["n4"] = {"v1", "v2"};
@@ -291,6 +308,38 @@
   }
 }
 
+// Guards against a node that was cut off, or stood still, while workers of a new version joined,
+// and sends a stream of that version on to a worker of the one it knows (ORDER).
+TEST_CASE("a node that no other answers does not take its own version for the only one") {
+  Fleet fleet(6);
+  for (const auto& [name, node] : fleet.nodes) {
+    fleet.versions[name] = {"v1", "v2"};
+  }
+  fleet.versions["n0"] = {"v1"};
+  for (int number = 1; number < 6; ++number) {
+    fleet.down.insert(absl::StrCat("n", number));
+  }
+  SUBCASE("the store is not reached either") {}
+  SUBCASE("the store has both versions") {
+    fleet.reach_store = {"n0"};
+    fleet.stored_versions = {"v1", "v2"};
+  }
+  SUBCASE("no other node is known") { fleet.Lose(std::set<std::string>(fleet.down)); }
+  CHECK(!fleet.Ask("n0", "stream").has_value());
+  CHECK(fleet.refreshes > 0);
+}
+
+TEST_CASE("a search whose answer the nodes have does not call the store") {
+  Fleet fleet(6);
+  for (const auto& [name, node] : fleet.nodes) {
+    fleet.versions[name] = {"v1"};
+  }
+  CHECK(fleet.Ask("n0", "stream") == kSource);
+  fleet.versions["n0"] = {"v1", "v2"};
+  CHECK(!fleet.Ask("n0", "stream").has_value());
+  CHECK(fleet.refreshes == 0);
+}
+
 // Guards against a late reply to a process of the same address that has ended.
 TEST_CASE("a reply about another stream is no answer") {
   Fleet fleet(2);
@@ -298,7 +347,7 @@
   StreamDirectory* const node = fleet.nodes["n0"].get();
   bool ended = false;
   std::optional<StreamSource> found;
-  node->Ask("stream", "s", false, [&](std::optional<StreamSource> source) {
+  node->Ask("stream", "s", [&](std::optional<StreamSource> source) {
     found = std::move(source);
     ended = true;
   });
