LOST: requests of which only a part has come are refused before a stopping node ends

Callers saw: in a planned stop, a request that was half received when the node ended got no answer, though it had not run. (Requests that come late in the grace got 503 already, and those that may not be repeated weren't passed on.)

Cause: a stop waited for requests that were whole and ended without a word for the others.

Change: before a stopping node ends, as idle or at its limit, unfinished requests get 503 with Retry-After and Connection: close, and the node waits for their connections to close as for others. A client that leaves earlier answers unread is cut as before.

--- a/include/hingespan/http/http_server.h
+++ b/include/hingespan/http/http_server.h
@@ -32,7 +32,8 @@
   // Bytes that the kernel may receive for a connection before they are read; 0 for its default.
   // Takes effect at Listen.
   std::size_t receive_buffer_bytes = 0;
-  // Fields of the answer to a client that is turned away because clients hold too much memory.
+  // Fields of the answer to a client that is turned away because clients hold too much memory, or
+  // the node ends.
   HeaderFields overload_fields;
 };
 
@@ -43,6 +44,8 @@
   // A new connection took its place, or it found no place itself.
   kConnections,
   kTimeout,
+  // The node ends before the request is complete.
+  kStopping,
   kMalformed,
   kHeadTooLarge,
   kBodyTooLarge,
@@ -142,6 +145,8 @@
   // From now on every answer carries "Connection: close", unless further requests were already read
   // from its connection.
   void AskToClose();
+  // Refuses the requests of which only a part has come, as the node ends. Returns their number.
+  std::size_t RefuseUnfinished();
   std::size_t connections() const;
   ServerActivity activity() const;
   // Number of requests whose answer is incomplete or not fully acknowledged by the caller's kernel.
--- a/include/hingespan/http/server_connection.h
+++ b/include/hingespan/http/server_connection.h
@@ -22,6 +22,9 @@
   virtual bool has_unread_answer() const = 0;
   // Closes the connection of a client that keeps the node waiting, for a new connection.
   virtual void GiveWayToConnection() = 0;
+  // Refuses a request of which only a part has come, unless the client leaves earlier answers
+  // unread. Returns whether it did.
+  virtual bool RefuseUnfinished() = 0;
 };
 
 // State shared by all connections of a server.
--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -154,6 +154,8 @@
   void UpdateMixedServices();
   void FillReport(DemandReport* report);
   void CheckStopped();
+  // Refuses requests of which only a part has come; returns their number.
+  std::size_t RefuseUnfinished();
   void LogStop(absl::string_view event, std::string why);
 
   GatewaySettings settings_;
@@ -210,10 +212,10 @@
   bool dispatch_scheduled_ = false;
   bool stopping_ = false;
   absl::Time stop_began_;
-};
-
   // Lets callbacks of the store detect that this object was destroyed.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
 }  // namespace hingespan::gateway
 
 #endif  // HINGESPAN_SERVING_GATEWAY_H_
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -201,6 +201,16 @@
   implementation_->shared->on_turned_away = std::move(callback);
 }
 void HttpServer::AskToClose() { implementation_->shared->ask_to_close = true; }
+std::size_t HttpServer::RefuseUnfinished() {
+  // A copy, as a connection that is refused leaves the list.
+  const auto unfinished = implementation_->shared->unfinished;
+  std::size_t refused = 0;
+  for (ServerConnection* const connection : unfinished) {
+    refused += connection->RefuseUnfinished() ? 1 : 0;
+  }
+  return refused;
+}
+
 std::size_t HttpServer::connections() const { return implementation_->shared->connections.size(); }
 ServerActivity HttpServer::activity() const {
   ServerActivity activity;
--- a/src/http/server_connection.cc
+++ b/src/http/server_connection.cc
@@ -130,6 +130,14 @@
     Close();
   }
 
+  bool RefuseUnfinished() override {
+    const bool refuses = !closed_ && request_started_ && !exchange_open_ && pending_bytes() == 0;
+    if (refuses) {
+      Refuse(TurnedAwayReason::kStopping);
+    }
+    return refuses;
+  }
+
   void Recount() override {
     if (unacknowledged_ > 0) {
       unacknowledged_ = unacknowledged_bytes();
@@ -403,6 +411,7 @@
     switch (reason) {
       case TurnedAwayReason::kMemory:
       case TurnedAwayReason::kConnections:
+      case TurnedAwayReason::kStopping:
         return 503;
       case TurnedAwayReason::kTimeout:
         return 408;
@@ -424,7 +433,7 @@
     std::string().swap(input_);
     close_when_written_ = true;
     std::string text = absl::StrCat("HTTP/1.1 ", status, " ", ReasonPhrase(status), "\r\n");
-    if (reason == TurnedAwayReason::kMemory) {
+    if (status == 503) {
       for (const HeaderField& field : server_->limits.overload_fields) {
         absl::StrAppend(&text, field.name, ": ", field.value, "\r\n");
       }
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -501,8 +501,10 @@
     for (const auto& [number, request] : open_requests) {
       request->OnStopLimit();
     }
+    RefuseUnfinished();
   }
-  const bool idle = now - stop_began_ >= kMinStopTime && Activity().unfinished() == 0;
+  const bool idle =
+      now - stop_began_ >= kMinStopTime && Activity().unfinished() == 0 && RefuseUnfinished() == 0;
   if (idle || now - stop_began_ >= settings_.stop_time - kStopMargin) {
     LogStop("stopped", idle ? "idle" : "limit");
     on_stopped_();
@@ -511,6 +513,10 @@
   stop_timer_->Set(now + kStopCheckInterval, [this] { CheckStopped(); });
 }
 
+std::size_t Gateway::RefuseUnfinished() {
+  return requests_.RefuseUnfinished() + forwarded_.RefuseUnfinished();
+}
+
 void Gateway::LogStop(absl::string_view event, std::string why) {
   const ServerActivity activity = Activity();
   parts_.log->Write(LogLevel::kInfo, event,
--- a/src/serving/gateway_path.cc
+++ b/src/serving/gateway_path.cc
@@ -28,6 +28,8 @@
       return "memory";
     case TurnedAwayReason::kConnections:
       return "connections";
+    case TurnedAwayReason::kStopping:
+      return "stopping";
     case TurnedAwayReason::kTimeout:
       return "timeout";
     case TurnedAwayReason::kMalformed:
