--- a/include/hingespan/fleet/stream_registry.h
+++ b/include/hingespan/fleet/stream_registry.h
@@ -17,8 +17,8 @@
 // Size of the ids under which streams are recorded, in bytes.
 inline constexpr std::size_t kMaxStreamIdBytes = 64;
 
-// Returns the id under which a stream is recorded: its own, or a hash of it if it is long. Callers
-// choose the ids, and records outlive their requests.
+// Returns the id under which a stream is recorded: its own, or a hash of it if it is long or no
+// printable text. Callers choose the ids, and records outlive their requests.
 std::string ShortStreamId(const std::string& stream_id);
 
 // Does no I/O and reads no clock; not thread-safe.
--- a/src/fleet/stream_archive.cc
+++ b/src/fleet/stream_archive.cc
@@ -49,7 +49,9 @@
     streams.push_back(Json::array(
         {stream_id, std::distance(sources.begin(), known), absl::ToUnixSeconds(entry.expires)}));
   }
-  return Json::array({std::move(sources), std::move(streams)}).dump();
+  // The strict handler, which is the default, throws for bytes that are no UTF-8.
+  return Json::array({std::move(sources), std::move(streams)})
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<StreamArchive::Entries> StreamArchive::Decode(const std::string& value) {
--- a/src/fleet/stream_registry.cc
+++ b/src/fleet/stream_registry.cc
@@ -2,14 +2,18 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 
 namespace hingespan::gateway {
 
 std::string ShortStreamId(const std::string& stream_id) {
-  if (stream_id.size() <= kMaxStreamIdBytes) {
+  const bool is_text = std::all_of(stream_id.begin(), stream_id.end(),
+                                   [](char each) { return absl::ascii_isprint(each); });
+  if (is_text && stream_id.size() <= kMaxStreamIdBytes) {
     return stream_id;
   }
   const XXH128_hash_t hash = XXH3_128bits(stream_id.data(), stream_id.size());
--- a/tests/serving/stream_versions_test.cc
+++ b/tests/serving/stream_versions_test.cc
@@ -153,6 +153,46 @@
   CHECK(same->runs().size() == 1);
 }
 
+// Guards against a node that ends by itself when it writes down a stream whose id is no UTF-8, with
+// all requests that it has (LOST, Fault).
+TEST_CASE("a stream whose id is no text is recorded, and found by a node that starts later") {
+  const std::string id = "\xe9tape-7";
+  GatewayFixture before;
+  AddVersion(&before, "w1", "v1");
+  TestNode* const killed = before.AddNode("n1");
+  AddVersion(&before, "w2", "v2")->SetDraining();
+  AwaitWorker(&before, killed, "w2");
+  TestRequest request = StreamRequest("/stream/x", "m1");
+  request.id = id;
+  const auto call = before.Send(killed, request);
+  const std::string table = StreamArchive::TableOf("hingespan-streams", "n1");
+  const auto row = [&] { return before.store.Value(table, "n1"); };
+  REQUIRE(before.Wait([&] { return row().find("v1") != std::string::npos; }));
+  REQUIRE(before.Wait([&] { return call->ended; }));
+  CHECK(call->body == Events(1, 6));
+
+  GatewayFixture after;
+  const PlatformWorker* const same = AddVersion(&after, "w1", "v1");
+  const PlatformWorker* const other = AddVersion(&after, "w2", "v2");
+  after.store.Put(table, "n1", row());
+  const auto next = after.Ask(after.AddNode("n2"), TakeUpRequest("second", id));
+  CHECK(next->head.status == 200);
+  CHECK(next->body == Events(4, 6));
+  CHECK(other->runs().empty());
+  CHECK(same->runs().size() == 1);
+}
+
+// Guards against a node that ends by itself when it orders an adapter whose name is no UTF-8
+// (Fault).
+TEST_CASE("a request for an adapter whose name is no text ends no node") {
+  GatewayFixture fixture;
+  AddVersion(&fixture, "w1", "v1");
+  TestNode* const node = fixture.AddNode("n1");
+  const auto odd = fixture.Ask(node, StreamRequest("/stream/x", "m1/\xe9"));
+  CHECK(odd->result == ExchangeResult::kComplete);
+  CHECK(fixture.Ask(node, StreamRequest("/stream/x", "m1"))->head.status == 200);
+}
+
 // Guards against joining versions, and against holding the caller, once the last worker of a
 // stream's version is gone.
 TEST_CASE("a stream whose version has no worker left is refused at once") {
