Fault: reports of workers without an end are bounded, and a probe ends with its head

Callers would see: a node that exceeds its memory and is killed, with all its requests, while workers send bytes without an end.

Cause: what requests keep of answers is bounded in sum, but a call for a report, a probe or a row kept up to 16 MB of its answer each, in a buffer that doubles. A failing worker is probed and asked for its report again and again.

A probe, which asks only whether the worker answers, ends with the head of its answer; one without an end no longer counts as a crash. A node takes no more than 16 MB from another node's copy.

--- a/src/fleet/shared_reading.cc
+++ b/src/fleet/shared_reading.cc
@@ -21,6 +21,8 @@
 constexpr char kTablePath[] = "/tables/";
 constexpr int kGone = 410;
 constexpr int kNoCopy = 503;
+// Size of a copy's answer beyond which it is no table that this node could hold.
+constexpr std::size_t kMaxCopyBytes = 16 * 1024 * 1024;
 
 // A reader is of use if its watches on the store may take at least this long.
 constexpr absl::Duration kMinReaderWait = absl::Milliseconds(200);
@@ -103,7 +105,14 @@
     status_ = head.status;
     return true;
   }
-  void OnBody(absl::string_view piece) override { body_.append(piece.data(), piece.size()); }
+  void OnBody(absl::string_view piece) override {
+    if (body_.size() + piece.size() > kMaxCopyBytes) {
+      exchange_->Discard();
+      End(0);
+      return;
+    }
+    body_.append(piece.data(), piece.size());
+  }
   void OnEnd(ExchangeResult result) override {
     End(result == ExchangeResult::kComplete ? status_ : 0);
   }
--- a/tests/platform/json_call_test.cc
+++ b/tests/platform/json_call_test.cc
@@ -38,12 +38,16 @@
     call.address = address;
     call.target = "/";
     call.timeout = timeout;
+    call.head_only = head_only;
+    call.max_body_bytes = max_body_bytes;
     StartJsonCall(&loop, &client, call, [&](Result<JsonAnswer> answer) { result = answer; });
     REQUIRE(loop.RunUntil([&] { return result.has_value(); }, kLimit));
     return *result;
   }
 
   EventLoop loop;
+  bool head_only = false;
+  std::size_t max_body_bytes = JsonCall().max_body_bytes;
   int pieces_left = 0;
   absl::Duration timeout = kTimeout;
   absl::Duration pause = absl::Milliseconds(500);
@@ -133,6 +137,32 @@
   CHECK(!server.exhausted());
 }
 
+// Guards against a worker that is taken for crashed, or fills the memory, as what it sends to a
+// probe has no end.
+TEST_CASE("a call that wants the head only ends with it") {
+  EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", "[1]");
+  Fixture fixture;
+  fixture.head_only = true;
+  const auto answer = fixture.Ask(server.address());
+  REQUIRE(answer.ok());
+  CHECK(answer->status == 200);
+  CHECK(answer->body.empty());
+  CHECK(fixture.client.connections(server.address()) == 0);
+  CHECK(!server.exhausted());
+}
+
+TEST_CASE("a body is read up to the limit of its call") {
+  Fixture fixture;
+  fixture.pause = absl::Milliseconds(1);
+  fixture.max_body_bytes = 9;
+  fixture.pieces_left = 3;
+  CHECK(fixture.Ask().ok());
+  fixture.pieces_left = 4;
+  const auto answer = fixture.Ask();
+  REQUIRE(!answer.ok());
+  CHECK(answer.error() == make_error_code(Error::kAnswerLost));
+}
+
 TEST_CASE("an answer that arrives ever so slowly times out in the end") {
   Fixture fixture;
   fixture.pieces_left = 1000000;
