--- a/include/hingespan/fleet/quarantine_record.h
+++ b/include/hingespan/fleet/quarantine_record.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <system_error>
 
@@ -65,7 +66,8 @@
   // Brings what this node has written or is about to write up to date with what another node has
   // narrowed. That node may not have read the row yet.
   void NarrowOwn(const Quarantine& quarantine);
-  bool Has(const std::string& id) const { return entries_.contains(id); }
+  // Returns whether the quarantine is in the record, or was found too large for it.
+  bool Has(const std::string& id) const { return entries_.contains(id) || oversized_.contains(id); }
   // Takes the rows of the whole table.
   void OnTable(const StoreRows& rows);
 
@@ -96,6 +98,8 @@
   QuarantineRecordParts parts_;
   Listener listener_;
   std::map<std::string, Entry> entries_;
+  // Quarantines that have too many parts for a row.
+  std::set<std::string> oversized_;
   // Version of the newest table read or row written here. Copies of the table may be older.
   std::uint64_t newest_version_ = 0;
   bool read_in_flight_ = false;
--- a/src/fleet/quarantine_record.cc
+++ b/src/fleet/quarantine_record.cc
@@ -16,6 +16,7 @@
 using Json = nlohmann::json;
 
 constexpr absl::string_view kKeyPrefix = "quarantine/";
+constexpr std::size_t kMaxOversized = 256;
 
 }  // namespace
 
@@ -172,6 +173,10 @@
     parts_.log->Write(LogLevel::kWarning, "quarantine_not_recorded",
                       {{"id", id}, {"bytes", absl::StrCat(value.size())}});
     entries_.erase(id);
+    if (oversized_.size() >= kMaxOversized) {
+      oversized_.clear();
+    }
+    oversized_.insert(id);
     return;
   }
   entry.in_flight = true;
--- a/tests/fleet/shared_reading_test.cc
+++ b/tests/fleet/shared_reading_test.cc
@@ -202,6 +202,19 @@
   REQUIRE(fixture.loop.RunUntil([&] { return answered; }, kLimit));
 }
 
+TEST_CASE("a bound that leaves no time for a way through another node has all nodes read") {
+  EventLoop loop;
+  for (const int bound_ms : {100, 1000, 2000, 3000}) {
+    SharedReadingSettings settings;
+    settings.bound = absl::Milliseconds(bound_ms);
+    Node reader(&loop, "a", settings);
+    Node other(&loop, "b", settings);
+    other.reading.SetNodes(
+        {{"a", "z", reader.reading.address(), 30}, {"b", "z", other.reading.address(), 10}});
+    CHECK(other.reading.reads_itself() == (bound_ms <= 1000));
+  }
+}
+
 // Watches the table through the node, again and again, until `done`.
 void WatchUntil(EventLoop* loop, Node* node, std::uint64_t after,
                 const std::function<bool()>& done) {
--- a/tests/quarantine/quarantine_exchange_test.cc
+++ b/tests/quarantine/quarantine_exchange_test.cc
@@ -657,6 +657,29 @@
   CHECK(fleet.AllRefuse({"bad"}));
 }
 
+// Guards against sound parts that are refused again as the write of their quarantine takes effect
+// once they were cleared (LOST).
+TEST_CASE("a late write of a quarantine that was lifted is undone") {
+  Fleet fleet(3);
+  fleet.WaitUntilQuiet();
+  fleet.store.unanswered = 1;
+  fleet.Crash(0, {"first", "sound"}, 3);
+  fleet.Wait([&] { return fleet.AllRefuse({"first", "sound"}); });
+  fleet.WaitUntilQuiet();
+  fleet.nodes[1]->exchange->RecordAnswered(kService, {"first", "sound"});
+  fleet.WaitUntilQuiet();
+  fleet.ReadTable();
+  REQUIRE(fleet.AllFree({"first", "sound"}));
+  fleet.store.ApplyLate();
+  for (int read = 0; read < 3; ++read) {
+    fleet.ReadTable();
+    fleet.WaitUntilQuiet();
+  }
+  CHECK(fleet.AllFree({"first", "sound"}));
+  fleet.RestartAll();
+  CHECK(fleet.AllFree({"first", "sound"}));
+}
+
 // Guards against a call to the store on a day without crashes.
 TEST_CASE("answers without a quarantine call no store") {
   Fleet fleet(3);
