LOST: crashes of minutes ago don't keep a request from being repeated

Cause: let crashes count as evidence for 10 minutes instead of one, for quarantines and for whether a request is sent to another worker after a crash. Two crashes in 10 minutes are common where workers crash for other reasons.

Change: only crashes of the last minute, as before, keep a request from a repeat. Quarantines still count 10 minutes.

New case in prompt_quarantine_test. test-quarantine: passed as a whole.

--- a/include/hingespan/serving/prompt_quarantine.h
+++ b/include/hingespan/serving/prompt_quarantine.h
@@ -39,6 +39,9 @@
   int more_if_answered = 2;
   // Number of crashes after which a request with the part is not sent to another worker.
   int crashes_before_no_repeat = 2;
+  // Of these, only crashes within this time count: workers also crash for other reasons, and one
+  // that a repeat would serve fails otherwise.
+  absl::Duration no_repeat_lifetime = absl::Seconds(60);
   // Crashes within this time of each other may have a common cause outside the prompts.
   absl::Duration same_event = absl::Milliseconds(25);
   // Time between the last crash needed and the quarantine, for answers that clear its parts.
--- a/src/serving/prompt_quarantine.cc
+++ b/src/serving/prompt_quarantine.cc
@@ -379,9 +379,14 @@
   return !quarantined && std::none_of(parts.begin(), parts.end(), [&](const std::string& part) {
     const PartKey key{service, part};
     const auto entry = evidence_.find(key);
-    return entry != evidence_.end() &&
-           static_cast<int>(entry->second.crashes.size()) >= settings_.crashes_before_no_repeat &&
-           now - AnsweredAt(key) > settings_.recent_answer;
+    if (entry == evidence_.end() || now - AnsweredAt(key) <= settings_.recent_answer) {
+      return false;
+    }
+    const auto& crashes = entry->second.crashes;
+    const auto recent = std::count_if(crashes.begin(), crashes.end(), [&](const auto& crash) {
+      return now - crash.second <= settings_.no_repeat_lifetime;
+    });
+    return recent >= settings_.crashes_before_no_repeat;
   });
 }
 
--- a/tests/quarantine/prompt_quarantine_test.cc
+++ b/tests/quarantine/prompt_quarantine_test.cc
@@ -474,6 +474,19 @@
   CHECK(!quarantine.MayRepeat(kService, {"first", "sound"}, At(2) + absl::Seconds(11)));
 }
 
+// Guards against requests that fail as workers crashed minutes ago for other reasons (LOST).
+TEST_CASE("crashes of long ago don't keep a request from being repeated") {
+  PromptQuarantine quarantine;
+  RecordCrashes(&quarantine, {"part"}, 2, 0);
+  CHECK(!quarantine.MayRepeat(kService, {"part"}, At(1)));
+  CHECK(quarantine.MayRepeat(kService, {"part"}, At(1) + kSettings.no_repeat_lifetime));
+  // They still count for a quarantine.
+  RecordCrashes(&quarantine, {"part"}, 1, 300);
+  CHECK(quarantine.MayRepeat(kService, {"part"}, At(300)));
+  CHECK(ImposeAfter(&quarantine, 300).size() == 1);
+  CHECK(!quarantine.MayRepeat(kService, {"part"}, At(301)));
+}
+
 // Guards against memory that grows with a long storm of crashes.
 TEST_CASE("suspected parts are bounded and those with most evidence are kept") {
   PromptQuarantine quarantine;
