Emulator: the store answers with pages and decodes queries as servers do

The emulated store answered a read with all rows at once and took the texts of a query as they came, so that no test could reach the paging of StoreRowsClient, nor a key that changes its meaning in a target. Now a page has as many rows as a test asks for (500 as the protocol says), `source` is where it begins, "+" is a blank, "%41" a byte, and "#" ends the query.

Nothing of the product changes.

--- a/emulator/platform_store.cc
+++ b/emulator/platform_store.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
@@ -22,15 +23,36 @@
   exchange->Answer(status, "Status", {{"Content-Type", "application/json"}}, body);
 }
 
-std::map<std::string, std::string> QueryOf(const std::string& target) {
+// Decodes a name or value of a query as servers do: '+' is a blank, and "%41" is a byte.
+std::string DecodeQueryText(absl::string_view text) {
+  constexpr std::size_t kDigits = 2;
+  std::string decoded;
+  while (!text.empty()) {
+    const char character = text.front();
+    text.remove_prefix(1);
+    const absl::string_view digits = text.substr(0, kDigits);
+    if (character == '%' && digits.size() == kDigits && absl::ascii_isxdigit(digits[0]) &&
+        absl::ascii_isxdigit(digits[1])) {
+      decoded.append(absl::HexStringToBytes(digits));
+      text.remove_prefix(kDigits);
+    } else {
+      decoded.push_back(character == '+' ? ' ' : character);
+    }
+  }
+  return decoded;
+}
+
+std::map<std::string, std::string> QueryOf(absl::string_view target) {
   std::map<std::string, std::string> query;
   const std::size_t mark = target.find('?');
-  if (mark == std::string::npos) {
+  if (mark == absl::string_view::npos) {
     return query;
   }
-  for (const absl::string_view part : absl::StrSplit(target.substr(mark + 1), '&')) {
-    const std::pair<std::string, std::string> pair = absl::StrSplit(part, absl::MaxSplits('=', 1));
-    query[pair.first] = pair.second;
+  const absl::string_view text = target.substr(mark + 1, target.find('#') - mark - 1);
+  for (const absl::string_view part : absl::StrSplit(text, '&')) {
+    const std::pair<absl::string_view, absl::string_view> pair =
+        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    query[DecodeQueryText(pair.first)] = DecodeQueryText(pair.second);
   }
   return query;
 }
@@ -44,6 +66,22 @@
   return TableName(row.at("table"), row.value("part", ""));
 }
 
+Json RowJson(const std::pair<std::string, std::string>& table_and_key, const std::string& value,
+             std::uint64_t version, bool removed) {
+  const std::pair<std::string, std::string> parts =
+      absl::StrSplit(table_and_key.first, absl::MaxSplits('/', 1));
+  Json json{{"table", parts.first},
+            {"part", parts.second},
+            {"private_key", table_and_key.second},
+            {"ver", version}};
+  if (removed) {
+    json["is_gone"] = true;
+  } else {
+    json["value"] = absl::Base64Escape(value);
+  }
+  return json;
+}
+
 std::uint64_t NumberOf(const std::string& text) {
   std::uint64_t number = 0;
   (void)absl::SimpleAtoi(text, &number);
@@ -103,7 +141,7 @@
   const std::string& target = exchange->head().target;
   std::map<std::string, std::string> query = QueryOf(target);
   if (absl::StartsWith(target, "/api/rows-get")) {
-    Get(exchange, TableName(query["table"], query["part"]));
+    Get(exchange, TableName(query["table"], query["part"]), query["source"]);
   } else if (absl::StartsWith(target, "/api/rows-feed")) {
     Feed(exchange, query["table"], NumberOf(query["after"]),
          static_cast<int>(NumberOf(query["wait_ms"])));
@@ -114,25 +152,12 @@
   }
 }
 
-std::string PlatformStore::RowsJson(const std::string& table, std::uint64_t after,
-                                    bool with_removed) const {
+std::string PlatformStore::ChangesJson(const std::string& table, std::uint64_t after) const {
   Json rows = Json::array();
   for (const auto& [name, row] : rows_) {
-    if (name.first != table || row.version <= after || (row.removed && !with_removed)) {
-      continue;
-    }
-    const std::pair<std::string, std::string> parts =
-        absl::StrSplit(table, absl::MaxSplits('/', 1));
-    Json entry{{"table", parts.first},
-               {"part", parts.second},
-               {"private_key", name.second},
-               {"ver", row.version}};
-    if (row.removed) {
-      entry["is_gone"] = true;
-    } else {
-      entry["value"] = absl::Base64Escape(row.value);
+    if (name.first == table && row.version > after) {
+      rows.push_back(RowJson(name, row.value, row.version, row.removed));
     }
-    rows.push_back(std::move(entry));
   }
   return Json{{"rows", rows}, {"has_more", false}, {"ver", version_}, {"now_ms", NowMs()}}.dump();
 }
@@ -141,8 +166,31 @@
   return absl::ToInt64Milliseconds(loop_->Now() - absl::UnixEpoch());
 }
 
-void PlatformStore::Get(const std::shared_ptr<ServerExchange>& exchange, const std::string& table) {
-  AnswerJson(exchange, 200, RowsJson(table, 0, false));
+void PlatformStore::Get(const std::shared_ptr<ServerExchange>& exchange, const std::string& table,
+                        const std::string& source) {
+  ++pages_;
+  reads_[table] += source.empty() ? 1 : 0;
+  Json rows = Json::array();
+  bool has_more = false;
+  for (auto entry = rows_.lower_bound({table, source});
+       entry != rows_.end() && entry->first.first == table; ++entry) {
+    if (entry->second.removed) {
+      continue;
+    }
+    if (rows.size() == page_rows_) {
+      has_more = true;
+      break;
+    }
+    rows.push_back(RowJson(entry->first, entry->second.value, entry->second.version, false));
+  }
+  AnswerJson(
+      exchange, 200,
+      Json{{"rows", rows}, {"has_more", has_more}, {"ver", version_}, {"now_ms", NowMs()}}.dump());
+}
+
+int PlatformStore::reads(const std::string& table) const {
+  const auto count = reads_.find(table);
+  return count == reads_.end() ? 0 : count->second;
 }
 
 bool PlatformStore::HasChanges(const std::string& table, std::uint64_t after) const {
@@ -161,7 +209,7 @@
     return;
   }
   if (HasChanges(table, after)) {
-    AnswerJson(exchange, 200, RowsJson(table, after, true));
+    AnswerJson(exchange, 200, ChangesJson(table, after));
     return;
   }
   Waiting waiting{exchange, table, after, loop_->MakeTimer()};
@@ -170,7 +218,7 @@
   exchange->OnCallerGone([] {});
   entry->timer->Set(loop_->Now() + absl::Milliseconds(wait_ms), [this, entry] {
     // Also returns changes that a fault held back until now.
-    AnswerJson(entry->exchange, 200, RowsJson(entry->table, entry->after, true));
+    AnswerJson(entry->exchange, 200, ChangesJson(entry->table, entry->after));
     waiting_.erase(entry);
   });
 }
@@ -181,7 +229,7 @@
       ++entry;
       continue;
     }
-    AnswerJson(entry->exchange, 200, RowsJson(entry->table, entry->after, true));
+    AnswerJson(entry->exchange, 200, ChangesJson(entry->table, entry->after));
     entry = waiting_.erase(entry);
   }
 }
--- a/emulator/platform_store.h
+++ b/emulator/platform_store.h
@@ -3,6 +3,7 @@
 #ifndef EMULATOR_PLATFORM_STORE_H_
 #define EMULATOR_PLATFORM_STORE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -43,6 +44,11 @@
   // Discards the history: waiting calls and calls for older versions get 410.
   void Compact();
   int calls() const { return calls_; }
+  // Number of rows in a page of an answer to a read.
+  void SetPageRows(std::size_t rows) { page_rows_ = rows; }
+  // Number of reads of the table that were begun, and of pages that were asked for.
+  int reads(const std::string& table) const;
+  int pages() const { return pages_; }
 
  private:
   struct Row {
@@ -58,12 +64,14 @@
   };
 
   void OnRequest(const std::shared_ptr<gateway::ServerExchange>& exchange);
-  void Get(const std::shared_ptr<gateway::ServerExchange>& exchange, const std::string& table);
+  // Answers with the first page of rows whose keys are not below `source`.
+  void Get(const std::shared_ptr<gateway::ServerExchange>& exchange, const std::string& table,
+           const std::string& source);
   void Feed(const std::shared_ptr<gateway::ServerExchange>& exchange, const std::string& table,
             std::uint64_t after, int wait_ms);
   void Transact(const std::shared_ptr<gateway::ServerExchange>& exchange);
   std::int64_t NowMs() const;
-  std::string RowsJson(const std::string& table, std::uint64_t after, bool with_removed) const;
+  std::string ChangesJson(const std::string& table, std::uint64_t after) const;
   bool HasChanges(const std::string& table, std::uint64_t after) const;
   void AnswerWaitingCalls();
   // Applies a transaction's body; returns the status and sets the answer.
@@ -79,6 +87,10 @@
   std::uint64_t version_ = 0;
   std::uint64_t oldest_version_ = 0;
   int calls_ = 0;
+  int pages_ = 0;
+  std::map<std::string, int> reads_;
+  // The protocol's limit.
+  std::size_t page_rows_ = 500;
 };
 
 }  // namespace hingespan::emulator
