--- a/programs/hingespan_gateway.cc
+++ b/programs/hingespan_gateway.cc
@@ -52,7 +52,7 @@
   HttpClient client(&loop, ClientLimits{});
   const platform::RequestFields dialect;
   const platform::DeploymentRows reader;
-  platform::StoreRowsClient store(&loop, &client, settings.store_address, &metrics);
+  platform::StoreRowsClient store(&loop, &client, settings.store_address, &metrics, &log);
   platform::WorkerOrders control(&loop, &client);
   Gateway gateway(settings, {&loop, &dialect, &reader, &store, &control, &client, &log, &metrics,
                              [] { malloc_trim(0); }});
--- a/tests/serving/gateway_world.cc
+++ b/tests/serving/gateway_world.cc
@@ -79,7 +79,7 @@
     : log_descriptor(memfd_create("log", 0)),
       log(log_descriptor, &SystemClock(), DecisionLogLimits{}),
       client(loop, ClientLimits{}),
-      store(loop, &client, store_address, &metrics),
+      store(loop, &client, store_address, &metrics, &log),
       control(loop, &client),
       gateway(SettingsOf(name, store_address, metrics_address, stop_time),
               {loop, &dialect, own_reader == nullptr ? &reader : own_reader, &store, &control,
