Workers: a record with an odd value, address or name is no worker

Cause: ReadReplicas copied lists of any depth; numbers were converted without a check; any text counted as an address, and any key as an id, which is then sent in Expect-Instance, line breaks included. A record with port 99999 was a worker that attempts were wasted on.

A worker needs a numeric address with a port from 1 to 65535, slots of 0 or more, and an id that can be the value of a field.

Names with "&", "+", "#", "%", blanks inside and non-ASCII stay names of workers.

--- a/include/hingespan/http/message_head.h
+++ b/include/hingespan/http/message_head.h
@@ -51,6 +51,10 @@
 // Returns the value of the first field with this name (case-insensitive), or null if there is none.
 const std::string* FindField(const HeaderFields& fields, absl::string_view name);
 
+// Returns true if the text can be sent as the value of a field: no control bytes, and no blanks at
+// its ends, which receivers strip (RFC 9110, 5.5).
+bool IsFieldValue(absl::string_view text);
+
 // Returns true for hop-by-hop fields (RFC 9110, 7.6.1) and for fields that frame the body.
 // `connection_value` is the value of the message's Connection field, which may name further ones.
 bool IsConnectionField(absl::string_view name, absl::string_view connection_value);
--- a/src/http/message_head.cc
+++ b/src/http/message_head.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -25,6 +26,13 @@
   return nullptr;
 }
 
+bool IsFieldValue(absl::string_view text) {
+  return absl::StripAsciiWhitespace(text).size() == text.size() &&
+         std::none_of(text.begin(), text.end(), [](char character) {
+           return absl::ascii_iscntrl(static_cast<unsigned char>(character));
+         });
+}
+
 std::size_t HeldBytes(const RequestHead& head) {
   std::size_t bytes = head.target.capacity() + head.fields.capacity() * sizeof(HeaderField);
   for (const HeaderField& field : head.fields) {
--- a/tests/platform/deployment_rows_test.cc
+++ b/tests/platform/deployment_rows_test.cc
@@ -65,5 +65,46 @@
   CHECK(!DeploymentRows().ReadWorker({"servers", "i-1", "{}", 9, false}).ok());
 }
 
+Result<WorkerRecord> ReadWorkerAt(const std::string& address, const std::string& key = "i-1") {
+  return DeploymentRows().ReadWorker(
+      {"servers", key, "{\"service\":\"s1\",\"address\":\"" + address + "\"}", 9, false});
+}
+
+TEST_CASE("a worker needs an address that something can be sent to") {
+  CHECK(ReadWorkerAt("10.0.0.1:65535").ok());
+  CHECK(ReadWorkerAt("[::1]:80").ok());
+  for (const std::string address :
+       {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:65536",
+        "10.0.0.1:99999", "10.0.0.1:18446744073709551616", ":80", "host:80", "10.0.0.1 :80",
+        "::1%\\r\\nX: y:80", "10.0.0.1\\u0000:80"}) {
+    CAPTURE(address);
+    CHECK(!ReadWorkerAt(address).ok());
+  }
+}
+
+TEST_CASE("a worker needs a name that can be sent in a field") {
+  for (const std::string key : {"a&b", "a+b", "a#b", "a b", "%41", "a?b/c", "\"'", "\xc3\xa9"}) {
+    CAPTURE(key);
+    const auto read = ReadWorkerAt("10.0.0.1:80", key);
+    REQUIRE(read.ok());
+    CHECK(read->id == key);
+  }
+  for (const std::string& key : {std::string(), std::string("a\r\nb"), std::string("\x01"),
+                                 std::string("a\0b", 3), std::string(" a"), std::string("a ")}) {
+    CAPTURE(key);
+    CHECK(!ReadWorkerAt("10.0.0.1:80", key).ok());
+  }
+}
+
+TEST_CASE("a worker's numbers are checked against their range") {
+  for (const char* const slots :
+       {"-1", "2147483648", "1e30", "18446744073709551616", "\"8\"", "null", "true", "[8]"}) {
+    CAPTURE(slots);
+    const std::string value =
+        std::string(R"({"service":"s1","address":"10.0.0.1:80","slots":)") + slots + "}";
+    CHECK(!DeploymentRows().ReadWorker({"servers", "i-1", value, 9, false}).ok());
+  }
+}
+
 }  // namespace
 }  // namespace hingespan::gateway::platform
