Lease: a malformed row is taken over like that of an unknown holder

Found by reading, while all readers of the product's own rows were read: after a malformed row under lease/placement no node orders loads, for good.

Cause: a row that can't be decoded is a lease without a record. NextWrite took it for one without a row and set the condition that there be none, so that each write conflicted, was followed by a read, and conflicted again.

Change: the condition is the version of the row, whatever it holds, and the wait that of another machine's lease, since a live holder's row may have been overwritten. The holder itself loses the lease at its next read, as before.

Result: passes; the token is the version of the write, which is greater than that of any former holder.

--- a/src/fleet/lease_manager.cc
+++ b/src/fleet/lease_manager.cc
@@ -75,15 +75,16 @@
     return std::nullopt;
   }
   Write write;
-  write.condition_version = record_.has_value() ? row_version_ : 0;
+  // A row without a record is malformed; it is taken over like that of an unknown holder.
+  write.condition_version = row_version_;
   write.record = {settings_.node, settings_.incarnation, settings_.address, 0};
   if (holding_) {
     write.record.token = token_;
-  } else if (record_.has_value()) {
+  } else if (row_version_ != 0) {
     // An earlier process on this machine has certainly ended; another machine may only be
     // unreachable.
-    const bool same_machine =
-        record_->holder == settings_.node && record_->incarnation != settings_.incarnation;
+    const bool same_machine = record_.has_value() && record_->holder == settings_.node &&
+                              record_->incarnation != settings_.incarnation;
     const absl::Duration wait =
         same_machine ? settings_.RestartWait() : settings_.TakeoverWait() + extra_wait_;
     if (unchanged_since_ == absl::InfiniteFuture() || now - unchanged_since_ < wait) {
--- a/tests/fleet/lease_manager_test.cc
+++ b/tests/fleet/lease_manager_test.cc
@@ -54,6 +54,17 @@
   CHECK(write->condition_version == 6);
 }
 
+TEST_CASE("a malformed lease is taken over like that of an unknown holder") {
+  LeaseManager lease(SettingsOf("n2"));
+  lease.OnRead(std::nullopt, 5, At(0));
+  CHECK(!lease.NextWrite(At(3.3)).has_value());
+  const auto write = lease.NextWrite(At(3.5));
+  REQUIRE(write.has_value());
+  CHECK(write->condition_version == 5);
+  lease.OnCommitted(8, At(3.6));
+  CHECK(lease.token() == 8);
+}
+
 TEST_CASE("a renewal's answer that arrives after the lease was lost does not restore it") {
   LeaseManager lease(SettingsOf("n1"));
   lease.OnRead(std::nullopt, 0, At(0));
