Fleet: rows, copies and datagrams are decoded in one place each, and an odd one costs itself

Callers saw: `node/odd` = {"address":7} in the product's table ended all processes at once, and after each restart.

Cause: ReadNodes and the check of a node's own row read members with json.value(), which throws for another type, within a callback of the event loop. The other readers caught it, each by itself; datagrams and quarantine rows were read recursively, and numbers were converted without a check of their range.

Change: fleet_rows and copy_answer have the formats of rows and of copies, moved from the coordinator, StreamArchive, QuarantineRecord and SharedReading; all decode with common/json_decoding. A malformed row is logged with at most 100 bytes of its name. A quarantine's id in a datagram that can't be part of a key is none, as from an earlier release; its age is clamped before it is narrowed.

Nothing that a callback calls throws for what a row holds.

--- a/include/hingespan/fleet/stream_archive.h
+++ b/include/hingespan/fleet/stream_archive.h
@@ -19,6 +19,7 @@
 
 #include "absl/time/time.h"
 #include "hingespan/common/clock.h"
+#include "hingespan/fleet/fleet_rows.h"
 #include "hingespan/http/event_loop.h"
 #include "hingespan/serving/decision_log.h"
 #include "hingespan/serving/gateway_metrics.h"
@@ -68,12 +69,6 @@
   void Find(const std::string& stream_id, Callback done);
 
  private:
-  struct Entry {
-    StreamSource source;
-    // Wall-clock time until which the stream may be taken up.
-    absl::Time expires;
-  };
-  using Entries = std::map<std::string, Entry>;
   struct Search {
     std::string stream_id;
     Callback done;
@@ -85,8 +80,6 @@
     std::error_code error;
   };
 
-  static std::optional<Entries> Decode(const std::string& value);
-  static std::string Encode(const Entries& entries);
   void ScheduleWrite();
   void Write();
   // Drops the streams that have expired, and those for which the row has no room.
@@ -97,7 +90,7 @@
   void OnRead(const Reading& reading);
   void OnRows(const std::vector<StoreRow>& rows);
   // Takes over what a former process of this node has left.
-  void TakeOver(const StoreRow& row, Entries entries);
+  void TakeOver(const StoreRow& row, ArchivedStreams streams);
   // Removes the row of a node that has not used it for long.
   void RemoveStale(const StoreRow& row);
   void EndSearches();
@@ -106,7 +99,7 @@
   StreamArchiveParts parts_;
   std::size_t fleet_size_ = 1;
   // This node's streams.
-  Entries own_;
+  ArchivedStreams own_;
   // Version of this node's row, 0 if there is none; absent while it isn't known.
   std::optional<std::uint64_t> row_version_;
   bool changed_ = false;
--- a/src/fleet/fleet_coordinator.cc
+++ b/src/fleet/fleet_coordinator.cc
@@ -1,45 +1,19 @@
 #include "hingespan/fleet/fleet_coordinator.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "hingespan/fleet/fleet_rows.h"
 
 namespace hingespan::gateway {
 namespace {
 
-using Json = nlohmann::json;
 constexpr char kLeaseKey[] = "lease/placement";
 constexpr absl::Duration kPauseTick = absl::Milliseconds(400);
 // Reports that are kept until an update includes them. Beyond, the newest one is taken for it.
 constexpr std::size_t kMaxOwnReports = 32;
 
-std::string EncodeLease(const LeaseRecord& record) {
-  return Json{{"holder", record.holder},
-              {"incarnation", record.incarnation},
-              {"address", record.address},
-              {"token", record.token},
-              {"loads_at_once", record.weight_store.limit},
-              {"slow_load_seen", record.weight_store.settled}}
-      .dump();
-}
-std::optional<LeaseRecord> DecodeLease(const std::string& value) {
-  const Json json = Json::parse(value, nullptr, false);
-  if (!json.is_object()) {
-    return std::nullopt;
-  }
-  try {
-    const WeightStoreEstimate estimate{json.value("loads_at_once", 0.0),
-                                       json.value("slow_load_seen", false)};
-    return LeaseRecord{
-        json.at("holder").get<std::string>(), json.at("incarnation").get<std::uint64_t>(),
-        json.at("address").get<std::string>(), json.at("token").get<std::uint64_t>(), estimate};
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 FleetCoordinator::FleetCoordinator(FleetCoordinatorSettings settings, FleetCoordinatorParts parts)
@@ -144,7 +118,13 @@
   std::uint64_t lease_version = 0;
   for (const StoreRow& row : rows.rows) {
     if (row.key == kLeaseKey) {
-      lease = DecodeLease(row.value);
+      const Result<LeaseRecord> read = DecodeLeaseRow(row.value);
+      if (read.ok()) {
+        lease = *read;
+      } else {
+        parts_.log->Write(LogLevel::kWarning, "lease_row_malformed",
+                          {{"row_version", absl::StrCat(row.version)}});
+      }
       lease_version = row.version;
     }
   }
@@ -174,7 +154,7 @@
   write->record.weight_store =
       lease_.holding() ? placer_.weight_store().estimate() : inherited_estimate_;
   parts_.store->Commit({{settings_.table, kLeaseKey, write->condition_version}},
-                       {{settings_.table, kLeaseKey, EncodeLease(write->record)}},
+                       {{settings_.table, kLeaseKey, EncodeLeaseRow(write->record)}},
                        [this](Result<std::uint64_t> result) {
                          const bool held_before = lease_.holding();
                          const absl::Time now = parts_.loop->Now();
--- a/src/fleet/fleet_coordinator_nodes.cc
+++ b/src/fleet/fleet_coordinator_nodes.cc
@@ -1,39 +1,36 @@
 // The rows of nodes in the fleet table: this node's own, and those of lost nodes, which the lease
 // holder removes.
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "hingespan/common/log_line.h"
 #include "hingespan/fleet/fleet_coordinator.h"
+#include "hingespan/fleet/fleet_rows.h"
 
 namespace hingespan::gateway {
 namespace {
 
-using Json = nlohmann::json;
 constexpr absl::string_view kNodePrefix = "node/";
 // Delay before the removal of the node's row is retried if its outcome is unknown.
 constexpr absl::Duration kRemovalRetryDelay = absl::Milliseconds(500);
 
-std::uint64_t IncarnationOf(const std::string& node_row) {
-  const Json json = Json::parse(node_row, nullptr, false);
-  return json.is_object() ? json.value("incarnation", std::uint64_t{0}) : 0;
-}
-
 }  // namespace
 
 void FleetCoordinator::AnnounceNode() {
   announced_ = true;
   own_row_version_ = 0;
-  const std::string value = Json{
-      {"address", settings_.address},
-      {"copies", settings_.copies_address},
-      {"forward", settings_.forward_address},
-      {"zone", settings_.zone},
-      {"link_mbps", settings_.link_mbps},
-      {"incarnation", settings_.incarnation},
-      {"answers_probes", true}}.dump();
+  NodeAnnouncement own;
+  own.node = {settings_.node,
+              settings_.zone,
+              settings_.copies_address,
+              settings_.link_mbps,
+              settings_.forward_address,
+              settings_.address,
+              settings_.incarnation};
+  own.answers_probes = true;
+  const std::string value = EncodeNodeRow(own);
   parts_.store->Commit({}, {{settings_.table, absl::StrCat(kNodePrefix, settings_.node), value}},
                        [this](Result<std::uint64_t> result) {
                          if (!result.ok()) {
@@ -71,9 +68,12 @@
   }
   const auto own = std::find_if(rows.rows.begin(), rows.rows.end(),
                                 [&](const StoreRow& row) { return row.key == key; });
-  if (own != rows.rows.end() && IncarnationOf(own->value) == settings_.incarnation) {
-    own_row_version_ = std::max(own_row_version_, own->version);
-    return;
+  if (own != rows.rows.end()) {
+    const Result<NodeAnnouncement> read = DecodeNodeRow(settings_.node, own->value);
+    if (read.ok() && read->node.incarnation == settings_.incarnation) {
+      own_row_version_ = std::max(own_row_version_, own->version);
+      return;
+    }
   }
   if (!stopped_ && announced_) {
     AnnounceNode();
@@ -88,20 +88,18 @@
     if (!absl::StartsWith(row.key, kNodePrefix)) {
       continue;
     }
-    const Json json = Json::parse(row.value, nullptr, false);
-    if (!json.is_object() || !json.contains("address")) {
+    const std::string name = row.key.substr(kNodePrefix.size());
+    Result<NodeAnnouncement> read = DecodeNodeRow(name, row.value);
+    if (!read.ok()) {
+      parts_.log->Write(LogLevel::kWarning, "node_row_malformed",
+                        {{"node", AbbreviateForLog(name)}});
       continue;
     }
-    const std::string name = row.key.substr(kNodePrefix.size());
-    const auto incarnation = json.value("incarnation", std::uint64_t{0});
-    peers[name] = json["address"].get<std::string>();
-    nodes.push_back({name, json.value("zone", ""), json.value("copies", ""),
-                     json.value("link_mbps", 0.0), json.value("forward", ""), peers[name],
-                     incarnation});
-    // Nodes of an earlier release don't answer.
-    if (name != settings_.node && json.value("answers_probes", false)) {
-      judged.push_back({name, incarnation, row.version});
+    peers[name] = read->node.datagram_address;
+    if (name != settings_.node && read->answers_probes) {
+      judged.push_back({name, read->node.incarnation, row.version});
     }
+    nodes.push_back(std::move(read->node));
   }
   peers_ = std::move(peers);
   liveness_.SetRows(judged, parts_.loop->Now());
--- a/src/fleet/fleet_coordinator_versions.cc
+++ b/src/fleet/fleet_coordinator_versions.cc
@@ -1,17 +1,19 @@
 // The fleet's record of software versions: a row for each service, written by the lease holder when
 // a version comes or is forgotten.
-#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "hingespan/common/log_line.h"
 #include "hingespan/fleet/fleet_coordinator.h"
+#include "hingespan/fleet/fleet_rows.h"
 
 namespace hingespan::gateway {
 namespace {
 
-using Json = nlohmann::json;
 constexpr absl::string_view kVersionsPrefix = "versions/";
 
 }  // namespace
@@ -25,15 +27,14 @@
     }
     const std::string service = row.key.substr(kVersionsPrefix.size());
     version_rows_[service] = row.version;
-    const Json json = Json::parse(row.value, nullptr, false);
-    if (!json.is_array()) {
-      parts_.log->Write(LogLevel::kWarning, "version_row_malformed", {{"service", service}});
+    Result<std::set<std::string>> versions = DecodeVersionsRow(row.value);
+    if (!versions.ok()) {
+      parts_.log->Write(LogLevel::kWarning, "version_row_malformed",
+                        {{"service", AbbreviateForLog(service)}});
       continue;
     }
-    for (const Json& version : json) {
-      if (version.is_string()) {
-        record[service].insert(version.get<std::string>());
-      }
+    if (!versions->empty()) {
+      record[service] = *std::move(versions);
     }
   }
   parts_.versions->SetRecord(std::move(record));
@@ -55,7 +56,7 @@
     const std::string key = absl::StrCat(kVersionsPrefix, service);
     const auto row = version_rows_.find(service);
     conditions.push_back({settings_.table, key, row == version_rows_.end() ? 0 : row->second});
-    writes.push_back({settings_.table, key, Json(versions).dump()});
+    writes.push_back({settings_.table, key, EncodeVersionsRow(versions)});
   }
   if (writes.empty()) {
     return;
--- a/src/fleet/fleet_messages.cc
+++ b/src/fleet/fleet_messages.cc
@@ -3,7 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "cbor_reader.h"
+#include "hingespan/common/cbor_check.h"
+#include "hingespan/common/json_decoding.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -30,6 +31,23 @@
 constexpr int kNodeProbe = 16;
 constexpr int kNodeProbeReply = 17;
 
+// Ids become parts of a row's key, of which the store takes 200 bytes.
+constexpr std::size_t kMaxIdBytes = 128;
+
+std::set<RequestContent> ReadContents(const Json& json) {
+  std::set<RequestContent> contents;
+  for (const Json& content : RequireArray(json)) {
+    contents.insert(ReadNumber<std::uint64_t>(content));
+  }
+  return contents;
+}
+
+// Returns an empty id, like that of an earlier release, if it can't be part of a key.
+std::string ReadQuarantineId(const Json& json) {
+  std::string id = json.get<std::string>();
+  return IsUtf8(id) && id.size() <= kMaxIdBytes ? id : std::string();
+}
+
 Json Encode(const WorkerLoad& load) {
   Json list = Json::array({load.worker_id, load.running, load.unread_tokens});
   for (const RunningModel& model : load.models) {
@@ -41,9 +59,10 @@
 
 WorkerLoad DecodeLoad(const Json& json) {
   constexpr std::size_t kFixedEntries = 3;
-  WorkerLoad load{json.at(0).get<std::string>(), json.at(1).get<int>(), json.at(2).get<int>(), {}};
+  WorkerLoad load{
+      json.at(0).get<std::string>(), ReadNumber<int>(json.at(1)), ReadNumber<int>(json.at(2)), {}};
   for (std::size_t index = kFixedEntries; index + 1 < json.size(); index += 2) {
-    load.models.push_back({json.at(index).get<std::string>(), json.at(index + 1).get<int>()});
+    load.models.push_back({json.at(index).get<std::string>(), ReadNumber<int>(json.at(index + 1))});
   }
   return load;
 }
@@ -58,7 +77,7 @@
 
 std::vector<WorkerLoad> DecodeLoads(const Json& json) {
   std::vector<WorkerLoad> loads;
-  for (const Json& entry : json) {
+  for (const Json& entry : RequireArray(json)) {
     loads.push_back(DecodeLoad(entry));
   }
   return loads;
@@ -83,23 +102,23 @@
 DemandReport DecodeReport(const Json& json) {
   DemandReport report;
   report.node = json.at(1).get<std::string>();
-  report.incarnation = json.at(2).get<std::uint64_t>();
-  report.number = json.at(3).get<std::uint64_t>();
-  for (const Json& entry : json.at(4)) {
+  report.incarnation = ReadNumber<std::uint64_t>(json.at(2));
+  report.number = ReadNumber<std::uint64_t>(json.at(3));
+  for (const Json& entry : RequireArray(json.at(4))) {
     report.demands.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
-                              entry.at(2).get<std::string>(), entry.at(3).get<int>(),
-                              entry.at(4).get<int>(), entry.at(5).get<int>(),
-                              entry.at(6).get<int>()});
+                              entry.at(2).get<std::string>(), ReadNumber<int>(entry.at(3)),
+                              ReadNumber<int>(entry.at(4)), ReadNumber<int>(entry.at(5)),
+                              ReadNumber<int>(entry.at(6))});
   }
   report.loads = DecodeLoads(json.at(5));
   report.unreachable = json.at(6).get<std::vector<std::string>>();
   // Nodes of an earlier release send none.
   constexpr std::size_t kBoundEntry = 7;
   if (json.size() > kBoundEntry) {
-    for (const Json& entry : json.at(kBoundEntry)) {
+    for (const Json& entry : RequireArray(json.at(kBoundEntry))) {
       report.bound.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
                               entry.at(2).get<std::string>(), entry.at(3).get<std::string>(),
-                              entry.at(4).get<int>()});
+                              ReadNumber<int>(entry.at(4))});
     }
   }
   return report;
@@ -120,16 +139,16 @@
 PlacementUpdate DecodeUpdate(const Json& json) {
   PlacementUpdate update;
   update.holder = json.at(1).get<std::string>();
-  update.token = json.at(2).get<std::uint64_t>();
-  update.number = json.at(3).get<std::uint64_t>();
-  for (const Json& entry : json.at(4)) {
-    const int state = entry.at(3).get<int>();
+  update.token = ReadNumber<std::uint64_t>(json.at(2));
+  update.number = ReadNumber<std::uint64_t>(json.at(3));
+  for (const Json& entry : RequireArray(json.at(4))) {
+    const int state = ReadNumber<int>(entry.at(3));
     if (state < 0 || state > static_cast<int>(ReplicaState::kLeaving)) {
       continue;
     }
     update.replicas.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>(),
                                entry.at(2).get<std::string>(), static_cast<ReplicaState>(state),
-                               entry.at(4).get<int>()});
+                               ReadNumber<int>(entry.at(4))});
   }
   if (!json.at(5).is_null()) {
     update.loads = DecodeLoads(json.at(5));
@@ -137,7 +156,10 @@
   update.address = json.at(6).get<std::string>();
   constexpr std::size_t kReportsEntry = 7;
   if (json.size() > kReportsEntry && !json.at(kReportsEntry).is_null()) {
-    update.reports = json.at(kReportsEntry).get<std::map<std::string, std::uint64_t>>();
+    update.reports.emplace();
+    for (const auto& [node, number] : json.at(kReportsEntry).items()) {
+      (*update.reports)[node] = ReadNumber<std::uint64_t>(number);
+    }
   }
   return update;
 }
@@ -150,7 +172,7 @@
 StreamNotice DecodeNotice(const Json& json) {
   return {json.at(1).get<std::string>(),
           {json.at(2).get<std::string>(), json.at(3).get<std::string>()},
-          json.at(4).get<int>()};
+          ReadNumber<int>(json.at(4))};
 }
 
 Json Encode(const StreamQuestion& question) {
@@ -160,7 +182,7 @@
 
 StreamQuestion DecodeQuestion(const Json& json) {
   return {json.at(1).get<std::string>(), json.at(2).get<std::string>(),
-          json.at(3).get<std::string>(), json.at(4).get<std::uint64_t>()};
+          json.at(3).get<std::string>(), ReadNumber<std::uint64_t>(json.at(4))};
 }
 
 Json Encode(const StreamReply& reply) {
@@ -177,7 +199,7 @@
   constexpr std::size_t kEntriesWithSource = 7;
   StreamReply reply;
   reply.stream_id = json.at(1).get<std::string>();
-  reply.number = json.at(2).get<std::uint64_t>();
+  reply.number = ReadNumber<std::uint64_t>(json.at(2));
   reply.node = json.at(3).get<std::string>();
   reply.versions = json.at(4).get<std::set<std::string>>();
   if (json.size() >= kEntriesWithSource) {
@@ -200,13 +222,13 @@
   // Nodes of an earlier release send none.
   constexpr std::size_t kRequestsEntry = 5;
   if (json.size() > kRequestsEntry) {
-    notice.requests = json.at(kRequestsEntry).get<std::set<RequestContent>>();
+    notice.requests = ReadContents(json.at(kRequestsEntry));
   }
   // Nor pieces.
   constexpr std::size_t kPieceEntry = 6;
   if (json.size() > kPieceEntry + 1) {
-    notice.piece = json.at(kPieceEntry).get<int>();
-    notice.pieces = json.at(kPieceEntry + 1).get<int>();
+    notice.piece = ReadNumber<int>(json.at(kPieceEntry));
+    notice.pieces = ReadNumber<int>(json.at(kPieceEntry + 1));
   }
   return notice;
 }
@@ -224,11 +246,11 @@
   return {json.at(1).get<std::string>(),
           json.at(2).get<std::set<std::string>>(),
           json.at(3).get<std::set<std::string>>(),
-          json.at(4).get<int>(),
-          json.at(5).get<int>(),
+          ReadNumber<int>(json.at(4)),
+          ReadNumber<int>(json.at(5)),
           json.at(6).get<std::string>(),
           json.size() > kProvisionalEntry && json.at(kProvisionalEntry).get<bool>(),
-          json.size() > kIdEntry ? json.at(kIdEntry).get<std::string>() : std::string()};
+          json.size() > kIdEntry ? ReadQuarantineId(json.at(kIdEntry)) : std::string()};
 }
 
 Json Encode(const ClearedParts& cleared) {
@@ -256,16 +278,18 @@
 SlotRequest DecodeSlotRequest(const Json& json) {
   SlotRequest request;
   request.worker_id = json.at(1).get<std::string>();
-  request.borrower = {json.at(2).get<std::string>(), json.at(3).get<std::uint64_t>(),
+  request.borrower = {json.at(2).get<std::string>(), ReadNumber<std::uint64_t>(json.at(3)),
                       json.at(4).get<std::string>()};
-  request.number = json.at(5).get<std::uint64_t>();
-  request.held = {json.at(6).get<int>(), json.at(7).get<int>(), json.at(8).get<double>()};
-  request.capacity = {json.at(9).get<int>(), json.at(10).get<double>(), json.at(11).get<int>()};
-  request.confirmed = json.at(12).get<std::uint64_t>();
-  request.rejections = json.at(13).get<int>();
+  request.number = ReadNumber<std::uint64_t>(json.at(5));
+  request.held = {ReadNumber<int>(json.at(6)), ReadNumber<int>(json.at(7)),
+                  ReadNumber<double>(json.at(8))};
+  request.capacity = {ReadNumber<int>(json.at(9)), ReadNumber<double>(json.at(10)),
+                      ReadNumber<int>(json.at(11))};
+  request.confirmed = ReadNumber<std::uint64_t>(json.at(12));
+  request.rejections = ReadNumber<int>(json.at(13));
   request.wants_reply = json.at(14).get<bool>();
   request.wants_slot = json.at(15).get<bool>();
-  request.wanted_tokens = json.at(16).get<double>();
+  request.wanted_tokens = ReadNumber<double>(json.at(16));
   request.passed_on = json.at(17).get<bool>();
   return request;
 }
@@ -275,7 +299,8 @@
 }
 
 SlotReply DecodeSlotReply(const Json& json) {
-  return {json.at(1).get<std::string>(), json.at(2).get<std::uint64_t>(), json.at(3).get<bool>()};
+  return {json.at(1).get<std::string>(), ReadNumber<std::uint64_t>(json.at(2)),
+          json.at(3).get<bool>()};
 }
 
 Json Encode(const SlotTakeover& takeover) {
@@ -298,6 +323,47 @@
 
 Json Encode(const NodeProbeReply& reply) { return Json::array({kNodeProbeReply, reply.node}); }
 
+FleetMessage Decode(const Json& json) {
+  switch (ReadNumber<int>(json.at(0))) {
+    case kDemandReport:
+      return DecodeReport(json);
+    case kPlacementUpdate:
+      return DecodeUpdate(json);
+    case kStreamNotice:
+      return DecodeNotice(json);
+    case kStreamQuestion:
+      return DecodeQuestion(json);
+    case kStreamReply:
+      return DecodeReply(json);
+    case kCrashNotice:
+      return DecodeCrash(json);
+    case kQuarantineNotice:
+      return DecodeQuarantine(json);
+    case kClearedParts:
+      return DecodeCleared(json);
+    case kQuarantineQuestion:
+      return QuarantineQuestion{json.at(1).get<std::string>()};
+    case kSlotRequest:
+      return DecodeSlotRequest(json);
+    case kSlotReply:
+      return DecodeSlotReply(json);
+    case kSlotTakeover:
+      return SlotTakeover{json.at(1).get<std::string>(), json.at(2).get<std::string>()};
+    case kCrashRetraction:
+      return CrashRetraction{json.at(1).get<std::string>()};
+    case kServedRequests:
+      return ServedRequests{ReadContents(json.at(1)), json.at(2).get<bool>()};
+    case kBrittleNotice:
+      return BrittleNotice{json.at(1).get<std::string>(), ReadNumber<int>(json.at(2))};
+    case kNodeProbe:
+      return NodeProbe{json.at(1).get<std::string>()};
+    case kNodeProbeReply:
+      return NodeProbeReply{json.at(1).get<std::string>()};
+    default:
+      throw DecodeError("unknown type of message");
+  }
+}
+
 }  // namespace
 
 std::string EncodeFleetMessage(const FleetMessage& message) {
@@ -308,52 +374,10 @@
 }
 
 std::optional<FleetMessage> DecodeFleetMessage(absl::string_view bytes) {
-  const Json json = ReadCbor(bytes);
-  if (!json.is_array() || json.empty() || !json.at(0).is_number_integer()) {
-    return std::nullopt;
-  }
-  try {
-    switch (json.at(0).get<int>()) {
-      case kDemandReport:
-        return DecodeReport(json);
-      case kPlacementUpdate:
-        return DecodeUpdate(json);
-      case kStreamNotice:
-        return DecodeNotice(json);
-      case kStreamQuestion:
-        return DecodeQuestion(json);
-      case kStreamReply:
-        return DecodeReply(json);
-      case kCrashNotice:
-        return DecodeCrash(json);
-      case kQuarantineNotice:
-        return DecodeQuarantine(json);
-      case kClearedParts:
-        return DecodeCleared(json);
-      case kQuarantineQuestion:
-        return QuarantineQuestion{json.at(1).get<std::string>()};
-      case kSlotRequest:
-        return DecodeSlotRequest(json);
-      case kSlotReply:
-        return DecodeSlotReply(json);
-      case kSlotTakeover:
-        return SlotTakeover{json.at(1).get<std::string>(), json.at(2).get<std::string>()};
-      case kCrashRetraction:
-        return CrashRetraction{json.at(1).get<std::string>()};
-      case kServedRequests:
-        return ServedRequests{json.at(1).get<std::set<RequestContent>>(), json.at(2).get<bool>()};
-      case kBrittleNotice:
-        return BrittleNotice{json.at(1).get<std::string>(), json.at(2).get<int>()};
-      case kNodeProbe:
-        return NodeProbe{json.at(1).get<std::string>()};
-      case kNodeProbeReply:
-        return NodeProbeReply{json.at(1).get<std::string>()};
-      default:
-        return std::nullopt;
-    }
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  const Result<FleetMessage> message =
+      DecodeJson<FleetMessage>(ParseCbor(std::string_view(bytes.data(), bytes.size())),
+                               [](const Json& json) { return Decode(json); });
+  return message.ok() ? std::make_optional(*message) : std::nullopt;
 }
 
 }  // namespace hingespan::gateway
--- a/src/fleet/quarantine_exchange.cc
+++ b/src/fleet/quarantine_exchange.cc
@@ -1,7 +1,9 @@
 #include "hingespan/fleet/quarantine_exchange.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -280,7 +282,8 @@
   notice.service = quarantine.service;
   notice.parts = quarantine.parts;
   notice.workers = quarantine.workers;
-  notice.since_ms = static_cast<int>(absl::ToInt64Milliseconds(now - quarantine.since));
+  notice.since_ms = static_cast<int>(std::min<std::int64_t>(
+      absl::ToInt64Milliseconds(now - quarantine.since), std::numeric_limits<int>::max()));
   notice.id = quarantine.id;
   notice.reply_address = address_;
   notice.provisional = quarantine.provisional;
--- a/src/fleet/quarantine_record.cc
+++ b/src/fleet/quarantine_record.cc
@@ -2,19 +2,17 @@
 
 #include <algorithm>
 #include <iterator>
-#include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
-#include "cbor_reader.h"
+#include "hingespan/common/log_line.h"
+#include "hingespan/fleet/fleet_rows.h"
 
 namespace hingespan::gateway {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr absl::string_view kKeyPrefix = "quarantine/";
 constexpr std::size_t kMaxOversized = 256;
 
@@ -25,34 +23,26 @@
 
 QuarantineRecord::~QuarantineRecord() { *alive_ = false; }
 
-// Format of a row, in CBOR, as parts may be any bytes: [service, parts, wall-clock time of the
-// first crash in ms, provisional].
 std::string QuarantineRecord::Encode(const Quarantine& quarantine) const {
   const absl::Time since = parts_.clock->WallTime() - (parts_.loop->Now() - quarantine.since);
-  std::string bytes;
-  Json::to_cbor(Json::array({quarantine.service, Json(quarantine.parts), absl::ToUnixMillis(since),
-                             quarantine.provisional}),
-                bytes);
-  return bytes;
+  return EncodeQuarantineRow({quarantine.service, quarantine.parts, since, quarantine.provisional});
 }
 
 std::optional<Quarantine> QuarantineRecord::Decode(const std::string& id,
                                                    const std::string& value) const {
-  const Json json = ReadCbor(value);
-  Quarantine quarantine;
-  try {
-    quarantine.service = json.at(0).get<std::string>();
-    quarantine.parts = json.at(1).get<PromptPartIds>();
-    const absl::Time since = absl::FromUnixMillis(json.at(2).get<std::int64_t>());
-    quarantine.provisional = json.at(3).get<bool>();
-    // The wall clocks of two machines may differ.
-    quarantine.since =
-        parts_.loop->Now() - std::max(parts_.clock->WallTime() - since, absl::ZeroDuration());
-  } catch (const Json::exception&) {
+  const Result<RecordedQuarantine> read = DecodeQuarantineRow(value);
+  if (!read.ok()) {
     return std::nullopt;
   }
+  Quarantine quarantine;
   quarantine.id = id;
-  return quarantine.parts.empty() ? std::nullopt : std::make_optional(quarantine);
+  quarantine.service = read->service;
+  quarantine.parts = read->parts;
+  quarantine.provisional = read->provisional;
+  // The wall clocks of two machines may differ.
+  quarantine.since =
+      parts_.loop->Now() - std::max(parts_.clock->WallTime() - read->since, absl::ZeroDuration());
+  return quarantine;
 }
 
 void QuarantineRecord::Add(const Quarantine& quarantine) {
@@ -104,7 +94,8 @@
   entry.version = row.version;
   const std::optional<Quarantine> quarantine = Decode(id, row.value);
   if (!quarantine.has_value()) {
-    parts_.log->Write(LogLevel::kWarning, "quarantine_row_malformed", {{"id", id}});
+    parts_.log->Write(LogLevel::kWarning, "quarantine_row_malformed",
+                      {{"id", AbbreviateForLog(id)}});
     return;
   }
   if (entry.wanted.has_value()) {
--- a/src/fleet/shared_reading.cc
+++ b/src/fleet/shared_reading.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <utility>
@@ -11,13 +10,11 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
-#include "cbor_reader.h"
+#include "hingespan/fleet/copy_answer.h"
 
 namespace hingespan::gateway {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr char kTablePath[] = "/tables/";
 constexpr int kGone = 410;
 constexpr int kNoCopy = 503;
@@ -29,48 +26,17 @@
 // Time between a reader's answer from the store and the age at which its copy is stale.
 constexpr absl::Duration kReaderMargin = absl::Milliseconds(300);
 
-// Format of an answer with rows, in CBOR: [version, milliseconds since the store confirmed it,
-// rows, milliseconds for which the request was held], with each row as [key, value, version,
-// removed].
-std::string EncodeRows(const StoreRows& rows, absl::Duration age, absl::Duration held) {
-  Json list = Json::array();
-  for (const StoreRow& row : rows.rows) {
-    list.push_back(Json::array({row.key, row.value, row.version, row.removed}));
-  }
-  std::string bytes;
-  Json::to_cbor(Json::array({rows.version, absl::ToInt64Milliseconds(age), std::move(list),
-                             absl::ToInt64Milliseconds(held)}),
-                bytes);
-  return bytes;
-}
-
 // Decodes the answer to a request that was sent at `sent`. Only the time for which the reader held
 // it is known to have passed until the answer was sent: the rest may be its way, or a pause of this
 // process.
 std::optional<StoreRows> DecodeRows(const std::string& table, const std::string& bytes,
                                     absl::Time sent, absl::Time now) {
-  constexpr std::size_t kHeldEntry = 3;
-  const Json json = ReadCbor(bytes);
-  if (!json.is_array() || json.size() < kHeldEntry) {
-    return std::nullopt;
-  }
-  try {
-    StoreRows rows;
-    rows.version = json.at(0).get<std::uint64_t>();
-    const absl::Duration age = absl::Milliseconds(json.at(1).get<std::int64_t>());
-    // Nodes of an earlier release don't tell it.
-    const absl::Duration held = json.size() > kHeldEntry
-                                    ? absl::Milliseconds(json.at(kHeldEntry).get<std::int64_t>())
-                                    : absl::ZeroDuration();
-    rows.as_of = std::min(now, sent + held) - age;
-    for (const Json& row : json.at(2)) {
-      rows.rows.push_back({table, row.at(0).get<std::string>(), row.at(1).get<std::string>(),
-                           row.at(2).get<std::uint64_t>(), row.at(3).get<bool>()});
-    }
-    return rows;
-  } catch (const Json::exception&) {
+  Result<CopyAnswer> answer = DecodeCopyAnswer(table, bytes);
+  if (!answer.ok()) {
     return std::nullopt;
   }
+  answer->rows.as_of = std::min(now, sent + answer->held) - answer->age;
+  return std::move(answer->rows);
 }
 
 std::uint64_t Rank(const std::string& node) { return XXH3_64bits(node.data(), node.size()); }
@@ -376,9 +342,9 @@
     return;
   }
   if (parts.size() < 5) {
-    exchange->Answer(
-        200, ReasonPhrase(200), {},
-        EncodeRows(copy->second.Snapshot(), now - copy->second.confirmed(), absl::ZeroDuration()));
+    exchange->Answer(200, ReasonPhrase(200), {},
+                     EncodeCopyAnswer({copy->second.Snapshot(), now - copy->second.confirmed(),
+                                       absl::ZeroDuration()}));
     return;
   }
   PendingWatch watch{exchange, parts[2], 0, now, nullptr};
@@ -411,7 +377,7 @@
   }
   watch.exchange->Answer(
       200, ReasonPhrase(200), {},
-      EncodeRows(*changes, loop_->Now() - copy.confirmed(), loop_->Now() - watch.arrived));
+      EncodeCopyAnswer({*changes, loop_->Now() - copy.confirmed(), loop_->Now() - watch.arrived}));
 }
 
 void SharedReading::ScheduleAnswers(const std::string& table) {
--- a/src/fleet/stream_archive.cc
+++ b/src/fleet/stream_archive.cc
@@ -4,16 +4,14 @@
 
 #include <algorithm>
 #include <iterator>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "hingespan/common/log_line.h"
 
 namespace hingespan::gateway {
 namespace {
 
-using Json = nlohmann::json;
-
 // Time after the last expiry in a row until which its node may still come back, and by which the
 // wall clocks of two machines may differ.
 constexpr absl::Duration kStaleAfter = absl::Minutes(1);
@@ -35,44 +33,6 @@
   return TableOfPart(table, static_cast<int>(XXH3_64bits(node.data(), node.size()) % kParts));
 }
 
-// A row names each source once: [[[service, version], ...], [[stream, source, expiry in s], ...]].
-std::string StreamArchive::Encode(const Entries& entries) {
-  Json sources = Json::array();
-  Json streams = Json::array();
-  for (const auto& [stream_id, entry] : entries) {
-    const Json source = Json::array({entry.source.service, entry.source.software_version});
-    auto known = std::find(sources.begin(), sources.end(), source);
-    if (known == sources.end()) {
-      sources.push_back(source);
-      known = std::prev(sources.end());
-    }
-    streams.push_back(Json::array(
-        {stream_id, std::distance(sources.begin(), known), absl::ToUnixSeconds(entry.expires)}));
-  }
-  // The strict handler, which is the default, throws for bytes that are no UTF-8.
-  return Json::array({std::move(sources), std::move(streams)})
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
-std::optional<StreamArchive::Entries> StreamArchive::Decode(const std::string& value) {
-  const Json json = Json::parse(value, nullptr, false);
-  if (!json.is_array()) {
-    return std::nullopt;
-  }
-  Entries entries;
-  try {
-    for (const Json& stream : json.at(1)) {
-      const Json& source = json.at(0).at(stream.at(1).get<std::size_t>());
-      entries[stream.at(0).get<std::string>()] = {
-          {source.at(0).get<std::string>(), source.at(1).get<std::string>()},
-          absl::FromUnixSeconds(stream.at(2).get<std::int64_t>())};
-    }
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-  return entries;
-}
-
 void StreamArchive::Add(const std::string& stream_id, const StreamSource& source,
                         absl::Duration lifetime) {
   own_[stream_id] = {source, parts_.clock->WallTime() + lifetime};
@@ -102,7 +62,7 @@
 std::string StreamArchive::TakeRowValue() {
   const absl::Time now = parts_.clock->WallTime();
   std::erase_if(own_, [now](const auto& stream) { return stream.second.expires <= now; });
-  std::string value = Encode(own_);
+  std::string value = EncodeStreamsRow(own_);
   while (value.size() > settings_.row_bytes) {
     std::vector<absl::Time> expiries;
     for (const auto& [stream_id, entry] : own_) {
@@ -114,7 +74,7 @@
     std::erase_if(own_, [&](const auto& stream) { return stream.second.expires <= *middle; });
     parts_.log->Write(LogLevel::kWarning, "stream_archive_full",
                       {{"left_out", absl::StrCat(before - own_.size())}});
-    value = Encode(own_);
+    value = EncodeStreamsRow(own_);
   }
   return value;
 }
@@ -214,18 +174,19 @@
   const absl::Time stale = parts_.clock->WallTime() - kStaleAfter;
   std::optional<std::uint64_t> version = 0;
   for (const StoreRow& row : rows) {
-    std::optional<Entries> entries = Decode(row.value);
-    if (!entries.has_value()) {
-      parts_.log->Write(LogLevel::kWarning, "stream_archive_row_malformed", {{"node", row.key}});
-      entries.emplace();
+    Result<ArchivedStreams> decoded = DecodeStreamsRow(row.value);
+    if (!decoded.ok()) {
+      parts_.log->Write(LogLevel::kWarning, "stream_archive_row_malformed",
+                        {{"node", AbbreviateForLog(row.key)}});
     }
-    for (const auto& [stream_id, entry] : *entries) {
-      read_[stream_id] = entry.source;
+    ArchivedStreams streams = decoded.ok() ? *std::move(decoded) : ArchivedStreams();
+    for (const auto& [stream_id, stream] : streams) {
+      read_[stream_id] = stream.source;
     }
     if (row.key == settings_.node) {
       version = row.version;
-      TakeOver(row, std::move(*entries));
-    } else if (std::all_of(entries->begin(), entries->end(),
+      TakeOver(row, std::move(streams));
+    } else if (std::all_of(streams.begin(), streams.end(),
                            [stale](const auto& stream) { return stream.second.expires < stale; })) {
       RemoveStale(row);
     }
@@ -235,14 +196,14 @@
   }
 }
 
-void StreamArchive::TakeOver(const StoreRow& row, Entries entries) {
+void StreamArchive::TakeOver(const StoreRow& row, ArchivedStreams streams) {
   if (row_version_.has_value() || write_in_flight_) {
     return;  // This process has written the row.
   }
   parts_.log->Write(
       LogLevel::kInfo, "stream_archive_taken_over",
-      {{"streams", absl::StrCat(entries.size())}, {"row_version", absl::StrCat(row.version)}});
-  own_.merge(entries);
+      {{"streams", absl::StrCat(streams.size())}, {"row_version", absl::StrCat(row.version)}});
+  own_.merge(streams);
   changed_ = true;
 }
 
--- a/tests/fleet/fleet_coordinator_test.cc
+++ b/tests/fleet/fleet_coordinator_test.cc
@@ -13,6 +13,7 @@
 
 #include "hingespan/common/clock.h"
 #include "tests/fleet/memory_store.h"
+#include "tests/foreign_entries/odd_texts.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -280,5 +281,65 @@
   CHECK(fleet.Wait([&] { return !fleet.store.Has("node/n1"); }));
 }
 
+// Guards against one row that another writer left ending all nodes, or the lease.
+TEST_CASE("an odd row of the fleet's table costs itself only") {
+  const std::string node = R"({"address":"x","zone":"z","incarnation":1})";
+  const std::string lease = R"({"holder":"x","incarnation":1,"address":"x","token":1})";
+  std::vector<std::pair<std::string, std::string>> rows;
+  for (const char* const key :
+       {"node/odd", "node/n1", "lease/placement", "versions/odd", "versions/s", "node/", "odd"}) {
+    for (const std::string& value : foreign_entries::OddValues()) {
+      rows.emplace_back(key, value);
+    }
+  }
+  for (const char* const member :
+       {"address", "zone", "incarnation", "link_mbps", "copies", "forward", "answers_probes"}) {
+    for (const std::string& value : foreign_entries::WithOddMember(node, member)) {
+      rows.emplace_back("node/odd", value);
+    }
+  }
+  for (const char* const member : {"holder", "incarnation", "address", "token", "loads_at_once"}) {
+    for (const std::string& value : foreign_entries::WithOddMember(lease, member)) {
+      rows.emplace_back("lease/placement", value);
+    }
+  }
+  Fleet fleet;
+  const auto both_known = [&](const Node& node) {
+    return node.known_nodes.contains("n1") && node.known_nodes.contains("n2");
+  };
+  Node* const first = fleet.Add("n1");
+  Node* const second = fleet.Add("n2");
+  const auto works = [&] {
+    return both_known(*first) && both_known(*second) &&
+           (first->coordinator->holds_lease() || second->coordinator->holds_lease());
+  };
+  REQUIRE(fleet.Wait(works));
+  for (const auto& [key, value] : rows) {
+    CAPTURE(key);
+    CAPTURE(value.substr(0, 200));
+    bool written = false;
+    fleet.store.Commit({}, {{"hingespan", key, value}},
+                       [&](const Result<std::uint64_t>& result) { written = result.ok(); });
+    const int reads = fleet.store.reads;
+    REQUIRE(fleet.Wait([&] { return written && fleet.store.reads > reads + 2; }));
+    if (key != "lease/placement") {
+      CHECK(fleet.Wait(works));
+    }
+  }
+  // The lease has a holder again after whatever came last.
+  CHECK(fleet.Wait(works));
+}
+
+TEST_CASE("a malformed lease has a holder again") {
+  for (const char* const value : {"", "7", R"({"holder":7})", R"({"holder":"x"})"}) {
+    CAPTURE(value);
+    Fleet fleet;
+    fleet.store.Commit({}, {{"hingespan", "lease/placement", value}},
+                       [](const Result<std::uint64_t>&) {});
+    Node* const node = fleet.Add("n1");
+    CHECK(fleet.Wait([&] { return node->coordinator->holds_lease(); }));
+  }
+}
+
 }  // namespace
 }  // namespace hingespan::gateway
