Forwarding: ids, services and versions of any bytes are encoded in fields

Found by reading the texts that go into heads. A forwarded request names the workers that were tried, separated by commas, and a stream's service and version, as their rows have them: a comma made two workers of one, and a line break another field, which the peer refuses. An event's id went into Last-Event-Id with control bytes in it.

Change: the fields are percent-encoded and decoded; ids of letters, digits and "-._~" are sent as before, and what isn't encoded is read as it is, so that nodes of an earlier release understand and are understood. After an event whose id can't be sent a stream has no id to go on from, rather than that of the event before, which would repeat events.

Tests: origin and source with eight odd names survive their fields; ids with a carriage return, NUL or other control bytes.

--- a/src/serving/event_splitter.cc
+++ b/src/serving/event_splitter.cc
@@ -5,6 +5,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
+#include "hingespan/http/message_head.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -51,7 +52,9 @@
 void EventSplitter::ReadIds(absl::string_view events) {
   for (const absl::string_view line : absl::StrSplit(events, '\n')) {
     if (absl::StartsWith(line, kIdField)) {
-      last_event_id_ = std::string(absl::StripAsciiWhitespace(line.substr(kIdField.size())));
+      const absl::string_view id = absl::StripAsciiWhitespace(line.substr(kIdField.size()));
+      // A stream can't go on after an event whose id can't be sent.
+      last_event_id_ = IsFieldValue(id) ? std::string(id) : std::string();
     }
   }
 }
--- a/src/serving/forwarding.cc
+++ b/src/serving/forwarding.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/string_view.h"
+#include "hingespan/common/percent_encoding.h"
 
 namespace hingespan::gateway {
 namespace {
@@ -29,14 +30,19 @@
   return "failed";
 }
 
+// Nodes of an earlier release send texts as they are.
+std::string Decoded(absl::string_view text) {
+  return PercentDecode({text.data(), text.size()}).value_or(std::string(text));
+}
+
 }  // namespace
 
-// Format of the origin: "counted" or "not-counted", then the ids of the tried workers, separated by
-// commas.
+// Format of the origin: "counted" or "not-counted", then the percent-encoded ids of the tried
+// workers, separated by commas.
 HeaderFields OriginFields(const RequestOrigin& origin) {
   std::string value(origin.counted ? kCounted : kNotCounted);
   for (const std::string& worker_id : origin.tried_workers) {
-    absl::StrAppend(&value, ",", worker_id);
+    absl::StrAppend(&value, ",", PercentEncode(worker_id));
   }
   HeaderFields fields = {
       {"Connection", absl::StrCat(kOriginField, ", ", kServiceField, ", ", kVersionField)},
@@ -49,7 +55,8 @@
 }
 
 HeaderFields SourceFields(const StreamSource& source) {
-  return {{kServiceField, source.service}, {kVersionField, source.software_version}};
+  return {{kServiceField, PercentEncode(source.service)},
+          {kVersionField, PercentEncode(source.software_version)}};
 }
 
 std::optional<StreamSource> ReadSource(const HeaderFields& fields) {
@@ -58,7 +65,7 @@
   if (service == nullptr || version == nullptr) {
     return std::nullopt;
   }
-  return StreamSource{*service, *version};
+  return StreamSource{Decoded(*service), Decoded(*version)};
 }
 
 void RemoveSource(HeaderFields* fields) {
@@ -81,7 +88,7 @@
     if (first) {
       origin.counted = part == kCounted;
     } else {
-      origin.tried_workers.emplace(part);
+      origin.tried_workers.insert(Decoded(part));
     }
     first = false;
   }
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -74,6 +74,19 @@
   }
 }
 
+// Guards against an id that ends the line of a header field.
+TEST_CASE("an event whose id can't be sent leaves no id to go on from") {
+  for (const std::string& id : {std::string("5\rX-Injected: 1"), std::string("5\0", 2) + "x",
+                                std::string("\x01"), std::string("a\x7f") + "b"}) {
+    CAPTURE(id);
+    EventSplitter splitter;
+    (void)splitter.Feed("id: 4\ndata: x\n\n");
+    CHECK(splitter.last_event_id() == "4");
+    (void)splitter.Feed("id: " + id + "\ndata: x\n\n");
+    CHECK(splitter.last_event_id().empty());
+  }
+}
+
 TEST_CASE("line ends between events do not begin an event") {
   EventSplitter splitter;
   CHECK_FALSE(splitter.InsideEvent());
--- a/tests/serving/peer_directory_test.cc
+++ b/tests/serving/peer_directory_test.cc
@@ -73,6 +73,25 @@
   CHECK(ReadOrigin(RequestHead{}).tried_workers.empty());
 }
 
+TEST_CASE("workers, services and versions of any name survive the fields of a forwarded request") {
+  RequestOrigin sent;
+  sent.counted = true;
+  sent.tried_workers = {"w1", "a,b", "a b", "%41", "a\r\nX: y", "\xc3\xa9", " ", "a&b+c#d"};
+  sent.source = StreamSource{"s,1\r\nX: y", "v 1%"};
+  RequestHead head;
+  head.fields = OriginFields(sent);
+  for (const HeaderField& field : head.fields) {
+    CAPTURE(field.name);
+    CHECK(IsFieldValue(field.value));
+  }
+  const RequestOrigin received = ReadOrigin(head);
+  CHECK(received.tried_workers == sent.tried_workers);
+  CHECK(received.source == sent.source);
+  // Nodes of an earlier release don't encode.
+  head.fields = {{"Hingespan-Origin", "counted,w1,50%"}};
+  CHECK(ReadOrigin(head).tried_workers == std::set<std::string>{"w1", "50%"});
+}
+
 TEST_CASE("a verdict is told apart from a worker's answer, and an unknown one promises nothing") {
   AnswerHead head;
   CHECK_FALSE(ReadVerdict(head).has_value());
