hingespand: answers, records and chunks are parsed with bounded depth and checked numbers

By reading, with the gateway's readers: engine statuses narrowed numbers to 32 bits without a check, chunks too, and all answers were parsed without a bound on depth. No fault was seen.

Change: ParseJson and ReadNumber of common/json_decoding. A status or chunk with a number out of range is malformed.

Not changed: an answer of the machine list or table service with one malformed entry is malformed as a whole.

--- a/src/backing/http_machine_list.cc
+++ b/src/backing/http_machine_list.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "hingespan/backing/json_http_client.h"
 #include "hingespan/backing/machine_state_name.h"
+#include "hingespan/common/json_decoding.h"
 
 namespace hingespan {
 namespace {
@@ -119,7 +120,7 @@
   if (error != Error::kOk) {
     return error;
   }
-  const Json json = Json::parse(answer->body, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(answer->body);
   MachineListing listing;
   if (!json.is_object() || !ReadMachines(json, "nodes", &listing.nodes) ||
       !ReadMachines(json, "workers", &listing.workers)) {
--- a/src/backing/http_table_service.cc
+++ b/src/backing/http_table_service.cc
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "hingespan/backing/json_http_client.h"
+#include "hingespan/common/json_decoding.h"
 
 namespace hingespan {
 namespace {
@@ -127,7 +128,7 @@
   if (error != Error::kOk) {
     return error;
   }
-  Json json = Json::parse(answer->body, nullptr, /*allow_exceptions=*/false);
+  Json json = ParseJson(answer->body);
   if (!json.is_object()) {
     return Error::kMalformed;
   }
--- a/src/engine/engine_json.cc
+++ b/src/engine/engine_json.cc
@@ -1,6 +1,9 @@
 #include "hingespan/engine/engine_json.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
+
+#include "hingespan/common/json_decoding.h"
 
 namespace hingespan {
 namespace {
@@ -39,23 +42,23 @@
 EngineReplica ParseReplica(const Json& json) {
   EngineReplica replica;
   replica.model = ModelName(json.at("model").get<std::string>());
-  replica.generation = GrantGeneration(json.at("generation").get<std::uint64_t>());
+  replica.generation = GrantGeneration(ReadNumber<std::uint64_t>(json.at("generation")));
   replica.state = ParseReplicaState(json.at("state").get<std::string>());
-  replica.memory_mib = json.at("memory_mib").get<std::uint32_t>();
-  replica.running = json.value("running", 0U);
-  replica.idle_ms = json.value("idle_ms", std::uint64_t{0});
+  replica.memory_mib = ReadNumber<std::uint32_t>(json.at("memory_mib"));
+  replica.running = ReadNumber<std::uint32_t>(json, "running", 0);
+  replica.idle_ms = ReadNumber<std::uint64_t>(json, "idle_ms", 0);
   return replica;
 }
 
 EngineStatus ParseStatus(const Json& json) {
   EngineStatus status;
-  status.incarnation = WorkerIncarnation(json.at("incarnation").get<std::uint64_t>());
-  status.epoch = KeeperEpoch(json.at("epoch").get<std::uint64_t>());
+  status.incarnation = WorkerIncarnation(ReadNumber<std::uint64_t>(json.at("incarnation")));
+  status.epoch = KeeperEpoch(ReadNumber<std::uint64_t>(json.at("epoch")));
   status.role = json.value("role", "both");
-  status.memory_mib = json.at("memory_mib").get<std::uint32_t>();
-  status.memory_used_mib = json.value("memory_used_mib", 0U);
-  status.running = json.value("running", 0U);
-  status.queued = json.value("queued", 0U);
+  status.memory_mib = ReadNumber<std::uint32_t>(json.at("memory_mib"));
+  status.memory_used_mib = ReadNumber<std::uint32_t>(json, "memory_used_mib", 0);
+  status.running = ReadNumber<std::uint32_t>(json, "running", 0);
+  status.queued = ReadNumber<std::uint32_t>(json, "queued", 0);
   for (const Json& replica : json.at("replicas")) {
     status.replicas.push_back(ParseReplica(replica));
   }
@@ -94,11 +97,9 @@
         has_sequence_ = true;
         return true;
       case Member::kPromptTokens:
-        chunk_.prompt_tokens = static_cast<std::uint32_t>(number);
-        return true;
+        return Narrow(number, &chunk_.prompt_tokens);
       case Member::kCompletionTokens:
-        chunk_.completion_tokens = static_cast<std::uint32_t>(number);
-        return true;
+        return Narrow(number, &chunk_.completion_tokens);
       default:
         return IsUnknown();
     }
@@ -135,6 +136,12 @@
   }
 
  private:
+  static bool Narrow(std::uint64_t number, std::uint32_t* value) {
+    const bool fits = std::in_range<std::uint32_t>(number);
+    *value = fits ? static_cast<std::uint32_t>(number) : 0;
+    return fits;
+  }
+
   enum class Member {
     kUnknown,
     kSequence,
@@ -214,11 +221,7 @@
 }
 
 Result<EngineStatus> DecodeEngineStatus(std::string_view body) {
-  try {
-    return ParseStatus(Json::parse(body));
-  } catch (const Json::exception&) {
-    return Error::kMalformed;
-  }
+  return DecodeJson<EngineStatus>(ParseJson(body), ParseStatus);
 }
 
 Result<GenerationChunk> DecodeGenerationChunk(std::string_view line) {
@@ -230,7 +233,7 @@
 }
 
 std::string DecodeEngineError(std::string_view body) {
-  const Json json = Json::parse(body, nullptr, false);
+  const Json json = ParseJson(body);
   if (!json.is_object() || !json.contains("error") || !json["error"].is_string()) {
     return std::string();
   }
--- a/src/node/admin_front_end.cc
+++ b/src/node/admin_front_end.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "hingespan/common/json_decoding.h"
 #include "hingespan/engine/replica_state_name.h"
 #include "hingespan/node/answer_format.h"
 #include "hingespan/node/bearer_key.h"
@@ -193,7 +194,7 @@
 }
 
 void AdminFrontEnd::ServeDrain(const httplib::Request& request, httplib::Response* response) const {
-  const Json body = Json::parse(request.body, nullptr, false);
+  const Json body = ParseJson(request.body);
   const bool names_node = body.is_object() && body.contains("node") && body["node"].is_string();
   const bool names_worker =
       body.is_object() && body.contains("worker") && body["worker"].is_string();
--- a/src/node/request_forwarder.cc
+++ b/src/node/request_forwarder.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "hingespan/common/clock.h"
+#include "hingespan/common/json_decoding.h"
 #include "hingespan/node/forward_token.h"
 
 namespace hingespan {
@@ -91,7 +92,7 @@
 
 // Returns nullopt if the answer is not the refusal of a node.
 std::optional<Refusal> ReadRefusal(const HttpAnswer& answer) {
-  const Json body = Json::parse(answer.body, nullptr, false);
+  const Json body = ParseJson(answer.body);
   if (answer.end != ExchangeEnd::kComplete || !body.is_object() || !body.contains("error") ||
       !body["error"].is_object()) {
     return std::nullopt;
--- a/src/table/record_codec.cc
+++ b/src/table/record_codec.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "hingespan/common/json_decoding.h"
+
 namespace hingespan {
 namespace {
 
@@ -271,7 +273,7 @@
 }
 
 Result<Record> DecodeRecord(std::string_view key, std::string_view text) {
-  const Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(text);
   if (!json.is_object()) {
     return Error::kMalformed;
   }
