Workers: a malformed row is logged with the start of its name only

Seen while the diff was read again: worker_row_malformed had the whole key of the row, unlike the lines of the other tables. The store takes keys of 200 bytes, but the line was as long as whatever came.

--- a/src/serving/gateway_records.cc
+++ b/src/serving/gateway_records.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "hingespan/common/log_line.h"
 #include "hingespan/serving/gateway.h"
 
 namespace hingespan::gateway {
@@ -49,7 +50,8 @@
   }
   Result<WorkerRecord> record = parts_.reader->ReadWorker(row);
   if (!record.ok()) {
-    parts_.log->Write(LogLevel::kWarning, "worker_row_malformed", {{"worker", row.key}});
+    parts_.log->Write(LogLevel::kWarning, "worker_row_malformed",
+                      {{"worker", AbbreviateForLog(row.key)}});
     return;
   }
   const bool draining = record->draining;
