common: one percent-encoding instead of three

The engine client and the JSON client of backing/ each had their own, which PercentEncode repeats. The one of backing/ encoded "~" too, which is unreserved: decoded, both are the same.

--- a/include/hingespan/backing/json_http_client.h
+++ b/include/hingespan/backing/json_http_client.h
@@ -29,7 +29,7 @@
 
 struct JsonHttpRequest {
   HttpMethod method = HttpMethod::kGet;
-  // Path without a query. Its parts must already be escaped (see EscapePathPart).
+  // Path without a query. Its parts must already be escaped (see PercentEncode).
   std::string path = "/";
   std::map<std::string, std::string> query;
   // JSON text, sent with kPost and kPut.
@@ -68,9 +68,6 @@
 // had no effect.
 Error ErrorOfHttpStatus(int status);
 
-// Percent-encodes one part of a path.
-std::string EscapePathPart(const std::string& part);
-
 }  // namespace hingespan
 
 #endif  // HINGESPAN_BACKING_JSON_HTTP_CLIENT_H_
--- a/src/backing/http_machine_list.cc
+++ b/src/backing/http_machine_list.cc
@@ -7,6 +7,7 @@
 #include "hingespan/backing/json_http_client.h"
 #include "hingespan/backing/machine_state_name.h"
 #include "hingespan/common/json_decoding.h"
+#include "hingespan/common/percent_encoding.h"
 
 namespace hingespan {
 namespace {
@@ -160,7 +161,7 @@
                                   absl::Duration timeout) {
   JsonHttpRequest request;
   request.method = HttpMethod::kPut;
-  request.path = absl::StrCat("/machines/", EscapePathPart(name));
+  request.path = absl::StrCat("/machines/", PercentEncode(name));
   request.body = std::move(body);
   const Result<JsonHttpAnswer> answer = client_->Send(request, timeout);
   if (!answer.ok()) {
--- a/src/backing/json_http_client.cc
+++ b/src/backing/json_http_client.cc
@@ -5,8 +5,6 @@
 #include <chrono>
 #include <utility>
 
-#include "absl/strings/ascii.h"
-#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "hingespan/common/clock.h"
@@ -205,17 +203,4 @@
   }
 }
 
-std::string EscapePathPart(const std::string& part) {
-  std::string escaped;
-  for (const char character : part) {
-    if (absl::ascii_isalnum(static_cast<unsigned char>(character)) || character == '-' ||
-        character == '_' || character == '.') {
-      escaped.push_back(character);
-    } else {
-      absl::StrAppend(&escaped, "%", absl::BytesToHexString(std::string(1, character)));
-    }
-  }
-  return escaped;
-}
-
 }  // namespace hingespan
--- a/src/engine/http_engine_client.cc
+++ b/src/engine/http_engine_client.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/strip.h"
 #include "absl/time/clock.h"
 #include "hingespan/common/clock.h"
+#include "hingespan/common/percent_encoding.h"
 #include "hingespan/engine/engine_json.h"
 #include "hingespan/engine/stream_assembler.h"
 #include "hingespan/net/http_exchange.h"
@@ -38,26 +38,8 @@
   return parsed;
 }
 
-bool IsUnreserved(char character) {
-  return absl::ascii_isalnum(static_cast<unsigned char>(character)) || character == '-' ||
-         character == '.' || character == '_' || character == '~';
-}
-
-std::string EscapePathSegment(absl::string_view segment) {
-  std::string escaped;
-  for (const char character : segment) {
-    if (IsUnreserved(character)) {
-      escaped.push_back(character);
-    } else {
-      absl::StrAppend(&escaped, "%",
-                      absl::Hex(static_cast<unsigned char>(character), absl::kZeroPad2));
-    }
-  }
-  return escaped;
-}
-
 std::string StreamPath(const EngineAddress& engine, const RequestId& request) {
-  return absl::StrCat(engine.path, "/streams/", EscapePathSegment(request.value()));
+  return absl::StrCat(engine.path, "/streams/", PercentEncode(request.value()));
 }
 
 Error ErrorOfEnd(ExchangeEnd end) {
