tests: between tries of a request the world waits for the store, not for time

Read again: IsServed waited 100 ms between two tries, up to 60 times. What changes a refusal is what the process reads next, so it waits for the store's next call, within the limit of all waits.

--- a/tests/foreign_entries/foreign_entries_world.cc
+++ b/tests/foreign_entries/foreign_entries_world.cc
@@ -19,8 +19,6 @@
 using Json = nlohmann::json;
 
 constexpr absl::Duration kWaitLimit = absl::Seconds(30);
-// Tries until a process counts as one that doesn't serve: it may still be reading the store.
-constexpr int kTries = 60;
 constexpr int kDeadlineMs = 500;
 // Length that a log line about an entry may have, whatever the entry holds.
 constexpr std::size_t kLongestLogLine = 2000;
@@ -132,7 +130,9 @@
 }
 
 bool ForeignEntriesWorld::IsServed(const soak::GatewayProcess& process, const std::string& target) {
-  for (int tries = 0; tries < kTries && process.serving(); ++tries) {
+  const absl::Time limit = loop_.Now() + kWaitLimit;
+  while (process.serving() && loop_.Now() < limit) {
+    const int calls = store_.calls();
     Call call;
     const std::string id = absl::StrCat("r", ++request_number_);
     gateway::HeaderFields fields = {{"Attempt-Id", id}, {"Deadline-Ms", absl::StrCat(kDeadlineMs)}};
@@ -147,8 +147,8 @@
     if (call.whole && call.status == 200) {
       return true;
     }
-    // A refusal comes at once.
-    (void)loop_.RunUntil([] { return false; }, absl::Milliseconds(kDeadlineMs / 5));
+    // A refusal comes at once; what changes it is read from the store.
+    (void)Wait([&] { return store_.calls() > calls; });
   }
   return false;
 }
