Comments: two that began as the rest of a sentence

Cause: they were written as the end of the name above them, so that a reader has to join the two.

Change: both are sentences of their own.

--- a/src/common/cbor_check.cc
+++ b/src/common/cbor_check.cc
@@ -61,7 +61,7 @@
 };
 
 enum class Subset {
-  // What the codec of messages writes.
+  // The types that the codec of messages writes.
   kPlain,
   kAllButTags,
 };
--- a/tests/foreign_entries/odd_texts.h
+++ b/tests/foreign_entries/odd_texts.h
@@ -95,7 +95,7 @@
 inline std::vector<std::string> WithOddMember(const std::string& object, const std::string& name) {
   std::vector<std::string> texts;
   for (const std::string& value : OddMembers()) {
-    // Of two members with the same name, the parser takes the last one.
+    // The parser takes the last one of two members with the same name.
     texts.push_back(object.substr(0, object.size() - 1) + ",\"" + name + "\":" + value + "}");
   }
   return texts;
