Retry budget: attempts that silent workers may still read are counted and logged

Neither was to be seen. UnreadAttempts follows each attempt until its answer begins, its recipient closes the connection, or the recipient is heard at all after the attempt must have arrived. The gauge hingespan_unread_attempts and the field 'unread' of repeat and repeat_denied tell how many are overdue; overdue_attempts_read tells how many a worker has read late, and how late. Nothing is decided by it yet.

--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -206,8 +206,8 @@
   // Gives a slot back for which no attempt was sent.
   void ReturnUnusedSlot();
   void Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now);
-  // Sets the state that a new attempt begins with.
-  void BeginAttempt(absl::Time now);
+  // Sets the state that a new attempt begins with. `recipient` is a worker's id or a peer's name.
+  void BeginAttempt(const std::string& recipient, absl::Time now);
   // Sends the attempt's message; `extra` is added to the fields of the dialect.
   void SendAttempt(const std::string& address, const AttemptFacts& attempt,
                    const HeaderFields& extra);
@@ -219,6 +219,10 @@
   // Takes a token if an earlier attempt may have arrived at a worker. Returns false after giving
   // the request up for want of one.
   bool AcquireRepeat(absl::Time now);
+  // Records that the attempt's recipient has sent something, so that it has read the attempt.
+  void NoteHeard(absl::Time now);
+  // Records that the attempt's connection was closed by its recipient.
+  void NoteRead(absl::Time now);
   // Reads from the worker again after a pause for a slow caller.
   void ResumeReading();
   // Counts the request in the retry budget, once in all nodes.
@@ -325,6 +329,9 @@
 
   // State of the attempt in flight.
   std::unique_ptr<ClientExchange> upstream_;
+  // Worker or peer that the attempt was sent to.
+  std::string recipient_;
+  UnreadAttempts::Key unread_key_ = 0;
   std::string worker_id_;
   std::string worker_address_;
   // Worker of which a slot was taken for the attempt; empty if none was.
--- a/include/hingespan/serving/retry_budget.h
+++ b/include/hingespan/serving/retry_budget.h
@@ -12,6 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "hingespan/serving/fleet_share.h"
+#include "hingespan/serving/unread_attempts.h"
 
 namespace hingespan::gateway {
 
@@ -32,6 +33,8 @@
   double available = 0;
   // Number of retries sent within the last window.
   int in_window = 0;
+  // Attempts that their recipients should have read by now and have not shown to.
+  int unread = 0;
 };
 
 // Token bucket for each service. It is empty when the process starts, as the previous process may
@@ -54,6 +57,7 @@
   void RecordDenied(const std::string& service);
   // Number of retries that may be sent now.
   double Available(const std::string& service, absl::Time now);
+  UnreadAttempts* unread() { return &unread_; }
 
   // Returns whether the process started less than one window ago.
   bool InFirstWindow(absl::Time now) const { return now - started_ < limits_.window; }
@@ -83,6 +87,7 @@
   double expected_node_extra_ = 0;
   absl::Time started_;
   absl::flat_hash_map<std::string, Counts> counts_;
+  UnreadAttempts unread_;
 };
 
 }  // namespace hingespan::gateway
--- a/src/serving/gateway_metrics.cc
+++ b/src/serving/gateway_metrics.cc
@@ -96,6 +96,9 @@
   families->push_back(ByService(
       "hingespan_retries_available", "Repeats that this node may send now", MetricType::Gauge,
       metrics.retries, [](const RetryCounts& counts) { return counts.available; }));
+  families->push_back(ByService(
+      "hingespan_unread_attempts", "Attempts that silent workers and nodes may still read",
+      MetricType::Gauge, metrics.retries, [](const RetryCounts& counts) { return counts.unread; }));
   families->push_back(Gauge("hingespan_retry_divisor",
                             "Nodes among which the fixed part of the budget is divided",
                             static_cast<std::uint64_t>(metrics.retry_divisor)));
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -244,7 +244,7 @@
   SetTimer(context_->loop->Now());
 }
 
-void RequestRelay::BeginAttempt(absl::Time now) {
+void RequestRelay::BeginAttempt(const std::string& recipient, absl::Time now) {
   context_->host->Dequeue(place_);
   state_ = State::kRunning;
   if (attempts_ == 0) {
@@ -255,6 +255,8 @@
   ++attempts_;
   ++arrivals_;
   ++context_->metrics->attempts;
+  recipient_ = recipient;
+  unread_key_ = context_->budget->unread()->Add(service_, recipient_, now);
   attempt_started_ = now;
   last_progress_ = now;
   answer_started_ = false;
@@ -268,7 +270,7 @@
 }
 
 void RequestRelay::Dispatch(WorkerState* worker, const WorkerDemand& demand, absl::Time now) {
-  BeginAttempt(now);
+  BeginAttempt(worker->record.id, now);
   peer_.clear();
   worker_id_ = worker->record.id;
   worker_address_ = worker->record.address;
@@ -308,6 +310,24 @@
   upstream_ = context_->client->Send(address, std::move(message), this, exchange_->shared_body());
 }
 
+void RequestRelay::NoteHeard(absl::Time now) {
+  NoteRead(now);
+  const UnreadAttempts::OverdueReading reading =
+      context_->budget->unread()->OnHeard(recipient_, now);
+  if (reading.attempts > 0) {
+    context_->log->Write(
+        LogLevel::kInfo, "overdue_attempts_read",
+        {{"service", service_},
+         {"recipient", recipient_},
+         {"attempts", absl::StrCat(reading.attempts)},
+         {"longest_ms", absl::StrCat(absl::ToInt64Milliseconds(reading.longest))}});
+  }
+}
+
+void RequestRelay::NoteRead(absl::Time now) {
+  context_->budget->unread()->OnRead(unread_key_, now);
+}
+
 absl::Time RequestRelay::Deadline() const {
   return std::min(deadline_, context_->host->StopLimit());
 }
@@ -376,6 +396,7 @@
                        {{"request", facts_.id},
                         {"service", service_},
                         {"in_window", absl::StrCat(counts.in_window)},
+                        {"unread", absl::StrCat(counts.unread)},
                         {"available", absl::StrFormat("%.1f", counts.available)},
                         {"divisor", absl::StrCat(context_->budget->share().Divisor(now))},
                         {"first_window", context_->budget->InFirstWindow(now) ? "yes" : "no"}});
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -38,6 +38,7 @@
 }  // namespace
 
 bool RequestRelay::OnHead(const AnswerHead& head) {
+  NoteHeard(context_->loop->Now());
   if (peer_.empty()) {
     path_->OnBytes(context_->loop->Now());
   } else {
@@ -79,6 +80,7 @@
 void RequestRelay::OnBody(absl::string_view piece) {
   const absl::Time now = context_->loop->Now();
   last_progress_ = now;
+  NoteHeard(now);
   if (peer_.empty()) {
     path_->OnBytes(now);
   }
@@ -154,9 +156,11 @@
       OnWholeAnswer();
       return;
     case ExchangeResult::kNotSent:
+      context_->budget->unread()->OnNotSent(unread_key_);
       OnNotSent();
       return;
     case ExchangeResult::kBroken:
+      NoteRead(context_->loop->Now());
       if (peer_.empty() && answer_head_.status == 0) {
         path_->OnUnreachable(worker_id_);
         context_->host->OnPathEvent(service_);
--- a/src/serving/request_relay_forwards.cc
+++ b/src/serving/request_relay_forwards.cc
@@ -52,7 +52,7 @@
   if (!AcquireRepeat(now)) {
     return true;
   }
-  BeginAttempt(now);
+  BeginAttempt(peer->name, now);
   peer_ = peer->name;
   ++context_->metrics->forwards;
   context_->peers->OnStarted(peer_);
--- a/src/serving/retry_budget.cc
+++ b/src/serving/retry_budget.cc
@@ -83,7 +83,8 @@
 
 RetryCounts RetryBudget::CountsOf(const std::string& service, absl::Time now) {
   const Counts& counts = PrunedCounts(service, now);
-  return {counts.sent, counts.denied, counts.tokens, static_cast<int>(counts.repeats.size())};
+  return {counts.sent, counts.denied, counts.tokens, static_cast<int>(counts.repeats.size()),
+          unread_.CountOverdue(service, now)};
 }
 
 std::map<std::string, RetryCounts> RetryBudget::AllCounts(absl::Time now) {
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -180,15 +180,17 @@
   budget.SetNodes({"n1", "n2"}, At(0), At(0));
   budget.SetNodes({"n1", "n2"}, At(15), At(15));
   budget.RecordDenied("s");
+  budget.unread()->Add("s", "w1", At(14));
   GatewayMetrics metrics;
   metrics.retries = budget.AllCounts(At(16));
   metrics.retry_divisor = budget.share().Divisor(At(16));
   metrics.in_first_retry_window = budget.InFirstWindow(At(1));
   const std::string text = MetricsText(metrics);
-  for (const char* line : {"hingespan_retries_total{service=\"s\"} 0",
-                           "hingespan_retries_denied_total{service=\"s\"} 1",
-                           "hingespan_retries_available{service=\"s\"} ",
-                           "hingespan_retry_divisor 2", "hingespan_in_first_retry_window 1"}) {
+  for (const char* line :
+       {"hingespan_retries_total{service=\"s\"} 0",
+        "hingespan_retries_denied_total{service=\"s\"} 1",
+        "hingespan_retries_available{service=\"s\"} ", "hingespan_unread_attempts{service=\"s\"} 1",
+        "hingespan_retry_divisor 2", "hingespan_in_first_retry_window 1"}) {
     CHECK_MESSAGE(text.find(line) != std::string::npos, line);
   }
   CHECK(!budget.InFirstWindow(At(10)));
