tests: workers as processes that are paused break the retry budget

Callers' requests reach workers again in excess of the budget once paused workers go on. The worker's process logs a request when it reads it, which an emulated worker in the test's process can't show.

The fork of gateway processes moves to ChildProcess, and the count of repeats in a window to a function of its own, so that both serve worker processes too.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -65,10 +65,13 @@
 # are pure are tested by test-soak_checks.
 function(hingespan_add_soak)
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/soak/*.cc)
-  list(REMOVE_ITEM sources ${CMAKE_SOURCE_DIR}/tests/soak/soak_main.cc)
+  list(REMOVE_ITEM sources ${CMAKE_SOURCE_DIR}/tests/soak/soak_main.cc
+       ${CMAKE_SOURCE_DIR}/tests/soak/worker_main.cc)
   add_library(hingespan_soak STATIC ${sources})
   target_include_directories(hingespan_soak PUBLIC ${CMAKE_SOURCE_DIR})
   target_link_libraries(hingespan_soak PUBLIC hingespan_emulator hingespan_http)
+  add_executable(soak-worker ${CMAKE_SOURCE_DIR}/tests/soak/worker_main.cc)
+  target_link_libraries(soak-worker PRIVATE hingespan_soak)
   add_executable(soak ${CMAKE_SOURCE_DIR}/tests/soak/soak_main.cc)
   target_link_libraries(soak PRIVATE hingespan_soak)
   target_compile_definitions(soak PRIVATE HINGESPAN_PROGRAM_DIRECTORY="${CMAKE_BINARY_DIR}")
@@ -109,7 +112,8 @@
           target_link_libraries(test-${name} PRIVATE hingespan_simulation)
         endif()
         if(name STREQUAL "soak_checks" OR name STREQUAL "partition" OR name STREQUAL "quarantine" OR
-           name STREQUAL "brittle" OR name STREQUAL "crowd" OR name STREQUAL "foreign_entries")
+           name STREQUAL "brittle" OR name STREQUAL "crowd" OR name STREQUAL "foreign_entries" OR
+           name STREQUAL "paused_workers")
           target_link_libraries(test-${name} PRIVATE hingespan_soak)
         endif()
         target_compile_definitions(test-${name} PRIVATE
--- a/emulator/platform_worker.cc
+++ b/emulator/platform_worker.cc
@@ -1,5 +1,7 @@
 #include "emulator/platform_worker.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -127,6 +129,9 @@
   const std::string& target = exchange->head().target;
   if (!absl::StartsWith(target, "/api/")) {
     arrivals_.push_back({Field(*exchange, "Attempt-Id"), loop_->Now()});
+    if (options_.on_arrival) {
+      options_.on_arrival(arrivals_.back());
+    }
   }
   const std::string expected = Field(*exchange, "Expect-Instance");
   if (!expected.empty() && expected != options_.id) {
@@ -318,8 +323,20 @@
   });
 }
 
+bool PlatformWorker::Fails(const std::string& id) const {
+  const std::string pair = absl::StrCat(options_.id, "/", id);
+  return static_cast<double>(XXH3_64bits(pair.data(), pair.size()) >> 11) * 0x1.0p-53 <
+         options_.failing_share;
+}
+
 void PlatformWorker::AnswerPlain(const std::shared_ptr<ServerExchange>& exchange, Run* run) {
   run->ended = true;
+  if (Fails(run->id)) {
+    Answer(exchange.get(), 500, "Failed", {{"Attempt-Id", run->id}, {"Server-Seal", "seal-500"}},
+           "");
+    LeaveSlot(run);
+    return;
+  }
   Answer(exchange.get(), 200, "OK",
          {{"Attempt-Id", run->id}, {"Server-Seal", absl::StrCat("seal-", run->id)}},
          absl::StrCat("answer of ", options_.id,
--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -52,6 +52,12 @@
   std::size_t padding = 0;
 };
 
+// A request that reached a worker, whether rejected or not.
+struct WorkerArrival {
+  std::string id;
+  absl::Time at;
+};
+
 struct PlatformWorkerOptions {
   std::string id;
   std::string service;
@@ -84,6 +90,10 @@
   std::string crashing_body;
   // A stream crashes the worker after so many events of its run.
   int events_before_crash = 0;
+  // Share of plain requests that the worker runs and answers 500, chosen by its and their ids.
+  double failing_share = 0;
+  // Called with each request that reaches the worker.
+  std::function<void(const WorkerArrival&)> on_arrival;
   // Called when the worker crashes or falls. Whoever owns it ends its connections and removes its
   // row.
   std::function<void()> on_crash;
@@ -128,11 +138,7 @@
     // Key of the request's slot; absent if it has none any more, or needs none.
     std::optional<std::uint64_t> slot;
   };
-  // A request that reached the worker, whether rejected or not.
-  struct Arrival {
-    std::string id;
-    absl::Time at;
-  };
+  using Arrival = WorkerArrival;
   struct Order {
     std::string operation;
     std::string model;
@@ -196,6 +202,8 @@
   void NextEvent(const std::shared_ptr<Stream>& stream);
   bool CrashesOn(const gateway::ServerExchange& exchange) const;
   bool HasCrashingBody(const gateway::ServerExchange& exchange) const;
+  // Returns whether the request is one of those that are answered 500.
+  bool Fails(const std::string& id) const;
   // `id` is the request that the worker runs.
   void Crash(const std::string& id);
   // Sends a complete answer in the framing of the worker's options.
--- a/tests/soak/gateway_process.cc
+++ b/tests/soak/gateway_process.cc
@@ -1,11 +1,5 @@
 #include "tests/soak/gateway_process.h"
 
-#include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -18,8 +12,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int kNotStarted = 127;
-
 std::string OptionalSetting(const char* name, const std::optional<int>& value) {
   return value.has_value() ? absl::StrCat(name, " = ", *value, "\n") : std::string();
 }
@@ -28,14 +20,6 @@
 
 GatewayProcess::GatewayProcess(GatewayProcessOptions options) : options_(std::move(options)) {}
 
-GatewayProcess::~GatewayProcess() {
-  if (pid_ <= 0) {
-    return;
-  }
-  kill(pid_, SIGKILL);
-  waitpid(pid_, nullptr, 0);
-}
-
 std::string GatewayProcess::log_file() const {
   return absl::StrCat(options_.folder, "/", options_.name, "-", incarnation_, ".log");
 }
@@ -59,24 +43,7 @@
                           << "\nextra = " << options_.repeats.extra
                           << "\nwindow_s = " << absl::ToInt64Seconds(options_.repeats.window)
                           << "\n";
-  const std::string log = log_file();
-  const pid_t parent = getpid();
-  const pid_t child = fork();
-  if (child == 0) {
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int output = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0644);
-    if (getppid() != parent || output < 0) {
-      _exit(kNotStarted);
-    }
-    dup2(output, STDOUT_FILENO);
-    dup2(output, STDERR_FILENO);
-    // Sockets that the child inherited would stay open after this process closed them.
-    close_range(STDERR_FILENO + 1, ~0U, 0);
-    execl(options_.program.c_str(), options_.program.c_str(), "--settings", settings.c_str(),
-          nullptr);
-    _exit(kNotStarted);
-  }
-  pid_ = child;
+  process_.Launch(options_.program, {"--settings", settings}, log_file());
 }
 
 bool GatewayProcess::Listens() {
@@ -99,18 +66,4 @@
   }
 }
 
-void GatewayProcess::Signal(int signal) {
-  if (pid_ > 0) {
-    kill(pid_, signal);
-  }
-}
-
-bool GatewayProcess::Reap(int* wait_status) {
-  if (pid_ <= 0 || waitpid(pid_, wait_status, WNOHANG) != pid_) {
-    return false;
-  }
-  pid_ = -1;
-  return true;
-}
-
 }  // namespace hingespan::soak
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -2,12 +2,11 @@
 #ifndef TESTS_SOAK_GATEWAY_PROCESS_H_
 #define TESTS_SOAK_GATEWAY_PROCESS_H_
 
-#include <sys/types.h>
-
 #include <optional>
 #include <string>
 
 #include "absl/time/time.h"
+#include "tests/soak/child_process.h"
 #include "tests/soak/soak_records.h"
 
 namespace hingespan::soak {
@@ -31,23 +30,20 @@
 class GatewayProcess {
  public:
   explicit GatewayProcess(GatewayProcessOptions options);
-  ~GatewayProcess();
-  GatewayProcess(const GatewayProcess&) = delete;
-  GatewayProcess& operator=(const GatewayProcess&) = delete;
 
   // Starts a new incarnation; it listens some time later.
   void Launch();
   // Returns whether the process accepts requests, according to its log.
   bool Listens();
-  void Signal(int signal);
+  void Signal(int signal) { process_.Signal(signal); }
   // Returns true once, after the process has ended, and stores its status of waitpid in
   // `wait_status`.
-  bool Reap(int* wait_status);
+  bool Reap(int* wait_status) { return process_.Reap(wait_status); }
 
   const std::string& name() const { return options_.name; }
-  bool running() const { return pid_ > 0; }
+  bool running() const { return process_.running(); }
   // -1 while no process runs.
-  pid_t pid() const { return pid_; }
+  pid_t pid() const { return process_.pid(); }
   // True if the process runs and is known to listen.
   bool serving() const { return running() && !request_address_.empty(); }
   int incarnation() const { return incarnation_; }
@@ -58,7 +54,7 @@
   void ReadAddress();
 
   GatewayProcessOptions options_;
-  pid_t pid_ = -1;
+  ChildProcess process_;
   int incarnation_ = 0;
   std::string request_address_;
 };
--- a/tests/soak/repeat_budget.cc
+++ b/tests/soak/repeat_budget.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <map>
 #include <string>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -12,13 +13,6 @@
 
 using Times = std::vector<absl::Time>;
 
-struct ServiceTimes {
-  // Times at which callers sent requests for the service.
-  Times requests;
-  // Times of the arrivals at workers after the first of each request.
-  Times repeats;
-};
-
 constexpr const char* kPlainService = "plain";
 constexpr const char* kModelService = "models";
 
@@ -27,32 +21,31 @@
                                            std::upper_bound(sorted.begin(), sorted.end(), end)));
 }
 
-std::map<std::string, ServiceTimes> TimesOf(const SoakRecords& records,
-                                            const std::vector<SoakWorkerView>& workers) {
-  std::map<std::string, ServiceTimes> services;
+std::map<std::string, ServiceTraffic> TrafficOf(const SoakRecords& records,
+                                                const std::vector<SoakWorkerView>& workers) {
+  std::map<std::string, ServiceTraffic> services;
   for (const auto& request : records.requests) {
     services[request->IsStream() ? kModelService : kPlainService].requests.push_back(request->sent);
   }
-  std::map<std::string, std::map<std::string, Times>> arrivals;
   for (const SoakWorkerView& view : workers) {
     for (const auto& arrival : view.worker->arrivals()) {
-      arrivals[view.service][arrival.id].push_back(arrival.at);
-    }
-  }
-  for (auto& [service, requests] : arrivals) {
-    Times& repeats = services[service].repeats;
-    for (auto& [id, times] : requests) {
-      std::sort(times.begin(), times.end());
-      repeats.insert(repeats.end(), std::next(times.begin()), times.end());
+      services[view.service].arrivals[arrival.id].push_back(arrival.at);
     }
   }
-  for (auto& [service, times] : services) {
-    std::sort(times.requests.begin(), times.requests.end());
-    std::sort(times.repeats.begin(), times.repeats.end());
-  }
   return services;
 }
 
+// Returns the sorted times of all arrivals but the first of each request.
+Times RepeatsOf(std::map<std::string, Times> arrivals) {
+  Times repeats;
+  for (auto& [id, times] : arrivals) {
+    std::sort(times.begin(), times.end());
+    repeats.insert(repeats.end(), std::next(times.begin()), times.end());
+  }
+  std::sort(repeats.begin(), repeats.end());
+  return repeats;
+}
+
 // Returns the number of requests that counts for a window: the most of the window itself, the
 // window before it and the one that begins half a window earlier.
 double RequestsFor(const Times& requests, absl::Time begin, absl::Duration window) {
@@ -65,30 +58,38 @@
 
 }  // namespace
 
+RepeatWindow WorstRepeatWindow(ServiceTraffic traffic, const RepeatLimits& limits) {
+  std::sort(traffic.requests.begin(), traffic.requests.end());
+  const Times repeats = RepeatsOf(std::move(traffic.arrivals));
+  RepeatWindow worst;
+  // The window with the most repeats begins or ends with a repeat.
+  for (const absl::Time repeat : repeats) {
+    for (const absl::Time begin : {repeat, repeat - limits.window}) {
+      RepeatWindow window{begin, CountWithin(repeats, begin, begin + limits.window)};
+      window.requests = RequestsFor(traffic.requests, begin, limits.window);
+      window.allowed = limits.ratio * window.requests + limits.extra;
+      if (worst.repeats == 0 || window.excess() > worst.excess()) {
+        worst = window;
+      }
+    }
+  }
+  return worst;
+}
+
 void CheckRepeatBudget(const SoakRecords& records, const std::vector<SoakWorkerView>& workers,
                        std::vector<BrokenPromise>* broken) {
   const RepeatLimits& limits = records.repeats;
-  for (const auto& [service, times] : TimesOf(records, workers)) {
-    double worst = 0;
-    std::string what;
-    // The window with the most repeats begins or ends with a repeat.
-    for (const absl::Time repeat : times.repeats) {
-      for (const absl::Time begin : {repeat, repeat - limits.window}) {
-        const double count = CountWithin(times.repeats, begin, begin + limits.window);
-        const double requests = RequestsFor(times.requests, begin, limits.window);
-        const double allowed = limits.ratio * requests + limits.extra;
-        if (count - allowed > worst) {
-          worst = count - allowed;
-          what = absl::StrCat("service ", service, ": ", count, " arrivals beyond the first in ",
-                              absl::FormatDuration(limits.window), " from ",
-                              absl::FormatDuration(begin - records.traffic_began), " for ",
-                              requests, " requests; allowed ", allowed);
-        }
-      }
-    }
-    if (worst > 0) {
-      broken->push_back({"the budget of repeats", what});
+  for (const auto& [service, traffic] : TrafficOf(records, workers)) {
+    const RepeatWindow worst = WorstRepeatWindow(traffic, limits);
+    if (worst.excess() <= 0) {
+      continue;
     }
+    broken->push_back(
+        {"the budget of repeats",
+         absl::StrCat("service ", service, ": ", worst.repeats, " arrivals beyond the first in ",
+                      absl::FormatDuration(limits.window), " from ",
+                      absl::FormatDuration(worst.begin - records.traffic_began), " for ",
+                      worst.requests, " requests; allowed ", worst.allowed)});
   }
 }
 
