Retry budget: a retry is charged in every window in which its worker may read it

Callers' requests reached workers again in excess of BUDGET once paused workers went on. A retry took its token when it was sent, but the budget counts it when it is read. What is sent to a paused worker lies in its kernel, a reset does not take it back, and all of it is read in one window, beside the retries of that window.

Nobody knows in which window an unread attempt is read, so it is charged in each: one token a window, from one second after it was sent until one window after its worker has shown that it reads. Any window that holds the reading has then been paid for, whatever its beginning. Attempts read within a second, and those that are the only one of their request, cost nothing, so nothing changes while workers read what they get.

What costs most is sending on to workers that don't read, so a worker with an attempt unread for four times its usual time to the first byte, and at least 500 ms, is avoided until it is heard. One that has no attempt of the node in flight is probed once a second; before, requests of callers were the probes.

--- a/include/hingespan/serving/gateway.h
+++ b/include/hingespan/serving/gateway.h
@@ -91,6 +91,7 @@
   WorkerPath* PathOf(const std::string& service) override;
   void OnAttemptBroken(const std::string& worker_id, const std::string& service) override;
   void OnPathEvent(const std::string& service) override;
+  void OnHeard(const std::string& service, const std::string& recipient) override;
   void OnRequestStarted(std::shared_ptr<RequestRelay> request) override;
   void OnRequestEnded(std::uint64_t number) override;
 
@@ -126,6 +127,8 @@
   std::vector<std::string> ProbeTargets(const std::string& service);
   void OnProbesEnded(const std::string& service, bool answered);
   void OnPathLost(const std::string& service);
+  // Asks silent workers that have none of this node's attempts in flight whether they go on.
+  void ProbeSilentWorkers();
   void OnQuarantine();
   // Tokens that an engine of the service has memory for; 0 if its workers are no engines.
   double TokenCapacity(const std::string& service) const;
@@ -206,6 +209,7 @@
   std::shared_ptr<const RouteTable> routes_;
   std::unique_ptr<LoopTimer> stop_timer_;
   std::unique_ptr<LoopTimer> dispatch_timer_;
+  std::unique_ptr<LoopTimer> silence_timer_;
   std::function<void()> on_stopped_;
   std::uint64_t next_number_ = 0;
   bool workers_known_ = false;
--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -74,6 +75,8 @@
   // Called when an attempt's connection to the worker ended before its answer showed that the
   // worker survives the prompt.
   virtual void OnAttemptBroken(const std::string& worker_id, const std::string& service) = 0;
+  // Called when a worker or another node has sent anything for a request.
+  virtual void OnHeard(const std::string& service, const std::string& recipient) = 0;
   // Called when an attempt has shown something about that path.
   virtual void OnPathEvent(const std::string& service) = 0;
   // The host keeps a request alive from Start until it ends.
@@ -219,9 +222,7 @@
   // Takes a token if an earlier attempt may have arrived at a worker. Returns false after giving
   // the request up for want of one.
   bool AcquireRepeat(absl::Time now);
-  // Records that the attempt's recipient has sent something, so that it has read the attempt.
-  void NoteHeard(absl::Time now);
-  // Records that the attempt's connection was closed by its recipient.
+  // Records that the attempt's recipient has answered, or closed the connection.
   void NoteRead(absl::Time now);
   // Reads from the worker again after a pause for a slow caller.
   void ResumeReading();
@@ -314,6 +315,7 @@
   // Peers that couldn't take the request.
   std::set<std::string> declined_peers_;
   int attempts_ = 0;
+  std::vector<UnreadAttempts::Key> sent_attempts_;
   // Number of attempts that may have arrived at a worker.
   int arrivals_ = 0;
   // Number of attempts at peers whose workers are not known.
@@ -331,7 +333,6 @@
   std::unique_ptr<ClientExchange> upstream_;
   // Worker or peer that the attempt was sent to.
   std::string recipient_;
-  UnreadAttempts::Key unread_key_ = 0;
   std::string worker_id_;
   std::string worker_address_;
   // Worker of which a slot was taken for the attempt; empty if none was.
--- a/include/hingespan/serving/retry_budget.h
+++ b/include/hingespan/serving/retry_budget.h
@@ -38,13 +38,14 @@
 };
 
 // Token bucket for each service. It is empty when the process starts, as the previous process may
-// have spent its tokens. Each request earns `ratio` tokens, and time earns a share of `extra`.
+// have spent its tokens. Each request earns `ratio` tokens, and time earns a share of `extra`. A
+// retry takes a token when it is sent, and further ones while it may still be read.
 // Does no I/O; not thread-safe.
 class RetryBudget {
  public:
   // `share` is this node's share of `extra`.
   RetryBudget(const RetryBudgetLimits& limits, FleetShare share, absl::Time started)
-      : limits_(limits), share_(std::move(share)), started_(started) {}
+      : limits_(limits), share_(std::move(share)), started_(started), unread_(limits.window) {}
 
   // Sets the nodes that have a row in the fleet table, as returned by a read that was started at
   // `read_started`.
@@ -77,7 +78,7 @@
   double NodeExtra(absl::Time now) const;
   // Capacity of a bucket for a node's share of `extra`.
   static double Capacity(double node_extra);
-  void Refill(Counts* counts, absl::Time now) const;
+  void Refill(const std::string& service, Counts* counts, absl::Time now) const;
 
   RetryBudgetLimits limits_;
   FleetShare share_;
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -14,6 +14,7 @@
 #include "absl/time/time.h"
 #include "hingespan/serving/configuration.h"
 #include "hingespan/serving/request_dialect.h"
+#include "hingespan/serving/unread_attempts.h"
 #include "hingespan/serving/worker_record.h"
 
 namespace hingespan::gateway {
@@ -140,6 +141,12 @@
   WorkerDirectory(std::string node, std::string zone, ChoicePolicy policy = {})
       : policy_(policy), node_(std::move(node)), zone_(std::move(zone)) {}
 
+  // Workers that don't read what they are sent are avoided, according to `unread`, which must
+  // outlive this object's use.
+  void SetUnreadAttempts(const UnreadAttempts* unread) { unread_ = unread; }
+  // Returns whether an attempt at the worker is unread for much longer than usual there.
+  bool IsSilent(const WorkerState& worker, absl::Time now) const;
+
   // Sets the number of nodes. The more nodes choose concurrently from slightly outdated data, the
   // more each prefers a different set of workers, so that they don't all choose the same one.
   void SetNodes(int nodes);
@@ -186,6 +193,7 @@
   std::string zone_;
   // Maximum that this node's preference adds to a worker's cost, in milliseconds.
   double preference_ms_ = 0;
+  const UnreadAttempts* unread_ = nullptr;
   absl::Time peers_loads_until_ = absl::InfiniteFuture();
   // Workers by id, ordered so that ties in cost are resolved the same way in every run.
   std::map<std::string, WorkerState> workers_;
--- a/src/serving/gateway.cc
+++ b/src/serving/gateway.cc
@@ -155,7 +155,8 @@
               [this] { ScheduleDispatch(); }}),
       reading_(parts_.loop, parts_.store, parts_.client, parts_.log, ReadingSettings(settings_)),
       stop_timer_(parts_.loop->MakeTimer()),
-      dispatch_timer_(parts_.loop->MakeTimer()) {
+      dispatch_timer_(parts_.loop->MakeTimer()),
+      silence_timer_(parts_.loop->MakeTimer()) {
   context_.loop = parts_.loop;
   context_.dialect = parts_.dialect;
   context_.client = parts_.client;
@@ -169,6 +170,7 @@
   context_.host = this;
   context_.answer_memory = &answer_memory_;
   context_.return_when_late = settings_.serving.return_when_late;
+  workers_.SetUnreadAttempts(budget_.unread());
 }
 
 Gateway::~Gateway() { *alive_ = false; }
@@ -188,6 +190,7 @@
     }
   }
   SetRequestLimits({});
+  ProbeSilentWorkers();
   for (HttpServer* const server : {&requests_, &forwarded_, &status_, &metrics_}) {
     server->OnTurnedAway([this](const TurnedAwayClient& client) { OnTurnedAway(client); });
   }
--- a/src/serving/gateway_path.cc
+++ b/src/serving/gateway_path.cc
@@ -13,6 +13,7 @@
 
 // Number of workers that are probed in one round.
 constexpr std::size_t kProbes = 3;
+constexpr absl::Duration kSilentProbeInterval = absl::Seconds(1);
 // Longer than another node's client keeps an idle connection, so that none is closed just as a
 // request is forwarded on it.
 constexpr absl::Duration kForwardIdleTimeout = absl::Seconds(60);
@@ -169,6 +170,36 @@
   CheckPath(service);
 }
 
+void Gateway::OnHeard(const std::string& service, const std::string& recipient) {
+  const UnreadAttempts::OverdueReading reading =
+      budget_.unread()->OnHeard(recipient, parts_.loop->Now());
+  if (reading.attempts == 0) {
+    return;
+  }
+  parts_.log->Write(LogLevel::kInfo, "overdue_attempts_read",
+                    {{"service", service},
+                     {"recipient", recipient},
+                     {"attempts", absl::StrCat(reading.attempts)},
+                     {"longest_ms", absl::StrCat(absl::ToInt64Milliseconds(reading.longest))}});
+}
+
+void Gateway::ProbeSilentWorkers() {
+  const absl::Time now = parts_.loop->Now();
+  for (const auto& [id, worker] : workers_.workers()) {
+    if (worker.running > 0 || worker.ended || !workers_.IsSilent(worker, now)) {
+      continue;
+    }
+    const auto on_answer = [this, alive = alive_, worker_id = id,
+                            service = worker.record.service](bool answered) {
+      if (answered && *alive) {
+        OnHeard(service, worker_id);
+      }
+    };
+    parts_.control->Probe(worker.record.address, on_answer);
+  }
+  silence_timer_->Set(now + kSilentProbeInterval, [this] { ProbeSilentWorkers(); });
+}
+
 bool Gateway::ReachesModelWorkers() const {
   bool any = false;
   for (const Service& service : routes_->configuration().services) {
--- a/src/serving/request_relay.cc
+++ b/src/serving/request_relay.cc
@@ -256,7 +256,12 @@
   ++arrivals_;
   ++context_->metrics->attempts;
   recipient_ = recipient;
-  unread_key_ = context_->budget->unread()->Add(service_, recipient_, now);
+  sent_attempts_.push_back(context_->budget->unread()->Add(service_, recipient_, now));
+  if (arrivals_ > 1) {
+    for (const UnreadAttempts::Key attempt : sent_attempts_) {
+      context_->budget->unread()->CountAsRetry(attempt);
+    }
+  }
   attempt_started_ = now;
   last_progress_ = now;
   answer_started_ = false;
@@ -310,22 +315,8 @@
   upstream_ = context_->client->Send(address, std::move(message), this, exchange_->shared_body());
 }
 
-void RequestRelay::NoteHeard(absl::Time now) {
-  NoteRead(now);
-  const UnreadAttempts::OverdueReading reading =
-      context_->budget->unread()->OnHeard(recipient_, now);
-  if (reading.attempts > 0) {
-    context_->log->Write(
-        LogLevel::kInfo, "overdue_attempts_read",
-        {{"service", service_},
-         {"recipient", recipient_},
-         {"attempts", absl::StrCat(reading.attempts)},
-         {"longest_ms", absl::StrCat(absl::ToInt64Milliseconds(reading.longest))}});
-  }
-}
-
 void RequestRelay::NoteRead(absl::Time now) {
-  context_->budget->unread()->OnRead(unread_key_, now);
+  context_->budget->unread()->OnRead(sent_attempts_.back(), now);
 }
 
 absl::Time RequestRelay::Deadline() const {
--- a/src/serving/request_relay_answers.cc
+++ b/src/serving/request_relay_answers.cc
@@ -38,7 +38,8 @@
 }  // namespace
 
 bool RequestRelay::OnHead(const AnswerHead& head) {
-  NoteHeard(context_->loop->Now());
+  NoteRead(context_->loop->Now());
+  context_->host->OnHeard(service_, recipient_);
   if (peer_.empty()) {
     path_->OnBytes(context_->loop->Now());
   } else {
@@ -80,7 +81,7 @@
 void RequestRelay::OnBody(absl::string_view piece) {
   const absl::Time now = context_->loop->Now();
   last_progress_ = now;
-  NoteHeard(now);
+  context_->host->OnHeard(service_, recipient_);
   if (peer_.empty()) {
     path_->OnBytes(now);
   }
@@ -156,7 +157,7 @@
       OnWholeAnswer();
       return;
     case ExchangeResult::kNotSent:
-      context_->budget->unread()->OnNotSent(unread_key_);
+      context_->budget->unread()->OnNotSent(sent_attempts_.back());
       OnNotSent();
       return;
     case ExchangeResult::kBroken:
--- a/src/serving/retry_budget.cc
+++ b/src/serving/retry_budget.cc
@@ -29,20 +29,21 @@
   return std::min(node_extra, std::max(1.0, node_extra / 2));
 }
 
-void RetryBudget::Refill(Counts* counts, absl::Time now) const {
+void RetryBudget::Refill(const std::string& service, Counts* counts, absl::Time now) const {
   const double node_extra = std::min(node_extra_, NodeExtra(now));
   if (counts->last_refill != absl::InfinitePast()) {
     counts->tokens += (node_extra - Capacity(node_extra)) *
                       absl::FDivDuration(now - counts->last_refill, limits_.window);
+    counts->tokens -= unread_.Charge(service, counts->last_refill, now);
   }
-  counts->tokens = std::min(counts->tokens, Capacity(expected_node_extra_));
+  counts->tokens = std::clamp(counts->tokens, 0.0, Capacity(expected_node_extra_));
   counts->last_refill = now;
 }
 
 void RetryBudget::SetNodes(const std::vector<std::string>& nodes, absl::Time read_started,
                            absl::Time now) {
   for (auto& [service, counts] : counts_) {
-    Refill(&counts, now);
+    Refill(service, &counts, now);
   }
   share_.SetNodes(nodes, read_started, now);
   node_extra_ = NodeExtra(now);
@@ -53,7 +54,7 @@
 RetryBudget::Counts& RetryBudget::PrunedCounts(const std::string& service, absl::Time now) {
   Counts& counts = counts_[service];
   DropBefore(&counts.repeats, now - limits_.window);
-  Refill(&counts, now);
+  Refill(service, &counts, now);
   return counts;
 }
 
--- a/src/serving/worker_directory.cc
+++ b/src/serving/worker_directory.cc
@@ -27,6 +27,10 @@
 // Half-life of a worker's failures, after which it is tried again.
 constexpr absl::Duration kSuccessHalfLife = absl::Seconds(6);
 constexpr double kMinSuccess = 0.08;
+// A worker is silent when an attempt is unread for this multiple of the usual time to the first
+// byte of an answer, and at least for the minimum.
+constexpr double kSilenceFactor = 4;
+constexpr absl::Duration kMinSilence = absl::Milliseconds(500);
 constexpr absl::Duration kAvoidUnreachable = absl::Milliseconds(1000);
 constexpr absl::Duration kAvoidFull = absl::Milliseconds(60);
 constexpr absl::Duration kAvoidFailed = absl::Milliseconds(40);
@@ -195,6 +199,15 @@
   return (queue / kPromptTokensPerMs + running * kRunningCostMs + preference) / success;
 }
 
+bool WorkerDirectory::IsSilent(const WorkerState& worker, absl::Time now) const {
+  if (unread_ == nullptr) {
+    return false;
+  }
+  const absl::Duration usual = absl::Milliseconds(worker.latency_ms);
+  return now - unread_->OldestUnread(worker.record.id, now) >
+         std::max(kMinSilence, kSilenceFactor * usual);
+}
+
 WorkerChoice WorkerDirectory::Choose(const WorkerDemand& demand, const Configuration& configuration,
                                      absl::Time now) {
   if (now >= peers_loads_until_) {
@@ -238,7 +251,8 @@
     if (!demand.borrows_slot && IsFull(worker, demand, service)) {
       continue;
     }
-    const bool avoided = policy_.avoid_failing && worker.avoided_until > now;
+    const bool avoided =
+        policy_.avoid_failing && (worker.avoided_until > now || IsSilent(worker, now));
     const double cost = Cost(worker, demand, now);
     if (choice.worker == nullptr || (best_avoided && !avoided) ||
         (best_avoided == avoided && cost < best)) {
--- a/tests/retry_budget/retry_budget_test.cc
+++ b/tests/retry_budget/retry_budget_test.cc
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr char kService[] = "s";
+constexpr char kPausedWorker[] = "w";
 const RetryBudgetLimits kLimits{0.2, 24, absl::Seconds(10)};
 constexpr int kNodes = 6;
 constexpr double kNever = std::numeric_limits<double>::infinity();
@@ -33,7 +34,7 @@
 
 absl::Time At(double seconds) { return absl::UnixEpoch() + absl::Seconds(1000 + seconds); }
 
-enum class EventKind { kKill, kStop, kReadOutage, kFailures, kMoveLoad };
+enum class EventKind { kKill, kStop, kReadOutage, kFailures, kMoveLoad, kPauseWorkers };
 
 // Disturbance that affects `count` nodes, starting with `node`.
 struct Event {
@@ -152,11 +153,36 @@
         case EventKind::kMoveLoad:
           busiest_ = node;
           break;
+        case EventKind::kPauseWorkers:
+          paused_until_ = std::max(paused_until_, now_ + event.seconds);
+          break;
       }
     }
   }
 
+  // Half of the workers read nothing while they are paused, and all at once when they go on.
+  void ReadLate() {
+    if (now_ < paused_until_ || unread_ == 0) {
+      return;
+    }
+    repeats_.insert(repeats_.end(), unread_, now_);
+    unread_ = 0;
+    for (Process& process : processes_) {
+      process.budget.unread()->OnHeard(kPausedWorker, At(now_));
+    }
+  }
+
+  void SendRetry(RetryBudget* budget) {
+    if (now_ >= paused_until_ || Uniform(0, 1) < 0.5) {
+      repeats_.push_back(now_);
+      return;
+    }
+    ++unread_;
+    budget->unread()->CountAsRetry(budget->unread()->Add(kService, kPausedWorker, At(now_)));
+  }
+
   void Step() {
+    ReadLate();
     for (int node = 0; node < kNodes; ++node) {
       Process& process = processes_[node];
       if (process.ends <= now_) {
@@ -177,7 +203,7 @@
     if (now_ < failing_until_) {
       for (Process& process : processes_) {
         while (process.budget.TryAcquire(kService, At(now_))) {
-          repeats_.push_back(now_);
+          SendRetry(&process.budget);
         }
       }
     }
@@ -198,6 +224,9 @@
   std::map<double, std::set<std::string>> tables_;
   std::vector<Process> processes_;
   double failing_until_ = 0;
+  double paused_until_ = 0;
+  // Retries that paused workers will read.
+  int unread_ = 0;
   int busiest_ = -1;
   std::vector<double> requests_;
   std::vector<double> repeats_;
@@ -235,6 +264,11 @@
   CHECK(rc::check("load moves", [] { CheckBudget({EventKind::kMoveLoad}); }));
 }
 
+// Guards against retries that are charged when they are sent, and read in a later window.
+TEST_CASE("retries that paused workers read late stay within the budget") {
+  CHECK(rc::check("workers are paused", [] { CheckBudget({EventKind::kPauseWorkers}); }));
+}
+
 // Guards against any combination of these failures.
 TEST_CASE("property: a fleet with failures stays within the budget in any window") {
   CHECK(rc::check("all together", [] {
--- a/tests/serving/parts_test.cc
+++ b/tests/serving/parts_test.cc
@@ -243,6 +243,32 @@
   CHECK(workers.Choose(demand, configuration, At(1)).problem == ChoiceProblem::kNoWorkers);
 }
 
+// Guards against sending more and more requests to a worker whose process is paused.
+TEST_CASE("workers: one that leaves an attempt unread is avoided until it is heard") {
+  const Configuration configuration = PlainConfiguration();
+  WorkerDirectory workers("n", "z");
+  UnreadAttempts unread(absl::Seconds(10));
+  workers.SetUnreadAttempts(&unread);
+  workers.Update(RecordOf("w1", ""), 1, At(0));
+  workers.Update(RecordOf("w2", ""), 1, At(0));
+  WorkerDemand demand;
+  demand.service = "s";
+  WorkerState* const first = workers.Choose(demand, configuration, At(0)).worker;
+  REQUIRE(first != nullptr);
+  const std::string id = first->record.id;
+  unread.Add("s", id, At(0));
+  CHECK(workers.Choose(demand, configuration, At(0.4)).worker == first);
+  CHECK(workers.Choose(demand, configuration, At(0.6)).worker != first);
+  CHECK(workers.Choose(demand, configuration, At(9)).worker != first);
+  unread.OnHeard(id, At(9));
+  CHECK(workers.Choose(demand, configuration, At(9)).worker == first);
+  // A worker whose answers usually take longer is not silent yet.
+  workers.AnswerStarted(id, 0, absl::Seconds(1), At(10));
+  unread.Add("s", id, At(10));
+  CHECK(!workers.IsSilent(*first, At(13)));
+  CHECK(workers.IsSilent(*first, At(15)));
+}
+
 TEST_CASE("workers: a failing one is avoided and chosen again after a while") {
   const Configuration configuration = PlainConfiguration();
   WorkerDirectory workers("n", "z");
