soak: workers that are processes of their own and are paused

The soak could not see that retries are read late: its workers live in its own process. The style 'paused' adds six workers of a service as processes (soak-worker), of whose answers 0.3 are 500 until the faults end, pauses of one to four of them for 1 to 9 s that overlap, and kills and stops of gateways and outages of the store. What the processes have read counts for the retry budget and as read.

--- a/emulator/platform_worker.h
+++ b/emulator/platform_worker.h
@@ -149,6 +149,7 @@
   };
 
   void SetFault(WorkerFault fault) { fault_ = fault; }
+  void SetFailingShare(double share) { options_.failing_share = share; }
   // From now on plain answers have neither a length nor chunks and end with their connection.
   void AnswerUnframed() { unframed_answers_ = true; }
   void SetDraining();
--- a/tests/paused_workers/paused_world.cc
+++ b/tests/paused_workers/paused_world.cc
@@ -72,12 +72,7 @@
     options.failing_share = play_.failing_share;
     workers_.push_back(std::make_unique<soak::WorkerProcess>(std::move(options)));
   }
-  REQUIRE(loop_.RunUntil(
-      [this] {
-        return std::all_of(workers_.begin(), workers_.end(),
-                           [](const auto& worker) { return worker->Listens(); });
-      },
-      kWaitLimit));
+  REQUIRE(soak::AwaitListening(&loop_, workers_, kWaitLimit));
   for (const auto& worker : workers_) {
     store_.Put("servers", worker->id(), worker->Row());
   }
--- a/tests/soak/fault_plan.cc
+++ b/tests/soak/fault_plan.cc
@@ -7,7 +7,7 @@
 namespace hingespan::soak {
 namespace {
 
-constexpr int kKinds = static_cast<int>(FaultKind::kWorkerFallsSilent) + 1;
+constexpr int kKinds = static_cast<int>(FaultKind::kWorkerPause) + 1;
 constexpr int kDrawnKinds = static_cast<int>(FaultKind::kWorkerSilent) + 1;
 constexpr double kMinSeconds = 0.3;
 constexpr double kMaxSeconds = 5.0;
@@ -19,6 +19,11 @@
 // gap target.
 constexpr double kMinSilenceSeconds = 0.5;
 constexpr double kMaxSilenceSeconds = 1.8;
+constexpr std::uint64_t kPauseSeedMask = 0x9a05e;
+constexpr double kMinPauseSeconds = 1;
+constexpr double kMaxPauseSeconds = 9;
+constexpr double kMaxSecondsBetweenPauses = 6;
+constexpr std::uint32_t kMaxPausedAtOnce = 4;
 constexpr double kMinSoundSeconds = 0.3;
 constexpr double kMaxSoundSeconds = 2.5;
 // More workers than a run with a few gateways has, for silences of all of them.
@@ -28,19 +33,24 @@
 }  // namespace
 
 const char* FaultName(FaultKind kind) {
-  static constexpr const char* kNames[kKinds] = {
-      "gateway_kill",         "gateway_kill_all",       "gateway_pause",
-      "gateway_stop",         "gateway_reload",         "store_link_delay",
-      "store_link_reset",     "store_link_cut_towards", "store_link_cut_from",
-      "store_link_silent",    "store_unavailable",      "store_silent",
-      "store_loses_answers",  "store_acts_late",        "store_forgets_history",
-      "worker_link_delay",    "worker_link_reset",      "worker_link_silent",
-      "worker_fails",         "worker_sheds",           "worker_loses_answers",
-      "worker_mixes_answers", "worker_breaks_streams",  "worker_crash",
-      "worker_leaves",        "worker_silent",          "gateway_stop_again",
-      "gateway_stop_fresh",   "gateway_stop_all",       "configuration_change",
-      "workers_shed",         "workers_lose_answers",   "workers_break_streams",
-      "worker_falls_silent"};
+  static constexpr const char* kNames[kKinds] = {"gateway_kill",          "gateway_kill_all",
+                                                 "gateway_pause",         "gateway_stop",
+                                                 "gateway_reload",        "store_link_delay",
+                                                 "store_link_reset",      "store_link_cut_towards",
+                                                 "store_link_cut_from",   "store_link_silent",
+                                                 "store_unavailable",     "store_silent",
+                                                 "store_loses_answers",   "store_acts_late",
+                                                 "store_forgets_history", "worker_link_delay",
+                                                 "worker_link_reset",     "worker_link_silent",
+                                                 "worker_fails",          "worker_sheds",
+                                                 "worker_loses_answers",  "worker_mixes_answers",
+                                                 "worker_breaks_streams", "worker_crash",
+                                                 "worker_leaves",         "worker_silent",
+                                                 "gateway_stop_again",    "gateway_stop_fresh",
+                                                 "gateway_stop_all",      "configuration_change",
+                                                 "workers_shed",          "workers_lose_answers",
+                                                 "workers_break_streams", "worker_falls_silent",
+                                                 "worker_pause"};
   return kNames[static_cast<int>(kind)];
 }
 
@@ -110,6 +120,28 @@
   }
 }
 
+std::vector<PlannedFault> MakePausePlan(const FaultPlanOptions& options) {
+  std::mt19937_64 random(options.seed ^ kPauseSeedMask);
+  const auto between = [&random](double least, double most) {
+    return least + (most - least) * static_cast<double>(random() >> 11) * 0x1.0p-53;
+  };
+  std::vector<PlannedFault> plan;
+  absl::Duration at = absl::ZeroDuration();
+  while (true) {
+    at += absl::Seconds(between(0, kMaxSecondsBetweenPauses));
+    if (at >= options.length) {
+      return plan;
+    }
+    const absl::Duration duration =
+        std::min(absl::Seconds(between(kMinPauseSeconds, kMaxPauseSeconds)), options.length - at);
+    const std::uint32_t count = 1 + static_cast<std::uint32_t>(random() % kMaxPausedAtOnce);
+    const auto target = static_cast<std::uint32_t>(random() >> 40);
+    for (std::uint32_t each = 0; each < count; ++each) {
+      plan.push_back({FaultKind::kWorkerPause, at, duration, target + each});
+    }
+  }
+}
+
 std::vector<PlannedFault> MakePromptPlan(const FaultPlanOptions& options, absl::Duration begin) {
   static constexpr FaultKind kKinds[] = {FaultKind::kGatewayKill, FaultKind::kGatewayKill,
                                          FaultKind::kGatewayStop, FaultKind::kGatewayStop,
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -52,8 +52,10 @@
   kWorkersShed,
   kWorkersLoseAnswers,
   kWorkersBreakStreams,
-  // The last kind of all: a sound worker sends nothing for a while. This is no disruption.
+  // A sound worker sends nothing for a while. This is no disruption.
   kWorkerFallsSilent,
+  // The process of a worker is paused. The last kind of all.
+  kWorkerPause,
 };
 
 struct PlannedFault {
@@ -92,6 +94,8 @@
 // Returns silences of sound workers, one or several at a time, that don't overlap; sorted by `at`.
 // Its draws are independent of those of the other plans.
 std::vector<PlannedFault> MakeSilencePlan(const FaultPlanOptions& options);
+// Returns pauses of one or more workers' processes that may overlap, sorted by `at`.
+std::vector<PlannedFault> MakePausePlan(const FaultPlanOptions& options);
 // Returns kills and stops of gateways and outages of the store, sorted by `at`, none before
 // `begin`.
 std::vector<PlannedFault> MakePromptPlan(const FaultPlanOptions& options, absl::Duration begin);
--- a/tests/soak/repeat_budget.cc
+++ b/tests/soak/repeat_budget.cc
@@ -21,11 +21,21 @@
                                            std::upper_bound(sorted.begin(), sorted.end(), end)));
 }
 
+const char* ServiceOf(const RequestRecord& request) {
+  if (request.target == kProcessTarget) {
+    return kProcessService;
+  }
+  return request.IsStream() ? kModelService : kPlainService;
+}
+
 std::map<std::string, ServiceTraffic> TrafficOf(const SoakRecords& records,
                                                 const std::vector<SoakWorkerView>& workers) {
   std::map<std::string, ServiceTraffic> services;
   for (const auto& request : records.requests) {
-    services[request->IsStream() ? kModelService : kPlainService].requests.push_back(request->sent);
+    services[ServiceOf(*request)].requests.push_back(request->sent);
+  }
+  for (const auto& arrival : records.process_arrivals) {
+    services[kProcessService].arrivals[arrival.id].push_back(arrival.at);
   }
   for (const SoakWorkerView& view : workers) {
     for (const auto& arrival : view.worker->arrivals()) {
--- a/tests/soak/run_index.cc
+++ b/tests/soak/run_index.cc
@@ -13,6 +13,9 @@
 
 RunIndex::RunIndex(const SoakRecords& records, const std::vector<SoakWorkerView>& workers)
     : records_(records) {
+  for (const auto& arrival : records.process_arrivals) {
+    arrived_.insert(arrival.id);
+  }
   for (const SoakWorkerView& view : workers) {
     for (const Run& run : view.worker->runs()) {
       runs_[run.id].emplace_back(view.id, &run);
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -195,6 +195,9 @@
       }
       return;
     }
+    case FaultKind::kWorkerPause:
+      PauseWorker(fault);
+      return;
     default:
       InjectServiceFault(fault);
       return;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -16,9 +16,9 @@
 constexpr int kExitBroken = 1;
 constexpr int kMaxGateways = 64;
 const std::map<std::string, Style> kStyles = {
-    {"single", Style::kSingle},    {"mixed", Style::kMixed},     {"planned", Style::kPlanned},
-    {"streams", Style::kStreams},  {"prompts", Style::kPrompts}, {"brittle", Style::kBrittle},
-    {"requests", Style::kRequests}};
+    {"single", Style::kSingle},     {"mixed", Style::kMixed},     {"planned", Style::kPlanned},
+    {"streams", Style::kStreams},   {"prompts", Style::kPrompts}, {"brittle", Style::kBrittle},
+    {"requests", Style::kRequests}, {"paused", Style::kPaused}};
 
 struct Flags {
   std::vector<std::uint64_t> seeds;
@@ -48,6 +48,7 @@
   options.gateways = flags.gateways;
   options.style = flags.style.empty() ? SoakRun::DefaultStyle(seed) : kStyles.at(flags.style);
   options.program = flags.program;
+  options.worker_program = HINGESPAN_PROGRAM_DIRECTORY "/soak-worker";
   options.folder = absl::StrCat(flags.folder, "/seed-", seed);
   // The addresses in the logs of an earlier run would be mistaken for those of this one.
   std::filesystem::remove_all(options.folder);
@@ -76,9 +77,10 @@
   app.add_option("seeds", flags.seeds, "Seeds to play, one run each")->required();
   app.add_option("--seconds", flags.seconds, "How long faults come in each run");
   app.add_option("--gateways", flags.gateways, "Gateways")->check(CLI::Range(1, kMaxGateways));
-  app.add_option(
-         "--style", flags.style,
-         "single, mixed, planned, streams, prompts, brittle or requests; by the seed if not given")
+  app.add_option("--style", flags.style,
+                 "single, mixed, planned, streams, prompts, brittle, requests or paused; by the "
+                 "seed if not "
+                 "given")
       ->check(CLI::IsMember(kStyles));
   app.add_option("--logs", flags.folder, "Folder for settings and logs; those of kept runs go");
   app.add_option("--program", flags.program, "The gateway's program");
--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -10,10 +10,14 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "emulator/platform_worker.h"
 #include "hingespan/http/http_client.h"
 
 namespace hingespan::soak {
 
+// Service whose workers are processes of their own, and the target of requests for it.
+constexpr const char* kProcessService = "processes";
+constexpr const char* kProcessTarget = "/process/x";
 // Number of events of a stream unless its request asks for more.
 constexpr int kStreamEvents = 12;
 constexpr const char* kEventEnd = "\n\n";
@@ -232,6 +236,8 @@
   // Time from SIGTERM to SIGKILL.
   absl::Duration grace = absl::Seconds(6);
   RepeatLimits repeats;
+  // What workers that are processes of their own have read; all are of kProcessService.
+  std::vector<emulator::WorkerArrival> process_arrivals;
   absl::Time traffic_began;
   absl::Time faults_over;
   absl::Time recovery_began = absl::InfiniteFuture();
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -45,6 +45,8 @@
 // Mean time between faults beside prompts; most gateways must be in touch.
 constexpr absl::Duration kPromptFaultGap = absl::Seconds(4);
 constexpr int kPromptWorkers = 6;
+constexpr absl::Duration kFirstKillBesidePauses = absl::Seconds(6);
+constexpr absl::Duration kProcessInterval = absl::Milliseconds(20);
 // XORed into the seed for the draws of what presses brittle workers.
 constexpr std::uint64_t kPressSeedMask = 0xb2177;
 constexpr absl::Duration kPressInterval = absl::Milliseconds(4);
@@ -82,6 +84,11 @@
   plan.length = options_.length;
   if (options_.style == Style::kStreams) {
     plan_ = MakeStreamPlan(plan);
+  } else if (options_.style == Style::kPaused) {
+    plan_ = MakePausePlan(plan);
+    plan.mean_gap = kPromptFaultGap;
+    plan_ = MergePlans(std::move(plan_), MakePromptPlan(plan, kFirstKillBesidePauses));
+    records_.repeats.extra = kExtraRepeatsPerGateway * static_cast<double>(options_.gateways);
   } else if (options_.style == Style::kPrompts || options_.style == Style::kBrittle ||
              options_.style == Style::kRequests) {
     plan.mean_gap = kPromptFaultGap;
@@ -106,9 +113,9 @@
 SoakRun::~SoakRun() = default;
 
 Style SoakRun::DefaultStyle(std::uint64_t seed) {
-  static constexpr Style kStyles[] = {Style::kPlanned, Style::kMixed,   Style::kPlanned,
-                                      Style::kMixed,   Style::kSingle,  Style::kStreams,
-                                      Style::kPrompts, Style::kBrittle, Style::kRequests};
+  static constexpr Style kStyles[] = {
+      Style::kPlanned, Style::kMixed,   Style::kPlanned, Style::kMixed,    Style::kSingle,
+      Style::kStreams, Style::kPrompts, Style::kBrittle, Style::kRequests, Style::kPaused};
   return kStyles[seed % std::size(kStyles)];
 }
 
@@ -232,10 +239,12 @@
                               RouteJson("/read/", "idempotent", "plain", 2, false),
                               RouteJson("/resumable/", "streaming", "models", 2, true),
                               RouteJson("/once/", "streaming", "models", 1, false),
+                              RouteJson("/process/", "idempotent", kProcessService, 2, false),
                               RouteJson(absl::StrCat("/v", version_, "/"), "idempotent", "plain", 2,
                                         false)})},
       {"services",
        Json::array({Json{{"name", "plain"}, {"max_connections", 100}},
+                    Json{{"name", kProcessService}, {"max_connections", 100}},
                     Json{{"name", "models"}, {"max_connections", 100}, {"engine", engine}}})},
       {"limits", Json::object()}};
   store_.Put("op", "config", configuration.dump());
@@ -304,6 +313,9 @@
     AddWorker("models", kPromptModel, "v1");
     AddWorker("plain", "", "v1");
   }
+  if (options_.style == Style::kPaused && !StartProcessWorkers()) {
+    return {{"processes start", "not all workers listen"}};
+  }
   PutConfiguration();
   for (std::size_t index = 0; index < gateways_.size(); ++index) {
     Gateway& gateway = gateways_[index];
@@ -331,6 +343,8 @@
     Every(kTakeUpInterval, [this] { TakeUpStreams(); });
     if (options_.style == Style::kPrompts) {
       Every(kPromptInterval, [this] { SendPrompt(); });
+    } else if (options_.style == Style::kPaused) {
+      Every(kProcessInterval, [this] { SendToProcesses(); });
     } else if (options_.style == Style::kRequests) {
       Every(kCrashingInterval, [this] { SendCrashing(); });
       Every(kTakeUpInterval, [this] { RetryCrashing(); });
@@ -350,6 +364,9 @@
   Every(kProcessPollInterval, [this] { KeepGatewaysRunning(); });
   At(kSettleTime + options_.length, [this] {
     records_.faults_over = loop_.Now();
+    for (const auto& worker : process_workers_) {
+      worker->StopFailing();
+    }
     EndBrittle();
   });
   At(kSettleTime + options_.length + kRecoveryTime,
@@ -364,6 +381,11 @@
   for (const auto& worker : workers_) {
     views_.push_back({worker->id, worker->worker.get(), worker->service});
   }
+  for (const auto& worker : process_workers_) {
+    const auto arrivals = worker->Arrivals();
+    records_.process_arrivals.insert(records_.process_arrivals.end(), arrivals.begin(),
+                                     arrivals.end());
+  }
   return CheckPromises(records_, views_);
 }
 
@@ -383,6 +405,8 @@
       return "brittle";
     case Style::kRequests:
       return "requests";
+    case Style::kPaused:
+      return "paused";
   }
   return "";
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -20,6 +20,7 @@
 #include "tests/soak/kept_caller.h"
 #include "tests/soak/promises.h"
 #include "tests/soak/soak_records.h"
+#include "tests/soak/worker_process.h"
 
 namespace hingespan::soak {
 
@@ -59,6 +60,8 @@
   // Workers that fall over when they reject much, under more requests than they can serve; gateways
   // are killed and stopped.
   kBrittle,
+  // Workers that are processes of their own and are paused; gateways are killed and stopped.
+  kPaused,
   // Single requests that end each worker which runs them, whose callers try again at other
   // gateways;
   // gateways are killed and stopped.
@@ -73,6 +76,8 @@
   std::size_t gateways = 4;
   Style style = Style::kSingle;
   std::string program;
+  // Program of workers that are processes of their own.
+  std::string worker_program;
   // Folder for settings and logs.
   std::string folder;
 };
@@ -124,6 +129,11 @@
   // Takes up streams whose answer ended early.
   void TakeUpStreams();
   void TakeUp(const RequestRecord& record);
+  // Starts the workers that are processes of their own and writes their rows. Returns whether all
+  // listen in time.
+  bool StartProcessWorkers();
+  void SendToProcesses();
+  void PauseWorker(const PlannedFault& fault);
   void SendPrompt();
   // Lets the workers be brittle from now on.
   void BeginBrittle();
@@ -177,6 +187,9 @@
   gateway::HttpClient client_;
   std::vector<Gateway> gateways_;
   std::vector<std::unique_ptr<Worker>> workers_;
+  std::vector<std::unique_ptr<WorkerProcess>> process_workers_;
+  // Pauses of each of them that have not ended.
+  std::vector<int> open_pauses_;
   // Views of all workers that there were; filled at the end of the run.
   std::vector<SoakWorkerView> views_;
   std::vector<PlannedFault> plan_;
--- a/tests/soak/worker_main.cc
+++ b/tests/soak/worker_main.cc
@@ -44,7 +44,8 @@
   gateway::EventLoop loop;
   // Nobody reads this store.
   emulator::PlatformStore store(&loop);
-  const emulator::PlatformWorker worker(&loop, &store, options);
+  emulator::PlatformWorker worker(&loop, &store, options);
+  loop.OnSignal(SIGUSR1, [&worker] { worker.SetFailingShare(0); });
   WriteLine({{"event", "listening"}, {"address", worker.address()}});
   loop.Run();
   return 0;
--- a/tests/soak/worker_process.cc
+++ b/tests/soak/worker_process.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/worker_process.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <fstream>
 #include <functional>
@@ -24,6 +25,9 @@
   }
 }
 
+// Time between two looks at the logs of workers that start.
+constexpr absl::Duration kPollInterval = absl::Milliseconds(20);
+
 }  // namespace
 
 WorkerProcess::WorkerProcess(WorkerProcessOptions options) : options_(std::move(options)) {
@@ -84,4 +88,19 @@
       .dump();
 }
 
+bool AwaitListening(gateway::EventLoop* loop,
+                    const std::vector<std::unique_ptr<WorkerProcess>>& workers,
+                    absl::Duration limit) {
+  const auto timer = loop->MakeTimer();
+  // The loop looks at the logs only when something happens on it.
+  const std::function<void()> poll = [&] { timer->Set(loop->Now() + kPollInterval, poll); };
+  poll();
+  return loop->RunUntil(
+      [&workers] {
+        return std::all_of(workers.begin(), workers.end(),
+                           [](const auto& worker) { return worker->Listens(); });
+      },
+      limit);
+}
+
 }  // namespace hingespan::soak
--- a/tests/soak/worker_process.h
+++ b/tests/soak/worker_process.h
@@ -4,10 +4,13 @@
 #define TESTS_SOAK_WORKER_PROCESS_H_
 
 #include <csignal>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "emulator/platform_worker.h"
+#include "hingespan/http/event_loop.h"
 #include "tests/soak/child_process.h"
 
 namespace hingespan::soak {
@@ -36,6 +39,8 @@
   bool Listens();
   void Pause() { process_.Signal(SIGSTOP); }
   void GoOn() { process_.Signal(SIGCONT); }
+  // From now on no request is answered 500.
+  void StopFailing() { process_.Signal(SIGUSR1); }
   // Returns the requests that the worker has read so far, in order.
   std::vector<emulator::PlatformWorker::Arrival> Arrivals() const;
   // Returns the worker's row in the platform's store.
@@ -52,6 +57,11 @@
   ChildProcess process_;
 };
 
+// Waits until all workers listen. Returns false if they don't within `limit`.
+bool AwaitListening(gateway::EventLoop* loop,
+                    const std::vector<std::unique_ptr<WorkerProcess>>& workers,
+                    absl::Duration limit);
+
 }  // namespace hingespan::soak
 
 #endif  // TESTS_SOAK_WORKER_PROCESS_H_
--- a/tests/soak_checks/repeat_budget_test.cc
+++ b/tests/soak_checks/repeat_budget_test.cc
@@ -68,6 +68,17 @@
   CHECK(fixture.Broken() == Names{kBudget});
 }
 
+TEST_CASE("what workers that are processes of their own have read is counted for their service") {
+  Fixture fixture;
+  fixture.records.repeats = {1, 0, absl::Seconds(100)};
+  RequestRecord* const request = fixture.Add(RequestKind::kRead, 200, "answer to r0");
+  request->target = kProcessTarget;
+  fixture.records.process_arrivals = {{request->id, At(1)}, {request->id, At(2)}};
+  CHECK(fixture.Broken().empty());
+  fixture.records.process_arrivals.push_back({request->id, At(3)});
+  CHECK(fixture.Broken() == Names{kBudget});
+}
+
 TEST_CASE("repeats further apart than a window are not added up") {
   Fixture fixture;
   fixture.records.repeats = {0, 1, absl::ZeroDuration()};
