--- a/include/hingespan/serving/request_relay.h
+++ b/include/hingespan/serving/request_relay.h
@@ -315,6 +315,7 @@
   // Peers that couldn't take the request.
   std::set<std::string> declined_peers_;
   int attempts_ = 0;
+  // All attempts so far; the last one is that in flight.
   std::vector<UnreadAttempts::Key> sent_attempts_;
   // Number of attempts that may have arrived at a worker.
   int arrivals_ = 0;
--- a/include/hingespan/serving/unread_attempts.h
+++ b/include/hingespan/serving/unread_attempts.h
@@ -47,7 +47,7 @@
   OverdueReading OnHeard(const std::string& recipient, absl::Time now);
 
   // Time at which the oldest unread attempt was sent to this recipient; InfiniteFuture if there is
-  // none.
+  // none, or if the recipient has been silent for so long that it is taken to have ended.
   absl::Time OldestUnread(const std::string& recipient, absl::Time now) const;
   // Number of unread attempts for which a recipient that reads would have shown it by now.
   int CountOverdue(const std::string& service, absl::Time now) const;
--- a/include/hingespan/serving/worker_directory.h
+++ b/include/hingespan/serving/worker_directory.h
@@ -141,8 +141,8 @@
   WorkerDirectory(std::string node, std::string zone, ChoicePolicy policy = {})
       : policy_(policy), node_(std::move(node)), zone_(std::move(zone)) {}
 
-  // Workers that don't read what they are sent are avoided, according to `unread`, which must
-  // outlive this object's use.
+  // From now on, workers that leave attempts of `unread` unread are avoided. It must outlive this
+  // object's last choice.
   void SetUnreadAttempts(const UnreadAttempts* unread) { unread_ = unread; }
   // Returns whether an attempt at the worker is unread for much longer than usual there.
   bool IsSilent(const WorkerState& worker, absl::Time now) const;
