--- a/tests/soak/soak_records.h
+++ b/tests/soak/soak_records.h
@@ -236,7 +236,7 @@
   // Time from SIGTERM to SIGKILL.
   absl::Duration grace = absl::Seconds(6);
   RepeatLimits repeats;
-  // What workers that are processes of their own have read; all are of kProcessService.
+  // Requests that workers with processes of their own have read; all are of kProcessService.
   std::vector<emulator::WorkerArrival> process_arrivals;
   absl::Time traffic_began;
   absl::Time faults_over;
